--- /dev/null
+++ b/daemon/internal/settingsync/provider.go
@@ -0,0 +1,11 @@
+// Package settingsync keeps the settings in force on this entry VM.
+package settingsync
+
+import "rhubarbstall.example/settings"
+
+// Provider gives the settings in force. Implementations are safe for concurrent use.
+type Provider interface {
+	// Current returns the document in force and its revision; false if this entry
+	// VM has none yet. The document is shared and is not changed.
+	Current() (*settings.Document, uint64, bool)
+}
