--- /dev/null
+++ b/daemon/internal/membership/config.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/vmlist"
+)
+
+const (
+	// heartbeatInterval is the time between heartbeats within a zone.
+	heartbeatInterval = 500 * time.Millisecond
+	// remoteInterval is the time between heartbeats to each other zone. It also
+	// paces the digests of other zones inside a zone.
+	remoteInterval = 2 * time.Second
+	// suspectAfter is the silence after which a member of the own zone is suspect.
+	suspectAfter = 3 * heartbeatInterval
+	// remoteSuspectAfter is the same for members of other zones. News of them
+	// arrives over two hops of remoteInterval each.
+	remoteSuspectAfter = 5 * remoteInterval
+	// heartbeatTimeout bounds one heartbeat call.
+	heartbeatTimeout = time.Second
+	// pauseLimit is the delay of the heartbeat timer that counts as a pause of
+	// this process.
+	pauseLimit = time.Second
+	// refusalsForDeath is the number of refused connections in a row that prove
+	// that a process is gone. One alone may be a restart of a forwarding device.
+	refusalsForDeath = 2
+	// forgetAfter is how long a member that is dead or left stays listed.
+	forgetAfter = time.Minute
+)
+
+// Config configures a List.
+type Config struct {
+	// Self has the identity, zone, peer address and incarnation of this entry VM.
+	Self Member
+	// Seeds are peer addresses to try first.
+	Seeds  []string
+	VMs    vmlist.Source
+	Peers  *peer.Client
+	Server *peer.Server
+	// Report gives what this entry VM tells about itself.
+	Report func() Report
+	// OnPause is called after a detected pause of this process.
+	OnPause func(time.Duration)
+	// OnHeard is called after each heartbeat from another member; it does not block.
+	OnHeard func(Member)
+	Logger  *zap.Logger
+}
--- /dev/null
+++ b/daemon/internal/peer/peer_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"rhubarbstall.example/api/codes"
+)
+
+type echo struct{ Text string }
+
+func startServer(t *testing.T, s *Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.CloseConnections()
+	})
+	return l.Addr().String()
+}
+
+// Guards against coded errors that lose their outcome between entry VMs.
+func TestCodedErrorTravels(t *testing.T) {
+	s := NewServer()
+	Handle(s, "fail", func(context.Context, string, *echo) (*echo, error) {
+		return nil, codes.QueueFull.With("full", codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(time.Second))
+	})
+	c := NewClient("a")
+	defer c.Close()
+	_, err := Call[echo, echo](t.Context(), c, startServer(t, s), "fail", &echo{})
+	must.Eq(t, codes.QueueFull, codes.Of(err))
+	must.Eq(t, codes.OutcomeNotRun, codes.OutcomeOf(err))
+	must.Eq(t, time.Second, codes.RetryAfterOf(err))
+}
+
+// Guards against a call that may have run being reported as not sent, and
+// against the opposite.
+func TestTransportFailuresAreTold(t *testing.T) {
+	s := NewServer()
+	reached := make(chan struct{})
+	Handle(s, "hang", func(ctx context.Context, _ string, _ *echo) (*echo, error) {
+		close(reached)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	c := NewClient("a")
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := Call[echo, echo](ctx, c, startServer(t, s), "hang", &echo{})
+	must.ErrorIs(t, err, ErrNoReply)
+	<-reached
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := l.Addr().String()
+	must.NoError(t, l.Close())
+	_, err = Call[echo, echo](t.Context(), c, addr, "hang", &echo{})
+	must.ErrorIs(t, err, ErrNotSent)
+	must.True(t, errors.Is(err, syscall.ECONNREFUSED))
+}
+
+// Guards against a trace that ends at the boundary between entry VMs.
+func TestTraceContextTravels(t *testing.T) {
+	rec := tracetest.NewSpanRecorder()
+	otel.SetTracerProvider(trace.NewTracerProvider(trace.WithSpanProcessor(rec)))
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	s := NewServer()
+	Handle(s, "echo", func(_ context.Context, from string, in *echo) (*echo, error) {
+		return &echo{Text: from + ":" + in.Text}, nil
+	})
+	c := NewClient("a")
+	defer c.Close()
+	out, err := Call[echo, echo](t.Context(), c, startServer(t, s), "echo", &echo{Text: "x"})
+	must.NoError(t, err)
+	must.Eq(t, "a:x", out.Text)
+	spans := rec.Ended()
+	must.Len(t, 2, spans)
+	must.Eq(t, spans[0].SpanContext().TraceID(), spans[1].SpanContext().TraceID())
+	must.Eq(t, spans[1].SpanContext().SpanID(), spans[0].Parent().SpanID())
+}
--- /dev/null
+++ b/daemon/internal/telemetry/telemetry.go
@@ -0,0 +1,116 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/config"
+)
+
+// Telemetry holds the providers of one process.
+type Telemetry struct {
+	Logger *zap.Logger
+	// Metrics serves the Prometheus text format.
+	Metrics  http.Handler
+	shutdown []func(context.Context) error
+}
+
+// Setup installs the global providers. Close flushes them.
+func Setup(cfg *config.Config) (*Telemetry, error) {
+	logger, err := newLogger(cfg.Log)
+	if err != nil {
+		return nil, err
+	}
+	t := &Telemetry{Logger: logger}
+	res := resource.NewSchemaless(
+		attribute.String("service.name", "rhubarbstalld"),
+		attribute.String("service.instance.id", cfg.ID),
+		attribute.String("cloud.availability_zone", cfg.AvailabilityZone),
+	)
+	if err := t.setupMetrics(res); err != nil {
+		return nil, err
+	}
+	if err := t.setupTraces(cfg.Trace, res); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Close flushes and ends the providers.
+func (t *Telemetry) Close(ctx context.Context) error {
+	var errs []error
+	for _, f := range t.shutdown {
+		errs = append(errs, f(ctx))
+	}
+	_ = t.Logger.Sync()
+	return errors.Join(errs...)
+}
+
+func newLogger(cfg config.Log) (*zap.Logger, error) {
+	zc := zap.NewProductionConfig()
+	if cfg.Format == "console" {
+		zc = zap.NewDevelopmentConfig()
+	}
+	level, err := zap.ParseAtomicLevel(cfg.Level)
+	if err != nil {
+		return nil, err
+	}
+	zc.Level = level
+	zc.DisableStacktrace = true
+	zc.DisableCaller = true
+	return zc.Build()
+}
+
+func (t *Telemetry) setupMetrics(res *resource.Resource) error {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(reg))
+	if err != nil {
+		return err
+	}
+	provider := metric.NewMeterProvider(metric.WithReader(exporter), metric.WithResource(res))
+	otel.SetMeterProvider(provider)
+	t.Metrics = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+	t.shutdown = append(t.shutdown, provider.Shutdown)
+	return nil
+}
+
+func (t *Telemetry) setupTraces(cfg config.Trace, res *resource.Resource) error {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if cfg.File == "" {
+		return nil
+	}
+	f, err := os.OpenFile(cfg.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(io.Writer(f)))
+	if err != nil {
+		return err
+	}
+	provider := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithResource(res),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(cfg.Sample))),
+	)
+	otel.SetTracerProvider(provider)
+	t.shutdown = append(t.shutdown, provider.Shutdown, func(context.Context) error { return f.Close() })
+	return nil
+}
