Add quorum, platform client, zone scheduler election, job records and dispatch

Cause: jobs have to be stored, started on workers and recovered when an entry VM goes away, without a replicated store of our own. Ruled out: resending a start that had no reply, since a restarted worker would run it twice; a sync under a higher epoch settles it instead.

--- /dev/null
+++ b/daemon/internal/dispatch/jobs.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/sched/model"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// Ready reports whether every worker of the roster was heard in this term, or
+// its leases have certainly lapsed.
+func (lp *Loop) Ready() bool {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	if lp.recovered {
+		return true
+	}
+	for _, id := range lp.cfg.Role.Workers() {
+		l, ok := lp.links[id]
+		if !ok || !l.heard() && !l.expired {
+			return false
+		}
+	}
+	return true
+}
+
+// Recover hands over the jobs that were known before this term. It is called
+// once, when Ready. Load gets a function that tells whether an attempt of a task
+// was found. Jobs that the engine refuses are returned.
+func (lp *Loop) Recover(ctx context.Context, load func(found func(job string, index int) bool) []model.Job) map[string]error {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	now := time.Now()
+	gap := false
+	seen := make(map[task]bool)
+	for _, l := range lp.links {
+		gap = gap || !l.heard()
+		for ref := range l.foreign {
+			seen[taskOf(ref)] = true
+		}
+		for i := range l.early {
+			seen[taskOf(toRef(l.early[i].Ref))] = true
+		}
+	}
+	jobs := load(func(job string, index int) bool { return seen[task{job, index}] })
+	refused := make(map[string]error)
+	for _, j := range jobs {
+		if gap {
+			raiseAttempts(&j)
+		}
+		if err := lp.engine.AddJob(now, j); err != nil {
+			refused[j.ID] = err
+		}
+	}
+	lp.recovered = true
+	adopted := 0
+	for _, l := range lp.links {
+		found, early := l.foreign, l.early
+		l.foreign, l.early = make(map[model.TaskRef]foreign), nil
+		lp.upsert(now, l)
+		for _, f := range found {
+			lp.adopt(now, l, f.ref, f.size, f.age+now.Sub(f.seenAt))
+			adopted++
+		}
+		for i := range early {
+			lp.finish(now, l, &early[i])
+		}
+		lp.sendControls(ctx, l)
+	}
+	lp.cfg.Logger.Info("[dispatch] recovery is complete", zap.Int("jobs", len(jobs)), zap.Int("found_tasks", adopted), zap.Bool("silent_workers", gap))
+	lp.Kick()
+	return refused
+}
+
+func raiseAttempts(j *model.Job) {
+	next := make(map[int]int, j.Tasks)
+	for i := range j.Tasks {
+		if !j.Done[i] {
+			next[i] = max(1, j.NextAttempt[i]) + attemptGap
+		}
+	}
+	j.NextAttempt = next
+}
+
+// AddJob queues a job that was stored in this term.
+func (lp *Loop) AddJob(j model.Job) error {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	defer lp.Kick()
+	return lp.engine.AddJob(time.Now(), j)
+}
+
+// CancelJob drops the waiting tasks of a job and stops the running ones. It
+// returns when no start of the job can arrive any more. The cancellation is
+// stored before the call.
+func (lp *Loop) CancelJob(ctx context.Context, id string) error {
+	lp.mu.Lock()
+	now := time.Now()
+	stop := lp.engine.CancelJob(now, id)
+	lp.stopAttempts(context.WithoutCancel(ctx), stop)
+	for _, l := range lp.links {
+		for ref, f := range l.foreign {
+			if ref.Job == id {
+				delete(l.foreign, ref)
+				l.attempts[ref] = &attempt{
+					Placement: model.Placement{Ref: ref, Worker: l.id, Size: f.size},
+					phase:     running, asked: wire.ActionStop, unconfirmed: true,
+				}
+				lp.sendControls(context.WithoutCancel(ctx), l)
+			}
+		}
+	}
+	if lp.inFlight[id] == 0 {
+		lp.mu.Unlock()
+		return nil
+	}
+	ch := make(chan struct{})
+	lp.quiet[id] = append(lp.quiet[id], ch)
+	lp.mu.Unlock()
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// RemoveJob forgets a finished job.
+func (lp *Loop) RemoveJob(id string) {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	lp.engine.RemoveJob(id)
+}
+
+// Active returns the number of attempts of a job that are in progress.
+func (lp *Loop) Active(id string) int {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.perJob[id]
+}
+
+// Explain says what a job waits for.
+func (lp *Loop) Explain(id string) (model.Explanation, bool) {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.engine.Explain(time.Now(), id)
+}
+
+// Recovered reports whether Recover was called.
+func (lp *Loop) Recovered() bool {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.recovered
+}
+
+// Queues describes the waiting tasks.
+func (lp *Loop) Queues() []model.QueueStat {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.engine.Queues(time.Now())
+}
--- /dev/null
+++ b/daemon/internal/dispatch/link.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"time"
+
+	"rhubarbstall.example/sched/model"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// link is what the loop knows of one worker. Its fields are under the loop's lock.
+type link struct {
+	id   string
+	addr string
+	info wire.Info
+	// instance and sequence are those of the last sync; the instance is empty
+	// until the worker was heard in this term.
+	instance string
+	sequence uint64
+	// heardAt is the time of the last reply, and mayHaveReached that of the end
+	// of the last call that renews leases or starts tasks on the worker.
+	heardAt        time.Time
+	mayHaveReached time.Time
+	createdAt      time.Time
+	silent         bool
+	// expired tells that all leases on a silent worker have certainly lapsed.
+	expired bool
+	// holdUntil keeps new starts away for a moment after a refusal.
+	holdUntil time.Time
+	draining  bool
+	attempts  map[model.TaskRef]*attempt
+	foreign   map[model.TaskRef]foreign
+	queue     []*attempt
+	// sender tells that a goroutine sends the queue.
+	sender bool
+	// controlling tells that a call with actions is in progress.
+	controlling bool
+	// unstored are outcomes that are not stored yet, acks those to acknowledge.
+	unstored map[model.TaskRef]bool
+	acks     map[model.TaskRef]bool
+	// early are outcomes that arrived before the records of the jobs were read.
+	early []wire.Outcome
+	wake  chan struct{}
+	stop  func()
+}
+
+func newLink(id string, now time.Time) *link {
+	return &link{
+		id: id, createdAt: now,
+		attempts: make(map[model.TaskRef]*attempt),
+		foreign:  make(map[model.TaskRef]foreign),
+		unstored: make(map[model.TaskRef]bool),
+		acks:     make(map[model.TaskRef]bool),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// kick makes the link sync now.
+func (l *link) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// heard reports whether the worker answered a sync in this term.
+func (l *link) heard() bool { return l.instance != "" }
+
+// state returns the state that the engine sees.
+func (l *link) state(now time.Time) model.WorkerState {
+	switch {
+	case l.silent || !l.heard() || now.Before(l.holdUntil):
+		return model.WorkerSilent
+	case l.info.Leaving:
+		return model.WorkerLeaving
+	case l.draining:
+		return model.WorkerDraining
+	}
+	return model.WorkerLive
+}
+
+// capacity returns the capacity that the engine may use: all of it, less the
+// attempts that the engine does not know yet.
+func (l *link) capacity() model.Resources {
+	c := toResources(l.info.Capacity)
+	for _, f := range l.foreign {
+		c = c.Sub(f.size)
+	}
+	return c
+}
--- /dev/null
+++ b/daemon/internal/jobs/api.go
@@ -0,0 +1,137 @@
+package jobs
+
+import (
+	"context"
+
+	"rhubarbstall.example/daemon/internal/rendezvous"
+	"rhubarbstall.example/sched/model"
+
+	"rhubarbstall.example/api/codes"
+)
+
+// Submit stores a job and returns it. A submission with a known idempotency key
+// returns the first job.
+func (s *Service) Submit(ctx context.Context, spec Spec) (Job, error) {
+	spec.normalize()
+	if err := spec.validate(); err != nil {
+		return Job{}, err
+	}
+	p, _ := s.policies()
+	if p == nil {
+		return Job{}, codes.NotReady.With("this entry VM has no settings yet", retrySoon)
+	}
+	if _, ok := p.Policy(spec.Department, spec.Kind); !ok {
+		return Job{}, unknownKind(p, spec.Department, spec.Kind)
+	}
+	zones, err := s.homes(&spec)
+	if err != nil {
+		return Job{}, err
+	}
+	for i, zone := range zones {
+		args := submitArgs{ID: newID(zone, spec.Department, spec.IdempotencyKey), Spec: spec}
+		job, err := forward(ctx, s, zone, methodSubmit, &args, s.submitHere)
+		if err == nil {
+			return *job, nil
+		}
+		c := codes.Of(err)
+		if i == len(zones)-1 || c != codes.NoZoneScheduler && c != codes.ZoneUnreachable {
+			return Job{}, err
+		}
+	}
+	return Job{}, noScheduler(s.cfg.Zone)
+}
+
+func unknownKind(p model.Policies, department, kind string) error {
+	for _, d := range p.Departments() {
+		if d.Path == department {
+			return codes.UnknownKind.Errorf("kind %q is not defined for department %q", kind, department)
+		}
+	}
+	return codes.UnknownDepartment.Errorf("department %q is not in the settings", department)
+}
+
+// homes returns the zones that may become the job's home, in order. A job with a
+// key has only one, so that a second submission finds the first.
+func (s *Service) homes(spec *Spec) ([]string, error) {
+	doc, _, ok := s.cfg.Settings.Current()
+	if !ok {
+		return nil, codes.NotReady.With("this entry VM has no settings yet", retrySoon)
+	}
+	known := make(map[string]bool)
+	for _, z := range doc.Zones {
+		known[z] = true
+	}
+	switch {
+	case spec.AvailabilityZone != "":
+		if !known[spec.AvailabilityZone] && spec.AvailabilityZone != s.cfg.Zone {
+			return nil, codes.InvalidValue.Errorf("availability zone %q is not in the settings", spec.AvailabilityZone)
+		}
+		return []string{spec.AvailabilityZone}, nil
+	case spec.IdempotencyKey != "" && len(doc.Zones) > 0:
+		return []string{rendezvous.Owner(keyHash(spec.Department, spec.IdempotencyKey), doc.Zones)}, nil
+	case spec.IdempotencyKey != "":
+		return []string{s.cfg.Zone}, nil
+	}
+	zones := []string{s.cfg.Zone}
+	for _, z := range rendezvous.Rank(s.cfg.SelfID, doc.Zones) {
+		if z != s.cfg.Zone {
+			zones = append(zones, z)
+		}
+	}
+	return zones, nil
+}
+
+// Get returns a job.
+func (s *Service) Get(ctx context.Context, id string) (Job, error) {
+	job, err := forward(ctx, s, zoneOf(id), methodGet, &idArgs{id}, s.getHere)
+	return value(job, err)
+}
+
+// List returns a page of the jobs of this zone and the value of After for the
+// next page, empty for the last one.
+func (s *Service) List(ctx context.Context, f Filter) ([]Job, string, error) {
+	page, err := forward(ctx, s, s.cfg.Zone, methodList, &f, s.listHere)
+	if err != nil {
+		return nil, "", err
+	}
+	return page.Jobs, page.Next, nil
+}
+
+// Cancel cancels a job. Nothing of it starts after the return without an error.
+func (s *Service) Cancel(ctx context.Context, id string) (Job, error) {
+	job, err := forward(ctx, s, zoneOf(id), methodCancel, &idArgs{id}, s.cancelHere)
+	return value(job, err)
+}
+
+// Why says what a job waits for.
+func (s *Service) Why(ctx context.Context, id string) (model.Explanation, error) {
+	e, err := forward(ctx, s, zoneOf(id), methodWhy, &idArgs{id}, s.whyHere)
+	return value(e, err)
+}
+
+// Workers returns the workers of this zone.
+func (s *Service) Workers(ctx context.Context) ([]model.WorkerView, error) {
+	v, err := forward(ctx, s, s.cfg.Zone, methodWorkers, &noArgs{}, s.workersHere)
+	return value(v, err)
+}
+
+// DrainWorker stops new starts on a worker of this zone, or allows them again.
+// The change is stored before the return.
+func (s *Service) DrainWorker(ctx context.Context, id string, enabled bool) (model.WorkerView, error) {
+	v, err := forward(ctx, s, s.cfg.Zone, methodDrain, &drainArgs{id, enabled}, s.drainHere)
+	return value(v, err)
+}
+
+// Queues describes the waiting tasks of this zone.
+func (s *Service) Queues(ctx context.Context) ([]model.QueueStat, error) {
+	v, err := forward(ctx, s, s.cfg.Zone, methodQueues, &noArgs{}, s.queuesHere)
+	return value(v, err)
+}
+
+func value[T any](v *T, err error) (T, error) {
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return *v, nil
+}
--- /dev/null
+++ b/daemon/internal/platform/client.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	metricnoop "go.opentelemetry.io/otel/metric/noop"
+	"go.opentelemetry.io/otel/trace"
+	tracenoop "go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+)
+
+const (
+	// callTimeout bounds a call whose context has no earlier deadline.
+	callTimeout = 2 * time.Second
+	// attemptTimeout bounds one attempt of a read, so that a frozen address
+	// leaves time for another one.
+	attemptTimeout = 800 * time.Millisecond
+	dialTimeout    = 400 * time.Millisecond
+	// maxInFlight bounds the calls in progress, and maxWatches the waiting watches.
+	maxInFlight = 256
+	maxWatches  = 64
+	// maxConnsPerAddr bounds the connections to one address.
+	maxConnsPerAddr = 64
+)
+
+// Client is a Store over HTTP. It is safe for concurrent use.
+type Client struct {
+	addrs     []string
+	current   atomic.Uint32
+	reachable atomic.Bool
+	writes    *budget
+	reads     *budget
+	slots     chan struct{}
+	watches   chan struct{}
+	http      *http.Client
+	log       *zap.Logger
+	tracer    trace.Tracer
+	calls     metric.Int64Counter
+	latency   metric.Float64Histogram
+}
+
+var _ Store = (*Client)(nil)
+
+// New returns a client. It sends nothing until the first call.
+func New(cfg Config) *Client {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.Meter == nil {
+		cfg.Meter = metricnoop.NewMeterProvider().Meter("platform")
+	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = tracenoop.NewTracerProvider().Tracer("platform")
+	}
+	c := &Client{
+		addrs:   cfg.Addrs,
+		writes:  newBudget(cfg.WritesPerSecond),
+		reads:   newBudget(cfg.ReadsPerSecond),
+		slots:   make(chan struct{}, maxInFlight),
+		watches: make(chan struct{}, maxWatches),
+		log:     cfg.Logger,
+		tracer:  cfg.Tracer,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:     maxConnsPerAddr + maxWatches,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     30 * time.Second,
+		}},
+	}
+	c.calls, _ = cfg.Meter.Int64Counter("rhubarbstall.platform.calls",
+		metric.WithDescription("Calls to the platform by type and result."))
+	c.latency, _ = cfg.Meter.Float64Histogram("rhubarbstall.platform.call.duration",
+		metric.WithUnit("s"), metric.WithDescription("Duration of calls to the platform."))
+	return c
+}
+
+// Reachable reports whether the platform answered the last call.
+func (c *Client) Reachable() bool { return c.reachable.Load() }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) setReachable(ok bool) {
+	if c.reachable.Swap(ok) != ok {
+		c.log.Info("[platform] reachability changed", zap.Bool("reachable", ok))
+	}
+}
--- /dev/null
+++ b/daemon/internal/zonelead/campaign.go
@@ -0,0 +1,159 @@
+package zonelead
+
+import (
+	"sync"
+	"time"
+
+	"rhubarbstall.example/sched/quorum"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// Campaign is one candidacy of this entry VM and, once it has the quorum, its
+// time as the holder. It ends with the loss of the quorum and is never resumed.
+// It is safe for concurrent use.
+type Campaign struct {
+	owner string
+	lease time.Duration
+
+	mu      sync.Mutex
+	holder  *quorum.Holder
+	heldAt  time.Time
+	dropped bool
+	// stale tells that a voter knows a later roster.
+	stale bool
+	held  chan struct{}
+}
+
+func newCampaign(owner string, roster quorum.Roster, term uint32, lease time.Duration) *Campaign {
+	return &Campaign{
+		owner: owner, lease: lease,
+		holder: quorum.New(roster, term), held: make(chan struct{}),
+	}
+}
+
+// Lease returns the length of the owner lease that workers are asked for.
+func (c *Campaign) Lease() time.Duration { return c.lease }
+
+// Held is closed when the candidate has the quorum for the first time.
+func (c *Campaign) Held() <-chan struct{} { return c.held }
+
+// HeldAt returns the time at which the candidate got the quorum.
+func (c *Campaign) HeldAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heldAt
+}
+
+// Claim returns the owner for the next claim at a worker.
+func (c *Campaign) Claim(worker string) wire.Owner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return wire.Owner{ID: c.owner, Epoch: uint64(c.holder.ClaimEpoch(worker))}
+}
+
+// MaySend reports whether the candidate holds the quorum and the worker's lease
+// at this moment. It is called right before each send of a start.
+func (c *Campaign) MaySend(worker string) (wire.Owner, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	owner := wire.Owner{ID: c.owner, Epoch: uint64(c.holder.GrantedEpoch(worker))}
+	return owner, !c.dropped && c.holder.HasVote(now, worker) && c.holder.Holds(now)
+}
+
+// Holds reports whether the candidate has the quorum at this moment.
+func (c *Campaign) Holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.dropped && c.holder.Holds(time.Now())
+}
+
+// Granted records the lease of a voter.
+func (c *Campaign) Granted(voter string, epoch uint64, sentAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dropped {
+		return
+	}
+	c.holder.Granted(voter, quorum.Epoch(epoch), sentAt, c.lease)
+	if c.heldAt.IsZero() && c.holder.Holds(time.Now()) {
+		c.heldAt = time.Now()
+		close(c.held)
+	}
+}
+
+// Refused records that a worker refused a claim or a start.
+func (c *Campaign) Refused(worker string, r wire.Refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Code == wire.RefusedStaleEpoch {
+		if !c.holder.Refused(worker, quorum.Epoch(r.Epoch)) {
+			c.stale = true
+		}
+		return
+	}
+	c.holder.Forget(worker)
+}
+
+// Fence makes the next claim at a worker use a higher epoch, after which the
+// worker refuses every earlier message.
+func (c *Campaign) Fence(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder.Fence(worker)
+}
+
+// Workers returns the workers of the roster.
+func (c *Campaign) Workers() []string {
+	return c.Roster().Workers
+}
+
+// Roster returns the roster.
+func (c *Campaign) Roster() quorum.Roster {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Roster()
+}
+
+// Epoch returns the epoch, and zero without the quorum.
+func (c *Campaign) Epoch() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dropped || !c.holder.Holds(time.Now()) {
+		return 0
+	}
+	return uint64(c.holder.Epoch())
+}
+
+// Drop gives up every vote for good.
+func (c *Campaign) Drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropped = true
+	c.holder.Drop()
+}
+
+// verdict tells whether the campaign goes on.
+type verdict int
+
+const (
+	goOn verdict = iota
+	lostQuorum
+	staleRoster
+	tooSlow
+)
+
+func (c *Campaign) check(startedAt time.Time, limit time.Duration) verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.stale:
+		return staleRoster
+	case c.dropped, !c.heldAt.IsZero() && !c.holder.Holds(now):
+		return lostQuorum
+	case c.heldAt.IsZero() && now.Sub(startedAt) > limit:
+		return tooSlow
+	}
+	return goOn
+}
--- /dev/null
+++ b/sched/quorum/epoch.go
@@ -0,0 +1,16 @@
+package quorum
+
+// Epoch is a fencing token: the revision of the roster in the upper 32 bits and
+// the term in the lower 32 bits.
+type Epoch uint64
+
+// MakeEpoch combines a roster revision and a term.
+func MakeEpoch(revision, term uint32) Epoch {
+	return Epoch(revision)<<32 | Epoch(term)
+}
+
+// Revision returns the roster revision.
+func (e Epoch) Revision() uint32 { return uint32(e >> 32) }
+
+// Term returns the term.
+func (e Epoch) Term() uint32 { return uint32(e) }
--- /dev/null
+++ b/sched/quorum/holder.go
@@ -0,0 +1,180 @@
+package quorum
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrStepPending means that the last roster is not yet acknowledged by a quorum.
+var ErrStepPending = errors.New("a quorum has not acknowledged the last roster")
+
+// ErrNotAStep means that a roster is not one step from the current one.
+var ErrNotAStep = errors.New("the roster is not one step from the current one")
+
+// vote is what a candidate knows of one voter.
+type vote struct {
+	// expires is the time until which the candidate counts the vote.
+	expires time.Time
+	// granted is the epoch of the last granted claim.
+	granted Epoch
+	// claim is the epoch of the next claim if it is above the candidate's.
+	claim Epoch
+}
+
+// Holder is a candidate for the quorum of a zone and, while it has more than
+// half of the votes, its holder. It is not safe for concurrent use.
+type Holder struct {
+	roster Roster
+	term   uint32
+	votes  map[string]*vote
+}
+
+// New returns a candidate without votes.
+func New(roster Roster, term uint32) *Holder {
+	return &Holder{roster: roster, term: max(term, 1), votes: make(map[string]*vote)}
+}
+
+// Roster returns the current roster.
+func (h *Holder) Roster() Roster { return h.roster }
+
+// Epoch returns the epoch of the candidate.
+func (h *Holder) Epoch() Epoch { return MakeEpoch(h.roster.Revision, h.term) }
+
+// ClaimEpoch returns the epoch for the next claim at a voter.
+func (h *Holder) ClaimEpoch(voter string) Epoch {
+	e := h.Epoch()
+	if v, ok := h.votes[voter]; ok {
+		e = max(e, v.claim, v.granted)
+	}
+	return e
+}
+
+// GrantedEpoch returns the epoch under which a voter granted its lease last.
+func (h *Holder) GrantedEpoch(voter string) Epoch {
+	if v, ok := h.votes[voter]; ok {
+		return v.granted
+	}
+	return 0
+}
+
+// Fence makes the next claim at a voter use a higher epoch. Once it is granted,
+// the voter refuses every message sent before under the lower epoch, however
+// late it arrives.
+func (h *Holder) Fence(voter string) {
+	v := h.vote(voter)
+	v.claim = max(v.claim, v.granted, h.Epoch()) + 1
+}
+
+// Granted records that a voter granted or renewed its lease. sentAt is the time
+// before the claim was sent.
+func (h *Holder) Granted(voter string, epoch Epoch, sentAt time.Time, lease time.Duration) {
+	v := h.vote(voter)
+	v.granted = max(v.granted, epoch)
+	if expires := sentAt.Add(HolderLease(lease)); expires.After(v.expires) {
+		v.expires = expires
+	}
+}
+
+// Refused records that a voter refused a claim because it knows the epoch seen.
+// It reports false if the voter knows a later roster than the candidate, which
+// then has to read the roster again.
+func (h *Holder) Refused(voter string, seen Epoch) bool {
+	h.Forget(voter)
+	if seen.Revision() > h.roster.Revision {
+		return false
+	}
+	if seen.Revision() == h.roster.Revision {
+		v := h.vote(voter)
+		v.claim = max(v.claim, seen+1)
+		h.term = max(h.term, seen.Term()+1)
+	}
+	return true
+}
+
+// Forget drops the vote of one voter.
+func (h *Holder) Forget(voter string) {
+	if v, ok := h.votes[voter]; ok {
+		v.expires = time.Time{}
+	}
+}
+
+// Drop drops every vote, for example after a pause of the process.
+func (h *Holder) Drop() {
+	for _, v := range h.votes {
+		v.expires = time.Time{}
+	}
+}
+
+// HasVote reports whether the lease of a voter runs.
+func (h *Holder) HasVote(now time.Time, voter string) bool {
+	v, ok := h.votes[voter]
+	return ok && now.Before(v.expires)
+}
+
+// Weight returns the weight of the votes that the candidate has.
+func (h *Holder) Weight(now time.Time) int {
+	sum := 0
+	for id, v := range h.votes {
+		if now.Before(v.expires) {
+			sum += h.roster.Weight(id)
+		}
+	}
+	return sum
+}
+
+// Holds reports whether the candidate has more than half of the votes.
+func (h *Holder) Holds(now time.Time) bool {
+	return h.roster.Majority(h.Weight(now))
+}
+
+// Acknowledged reports whether a quorum of voters acknowledged the roster. Only
+// then the next step may be taken.
+func (h *Holder) Acknowledged() bool {
+	sum := 0
+	for id, v := range h.votes {
+		if v.granted.Revision() >= h.roster.Revision {
+			sum += h.roster.Weight(id)
+		}
+	}
+	return h.roster.Majority(sum)
+}
+
+// Step adopts the next roster. The caller has the quorum and has stored it.
+func (h *Holder) Step(next Roster) error {
+	if !h.Acknowledged() {
+		return ErrStepPending
+	}
+	if !oneStep(h.roster, next) {
+		return ErrNotAStep
+	}
+	h.roster = next
+	return nil
+}
+
+func (h *Holder) vote(voter string) *vote {
+	v, ok := h.votes[voter]
+	if !ok {
+		v = &vote{}
+		h.votes[voter] = v
+	}
+	return v
+}
+
+// oneStep reports whether two rosters differ by a weight of two.
+func oneStep(from, to Roster) bool {
+	if to.Revision != from.Revision+1 || to.Validate() != nil {
+		return false
+	}
+	changed := max(from.PlatformWeight-to.PlatformWeight, to.PlatformWeight-from.PlatformWeight)
+	for _, w := range from.Workers {
+		if !to.Has(w) {
+			changed += WorkerWeight
+		}
+	}
+	for _, w := range to.Workers {
+		if !from.Has(w) {
+			changed += WorkerWeight
+		}
+	}
+	return changed == WorkerWeight
+}
--- /dev/null
+++ b/sched/quorum/roster.go
@@ -0,0 +1,125 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Platform is the identity of the platform as a voter.
+const Platform = "@platform"
+
+// WorkerWeight is the weight of each worker.
+const WorkerWeight = 2
+
+// Roster is the list of voters. It is a value: steps return a new roster.
+type Roster struct {
+	Revision uint32 `json:"revision"`
+	// Workers is sorted.
+	Workers        []string `json:"workers"`
+	PlatformWeight int      `json:"platform_weight"`
+}
+
+// NewRoster returns the first roster of a zone.
+func NewRoster(workers []string) Roster {
+	sorted := slices.Clone(workers)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	return Roster{Revision: 1, Workers: sorted, PlatformWeight: PlatformWeightFor(len(sorted))}
+}
+
+// PlatformWeightFor returns the weight of the platform among n workers: n, or
+// n+1 if n is odd, since disjoint majorities of adjacent rosters exist with odd
+// weights. It is at least 2, so that the platform decides alone if there are no
+// workers.
+func PlatformWeightFor(n int) int {
+	return max(2, n+n%2)
+}
+
+// Validate reports a roster whose weights break the intersection of majorities.
+func (r Roster) Validate() error {
+	if r.PlatformWeight < 2 || r.PlatformWeight%2 != 0 {
+		return fmt.Errorf("weight %d of the platform is not a positive even number", r.PlatformWeight)
+	}
+	if !slices.IsSorted(r.Workers) {
+		return fmt.Errorf("workers of the roster are not sorted")
+	}
+	return nil
+}
+
+// Total returns the weight of all voters.
+func (r Roster) Total() int {
+	return r.PlatformWeight + WorkerWeight*len(r.Workers)
+}
+
+// Weight returns the weight of a voter, zero if it is none.
+func (r Roster) Weight(voter string) int {
+	if voter == Platform {
+		return r.PlatformWeight
+	}
+	if r.Has(voter) {
+		return WorkerWeight
+	}
+	return 0
+}
+
+// Has reports whether a worker is on the roster.
+func (r Roster) Has(worker string) bool {
+	_, ok := slices.BinarySearch(r.Workers, worker)
+	return ok
+}
+
+// Majority reports whether weight is more than half of the total.
+func (r Roster) Majority(weight int) bool {
+	return 2*weight > r.Total()
+}
+
+// Join returns the roster with one more worker.
+func (r Roster) Join(worker string) Roster {
+	i, ok := slices.BinarySearch(r.Workers, worker)
+	if ok {
+		return r
+	}
+	r.Workers = slices.Insert(slices.Clone(r.Workers), i, worker)
+	r.Revision++
+	return r
+}
+
+// Leave returns the roster without a worker.
+func (r Roster) Leave(worker string) Roster {
+	i, ok := slices.BinarySearch(r.Workers, worker)
+	if !ok {
+		return r
+	}
+	r.Workers = slices.Delete(slices.Clone(r.Workers), i, i+1)
+	r.Revision++
+	return r
+}
+
+// Next returns the roster one step closer to the wanted workers, and false if
+// nothing is left to change. The platform's weight is corrected first, so that
+// it stays close to the weight for the number of workers.
+func (r Roster) Next(wanted []string) (Roster, bool) {
+	switch target := PlatformWeightFor(len(r.Workers)); {
+	case r.PlatformWeight < target:
+		r.PlatformWeight += 2
+		r.Revision++
+		return r, true
+	case r.PlatformWeight > target:
+		r.PlatformWeight -= 2
+		r.Revision++
+		return r, true
+	}
+	want := make(map[string]bool, len(wanted))
+	for _, w := range wanted {
+		want[w] = true
+		if !r.Has(w) {
+			return r.Join(w), true
+		}
+	}
+	for _, w := range r.Workers {
+		if !want[w] {
+			return r.Leave(w), true
+		}
+	}
+	return r, false
+}
