Add the baseline engine and the task ledger

Cause: the daemon needs an engine to run on, and every measurement needs a scheduler to compare with. Ruled out: blocking the queue at the first job that does not fit; that baseline would be too easy to beat on packing. The ledger (jobs, attempts, verdicts) is separate so that another engine differs only in order and place of starts.

--- /dev/null
+++ b/sched/baseline/views.go
@@ -0,0 +1,83 @@
+package baseline
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbstall.example/sched/ledger"
+	"rhubarbstall.example/sched/model"
+)
+
+// Explain says what a job waits for.
+func (e *Engine) Explain(now time.Time, id string) (model.Explanation, bool) {
+	j := e.book.Job(id)
+	if j == nil {
+		return model.Explanation{}, false
+	}
+	switch {
+	case j.Cancelled:
+		return model.Explanation{Reason: "cancelled", Sentence: "The job is cancelled."}, true
+	case j.Waiting == 0 && j.Active == 0:
+		return model.Explanation{Reason: "finished", Sentence: "Every task has ended."}, true
+	case j.Waiting == 0:
+		return model.Explanation{Reason: "running", Sentence: "Every task that has not ended is running."}, true
+	}
+	for i := range j.State {
+		t := &j.State[i]
+		if t.Phase == ledger.Waiting && t.ReadyNanos > now.UnixNano() {
+			return model.Explanation{Reason: "backoff", Sentence: "A task waits before its next attempt."}, true
+		}
+	}
+	x := model.Explanation{Reason: "no_capacity", Sentence: "No worker has room for the next task.", Rejected: map[string]int{}}
+	for _, w := range e.workers.list {
+		switch {
+		case !w.known:
+		case w.State != model.WorkerLive:
+			x.Rejected["state"]++
+		case !w.takes(j.Size):
+			x.Rejected["fit"]++
+		}
+	}
+	return x, true
+}
+
+// Workers returns the workers in order of identity.
+func (e *Engine) Workers() []model.WorkerView {
+	var out []model.WorkerView
+	for _, w := range e.workers.list {
+		if w.known {
+			out = append(out, model.WorkerView{Worker: w.Worker, Reserved: w.reserved, Running: w.running})
+		}
+	}
+	return out
+}
+
+// Queues describes the waiting tasks by department and kind.
+func (e *Engine) Queues(now time.Time) []model.QueueStat {
+	type key struct{ department, kind string }
+	stats := map[key]*model.QueueStat{}
+	for _, en := range e.queue {
+		j := en.job
+		if j.Cancelled || j.Waiting == 0 || e.entries[j.ID] != en {
+			continue
+		}
+		k := key{j.Department, j.Kind}
+		s := stats[k]
+		if s == nil {
+			s = &model.QueueStat{Department: j.Department, Kind: j.Kind}
+			stats[k] = s
+		}
+		s.Waiting += j.Waiting
+		s.Oldest = max(s.Oldest, now.Sub(j.Submitted))
+	}
+	out := make([]model.QueueStat, 0, len(stats))
+	for _, s := range stats {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b model.QueueStat) int {
+		return cmp.Or(strings.Compare(a.Department, b.Department), strings.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
--- /dev/null
+++ b/sched/ledger/job.go
@@ -0,0 +1,38 @@
+package ledger
+
+import "rhubarbstall.example/sched/model"
+
+// Job is a job with the state of its tasks.
+type Job struct {
+	model.Job
+	// Seq is the order of arrival.
+	Seq   uint64
+	State []Task
+	// Waiting and Active count the tasks that wait and that hold resources.
+	Waiting   int
+	Active    int
+	Cancelled bool
+	// Parked holds back all waiting tasks.
+	Parked bool
+	// removed tells that the job is forgotten when its last attempt ends.
+	removed bool
+}
+
+func newJob(j model.Job, seq uint64) *Job {
+	out := &Job{Job: j, Seq: seq, State: make([]Task, j.Tasks)}
+	ready := j.Submitted.UnixNano()
+	for i := range out.State {
+		t := &out.State[i]
+		t.ReadyNanos = ready
+		if next := j.NextAttempt[i]; next > 1 {
+			t.Attempt = int32(next - 1)
+		}
+		if j.Done[i] {
+			t.Phase = Ended
+			continue
+		}
+		out.Waiting++
+	}
+	out.Done, out.NextAttempt = nil, nil
+	return out
+}
