Add the engine with its rules, queues, quotas, gangs, estimates and health

Cause: first fit in arrival order ignores urgency, quotas and wrong sizes. Ruled out: urgency that rises with age, since a patient flood would then overtake urgent work; late kinds get a floor instead.

--- /dev/null
+++ b/sched/cache/index.go
@@ -0,0 +1,54 @@
+package cache
+
+import "rhubarbstall.example/sched/model"
+
+// maxAccelerators bounds the classes by free accelerators; workers with more
+// share the last class.
+const maxAccelerators = 16
+
+// index finds usable nodes by free resources. Nodes with accelerators are in
+// classes of their own, after the others, so that tasks without accelerators
+// take them last.
+type index struct {
+	// classes[0] has the nodes without accelerators, classes[1+k] those with
+	// accelerators of which k are free. A class is allocated on first use.
+	classes [maxAccelerators + 2]*grid
+}
+
+func class(n *Node) int {
+	if n.Capacity.Accelerators == 0 {
+		return 0
+	}
+	return 1 + int(min(max(n.Free().Accelerators, 0), maxAccelerators))
+}
+
+func (x *index) add(n *Node) {
+	free := n.Free()
+	if n.cell != nil || !n.Usable() || free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accelerators < 0 {
+		return
+	}
+	k := class(n)
+	if x.classes[k] == nil {
+		x.classes[k] = &grid{}
+	}
+	x.classes[k].add(n)
+}
+
+func (x *index) remove(n *Node) {
+	if n.cell != nil {
+		x.classes[class(n)].remove(n, n.Free())
+	}
+}
+
+// search visits the classes that may hold size in order of preference.
+func (x *index) search(size model.Resources, perCell, perRow int, visit func(*Node) bool) {
+	first := 0
+	if size.Accelerators > 0 {
+		first = 1 + int(min(size.Accelerators, maxAccelerators))
+	}
+	for _, g := range x.classes[first:] {
+		if g != nil && g.count > 0 && g.search(size, perCell, perRow, visit) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sched/engine/lane.go
@@ -0,0 +1,51 @@
+package engine
+
+import (
+	"time"
+
+	"rhubarbstall.example/sched/model"
+	"rhubarbstall.example/sched/queue"
+)
+
+// kindUse is what a kind has reserved in all departments.
+type kindUse struct {
+	inUse model.Resources
+}
+
+// lane is a queue with what the engine keeps beside it.
+type lane struct {
+	*queue.Lane
+	kind *kindUse
+	// position, skips and key belong to the round in progress.
+	position int
+	skips    int
+	key      key
+}
+
+func (l *lane) urgent() bool { return l.Policy.Urgency >= urgentFrom }
+
+// floor returns the share of the capacity that the kind keeps, in percent.
+func (l *lane) floor(now time.Time) int {
+	f := l.Policy.FloorPercent
+	if f < agingFloorPercent && l.Oldest(now) > l.Policy.Patience {
+		f = agingFloorPercent
+	}
+	return f
+}
+
+func (e *Engine) lane(department, kind string) *lane {
+	q, fresh := e.queue.Lane(department, kind)
+	if !fresh {
+		return e.lanes[q.Order]
+	}
+	use := e.kinds[kind]
+	if use == nil {
+		use = &kindUse{}
+		e.kinds[kind] = use
+	}
+	q.Node = e.tree.Node(department)
+	q.Policy = e.policy(department, kind)
+	l := &lane{Lane: q, kind: use}
+	e.lanes = append(e.lanes, l)
+	return l
+}
--- /dev/null
+++ b/sched/engine/limits.go
@@ -0,0 +1,34 @@
+package engine
+
+import "time"
+
+const (
+	// urgentFrom is the urgency from which a person waits for the result.
+	urgentFrom = 70
+	// preemptGap is how much more urgent work must be to stop other work; close
+	// urgencies would otherwise stop each other in turn.
+	preemptGap = 20
+	// agingFloorPercent is the floor of a kind whose oldest job is late, so that
+	// work with no configured floor finishes as well.
+	agingFloorPercent = 2
+	// maxSkips bounds the jobs of a lane that are tried in a round after the
+	// first one did not fit.
+	maxSkips = 64
+	// maxPreemptions and maxVictimNodes bound the cost of making room in a round.
+	maxPreemptions = 32
+	maxVictimNodes = 48
+	// roomTimeout ends the claim on room that preemption should have made.
+	roomTimeout = 20 * time.Second
+	// planNodes bounds the workers that a reservation considers, planEvery the
+	// time between two plans for the same job.
+	planNodes = 256
+	planEvery = 5 * time.Second
+	// holdShare is the part of the workers that single tasks may hold: 1/8.
+	holdShare = 8
+	// patienceUnset stands in for a policy without patience.
+	patienceUnset = 10 * time.Minute
+	// recheckEvery is the time between rounds while work waits.
+	recheckEvery = time.Second
+	// controlRetry is the time after which a control without effect is repeated.
+	controlRetry = 5 * time.Second
+)
--- /dev/null
+++ b/sched/engine/views.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbstall.example/sched/ledger"
+	"rhubarbstall.example/sched/model"
+	"rhubarbstall.example/sched/queue"
+)
+
+// Explain says what a job waits for.
+func (e *Engine) Explain(now time.Time, id string) (model.Explanation, bool) {
+	j := e.book.Job(id)
+	if j == nil {
+		return model.Explanation{}, false
+	}
+	now = e.clock(now)
+	st := stateOf(j)
+	say := func(reason, sentence string) (model.Explanation, bool) {
+		return model.Explanation{Reason: reason, Sentence: sentence}, true
+	}
+	switch {
+	case j.Cancelled:
+		return say("cancelled", "The job is cancelled.")
+	case j.Waiting == 0 && j.Active == 0:
+		return say("finished", "Every task has ended.")
+	case j.Waiting == 0:
+		return say("running", "Every task that has not ended is running.")
+	case j.Parked:
+		return say("parked", "Tasks of the job failed on several workers; one is tried again later.")
+	case st.entry.Peek(now) < 0:
+		return say("backoff", "A task waits before its next attempt.")
+	case e.reserved == j:
+		return say("gang_reservation", "The start of all tasks is reserved.")
+	}
+	t := e.nextTask(j)
+	x := model.Explanation{Rejected: map[string]int{}}
+	for _, n := range e.cache.Nodes() {
+		if !n.Known {
+			continue
+		}
+		if name := e.profile.Rejects(&t, n); name != "" {
+			x.Rejected[name]++
+		}
+	}
+	reason, ok := e.profile.Permit(&t)
+	switch {
+	case st.lane.Node.Over(t.Size):
+		x.Reason, x.Sentence = "quota", "The department is at its quota and borrows only idle capacity."
+	case !ok:
+		x.Reason, x.Sentence = reason, "The free room is kept for urgent work."
+	case j.Type == model.Gang && e.reserved != nil:
+		x.Reason, x.Sentence = "gang_reservation", "Another gang has the reservation of the availability zone."
+	default:
+		x.Reason, x.Sentence = "no_capacity", "No worker has room for the next task."
+	}
+	return x, true
+}
+
+// Workers returns the workers in order of identity.
+func (e *Engine) Workers() []model.WorkerView {
+	out := make([]model.WorkerView, 0, e.cache.Known())
+	for _, n := range e.cache.Nodes() {
+		if !n.Known {
+			continue
+		}
+		v := model.WorkerView{Worker: n.Worker, Reserved: n.Reserved, Running: len(n.Runs)}
+		if n.Quarantined && v.State == model.WorkerLive {
+			v.State = model.WorkerQuarantined
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// Queues describes the waiting tasks by department and kind.
+func (e *Engine) Queues(now time.Time) []model.QueueStat {
+	out := []model.QueueStat{}
+	at := map[*queue.Lane]int{}
+	for _, l := range e.lanes {
+		s := model.QueueStat{Department: l.Department, Kind: l.Kind}
+		at[l.Lane] = len(out)
+		out = append(out, s)
+	}
+	// Jobs in backoff are in no lane, so the book is read; sums and maxima do not
+	// depend on its order.
+	e.book.Each(func(j *ledger.Job) {
+		if s := &out[at[stateOf(j).lane.Lane]]; j.Waiting > 0 {
+			s.Waiting += j.Waiting
+			s.Oldest = max(s.Oldest, now.Sub(j.Submitted))
+		}
+	})
+	out = slices.DeleteFunc(out, func(s model.QueueStat) bool { return s.Waiting == 0 })
+	slices.SortFunc(out, func(a, b model.QueueStat) int {
+		return cmp.Or(strings.Compare(a.Department, b.Department), strings.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
--- /dev/null
+++ b/sched/framework/select.go
@@ -0,0 +1,55 @@
+package framework
+
+import "rhubarbstall.example/sched/cache"
+
+const (
+	// nodesPerCell and cellsPerRow bound the first search: nodes of one cell
+	// differ little, and later cells of a row only leave more room over.
+	nodesPerCell = 4
+	cellsPerRow  = 3
+	// racksPerSearch bounds the racks that a spread task looks at.
+	racksPerSearch = 32
+)
+
+// Select returns the best node for a task, nil if there is none.
+func (p *Profile) Select(t *Task, c *cache.Cache) *cache.Node {
+	var best *cache.Node
+	bestScore := 0.0
+	visit := func(n *cache.Node) bool {
+		if p.Allow(t, n) {
+			if s := p.Score(t, n); best == nil || s > bestScore {
+				best, bestScore = n, s
+			}
+		}
+		return true
+	}
+	if t.Racks != nil {
+		spreadCandidates(t, c, visit)
+	}
+	c.Search(t.Size, nodesPerCell, cellsPerRow, visit)
+	if best != nil {
+		return best
+	}
+	// The bounded search may miss the only fit among nodes of one cell.
+	c.Search(t.Size, 1<<30, 1<<30, func(n *cache.Node) bool {
+		if p.Allow(t, n) {
+			best = n
+		}
+		return best == nil
+	})
+	return best
+}
+
+// spreadCandidates visits racks beginning after those that the job uses already.
+func spreadCandidates(t *Task, c *cache.Cache, visit func(*cache.Node) bool) {
+	racks := c.Racks()
+	if len(racks) == 0 {
+		return
+	}
+	from := int(t.Job.Seq)*racksPerSearch + t.Job.Active
+	for i := range min(racksPerSearch, len(racks)) {
+		for _, n := range racks[(from+i)%len(racks)].Nodes {
+			visit(n)
+		}
+	}
+}
--- a/sched/ledger/book.go
+++ b/sched/ledger/book.go
@@ -36,6 +36,13 @@
 	return nil
 }
 
+// Each calls f for every job, in no particular order.
+func (b *Book) Each(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
+
 // Len returns the number of jobs.
 func (b *Book) Len() int { return len(b.jobs) }
 
--- a/sched/ledger/job.go
+++ b/sched/ledger/job.go
@@ -14,6 +14,8 @@
 	Cancelled bool
 	// Parked holds back all waiting tasks.
 	Parked bool
+	// Aux is what an engine keeps with the job.
+	Aux any
 	// removed tells that the job is forgotten when its last attempt ends.
 	removed bool
 }
--- a/sched/ledger/run.go
+++ b/sched/ledger/run.go
@@ -23,8 +23,10 @@
 	Drop bool
 	// Throttled tells that the engine asked to slow the attempt down.
 	Throttled bool
-	// Slot is the position in the worker's list of runs; the engine maintains it.
-	Slot int32
+	// Slot and LaneSlot are the positions in the worker's and in the lane's list
+	// of runs; the engine maintains them.
+	Slot     int32
+	LaneSlot int32
 }
 
 // Ref names the attempt.
--- /dev/null
+++ b/sched/plugins/doc.go
@@ -0,0 +1,2 @@
+// Package plugins holds the rules of the engine, one file each.
+package plugins
--- /dev/null
+++ b/sched/plugins/health.go
@@ -0,0 +1,18 @@
+package plugins
+
+import (
+	"rhubarbstall.example/sched/cache"
+	"rhubarbstall.example/sched/framework"
+)
+
+// Health rejects workers that are not live or are quarantined. A worker on probe
+// takes one task at a time, never one that must not be repeated.
+type Health struct{}
+
+// Name implements framework.Filter.
+func (Health) Name() string { return "state" }
+
+// Allow implements framework.Filter.
+func (Health) Allow(t *framework.Task, n *cache.Node) bool {
+	return n.Usable() && !(n.Quarantined && t.Job.NoRepeat)
+}
--- /dev/null
+++ b/sched/plugins/rackspread.go
@@ -0,0 +1,38 @@
+package plugins
+
+import (
+	"rhubarbstall.example/sched/cache"
+	"rhubarbstall.example/sched/framework"
+)
+
+// RackSpread places the tasks of a service on as many racks as possible. The
+// rack counts more than the free room.
+type RackSpread struct{}
+
+// Score implements framework.Score.
+func (RackSpread) Score(t *framework.Task, n *cache.Node) float64 {
+	if t.Racks == nil {
+		return 0
+	}
+	free := n.Free()
+	room := min(share(free.MilliCPU, n.Capacity.MilliCPU), share(free.MemoryMB, n.Capacity.MemoryMB))
+	return room - 10*float64(t.Racks[n.RackOf()])
+}
+
+// Reserved implements framework.Reserve.
+func (RackSpread) Reserved(t *framework.Task, n *cache.Node) {
+	if t.Racks != nil && n.RackOf() != nil {
+		t.Racks[n.RackOf()]++
+	}
+}
+
+// Released implements framework.Reserve.
+func (RackSpread) Released(t *framework.Task, n *cache.Node) {
+	r := n.RackOf()
+	if t.Racks == nil || r == nil {
+		return
+	}
+	if t.Racks[r]--; t.Racks[r] <= 0 {
+		delete(t.Racks, r)
+	}
+}
--- /dev/null
+++ b/sched/queue/entry.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"time"
+
+	"rhubarbstall.example/sched/ledger"
+)
+
+// Entry is a job with its waiting tasks.
+type Entry struct {
+	Job  *ledger.Job
+	Lane *Lane
+	// next is the first index that was not offered yet; front holds tasks that
+	// are offered before, the last one first.
+	next  int
+	front []int32
+	// delayed counts the tasks that wait out a backoff.
+	delayed int
+	queued  bool
+}
+
+// Ready returns the number of tasks that may start now.
+func (e *Entry) Ready() int {
+	if e.Job.Cancelled || e.Job.Parked {
+		return 0
+	}
+	return max(e.Job.Waiting-e.delayed, 0)
+}
+
+// Peek returns the index of the next task, or -1 if none is ready.
+func (e *Entry) Peek(now time.Time) int {
+	if e.Job.Cancelled || e.Job.Parked || e.Job.Waiting == 0 {
+		return -1
+	}
+	for len(e.front) > 0 {
+		if i := e.front[len(e.front)-1]; e.ready(int(i), now) {
+			return int(i)
+		}
+		e.front = e.front[:len(e.front)-1]
+	}
+	for ; e.next < len(e.Job.State); e.next++ {
+		if e.ready(e.next, now) {
+			return e.next
+		}
+	}
+	return -1
+}
+
+func (e *Entry) ready(i int, now time.Time) bool {
+	t := &e.Job.State[i]
+	return t.Phase == ledger.Waiting && t.ReadyNanos <= now.UnixNano()
+}
+
+// All returns the indexes of every waiting task, and whether all are ready.
+func (e *Entry) All(now time.Time) (tasks []int, ready bool) {
+	ready = true
+	for i := range e.Job.State {
+		if e.Job.State[i].Phase != ledger.Waiting {
+			continue
+		}
+		tasks = append(tasks, i)
+		ready = ready && e.ready(i, now)
+	}
+	return tasks, ready && !e.Job.Cancelled
+}
--- /dev/null
+++ b/sched/queue/lane.go
@@ -0,0 +1,106 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbstall.example/sched/ledger"
+	"rhubarbstall.example/sched/model"
+	"rhubarbstall.example/sched/quota"
+)
+
+// Lane is the queue of one kind in one department.
+type Lane struct {
+	Department string
+	Kind       string
+	Node       *quota.Node
+	Policy     model.Policy
+	// Order is the order of creation, the last tie-break between lanes.
+	Order int
+	// Runs holds the attempts in progress.
+	Runs []*ledger.Run
+	// entries holds jobs in order of arrival, from head on; nil is a gap.
+	entries []*Entry
+	head    int
+	gaps    int
+}
+
+// push appends an entry; pushFront puts one before all others.
+func (l *Lane) push(e *Entry) {
+	e.queued = true
+	l.entries = append(l.entries, e)
+}
+
+func (l *Lane) pushFront(e *Entry) {
+	e.queued = true
+	if l.head > 0 {
+		l.head--
+		l.entries[l.head] = e
+		return
+	}
+	l.entries = slices.Insert(l.entries, 0, e)
+}
+
+// Next returns the first entry at or after position from with a ready task, and
+// its position; nil if there is none. Position 0 is the head.
+func (l *Lane) Next(from int, now time.Time) (*Entry, int) {
+	for at := l.head + from; at < len(l.entries); at++ {
+		e := l.entries[at]
+		if e == nil {
+			continue
+		}
+		if e.Peek(now) >= 0 {
+			return e, at - l.head
+		}
+		// The entry returns to the queue when a task of it is ready again.
+		e.queued = false
+		l.entries[at] = nil
+		l.gaps++
+	}
+	return nil, 0
+}
+
+// Compact removes gaps, which changes positions. It is called before a round.
+func (l *Lane) Compact() {
+	for l.head < len(l.entries) && l.entries[l.head] == nil {
+		l.head++
+		l.gaps--
+	}
+	if l.head == len(l.entries) || l.gaps > 32 && l.gaps > (len(l.entries)-l.head)/2 || l.head > 1024 && l.head > len(l.entries)/2 {
+		kept := l.entries[:0]
+		for _, e := range l.entries[l.head:] {
+			if e != nil {
+				kept = append(kept, e)
+			}
+		}
+		clear(l.entries[len(kept):])
+		l.entries, l.head, l.gaps = kept, 0, 0
+	}
+}
+
+// Empty reports whether no entry is queued.
+func (l *Lane) Empty() bool { return len(l.entries)-l.head-l.gaps <= 0 }
+
+// Oldest returns how long the first job waits since its submission.
+func (l *Lane) Oldest(now time.Time) time.Duration {
+	e, _ := l.Next(0, now)
+	if e == nil {
+		return 0
+	}
+	return now.Sub(e.Job.Submitted)
+}
+
+// AddRun records an attempt in progress.
+func (l *Lane) AddRun(r *ledger.Run) {
+	r.LaneSlot = int32(len(l.Runs))
+	l.Runs = append(l.Runs, r)
+}
+
+// DropRun removes an attempt.
+func (l *Lane) DropRun(r *ledger.Run) {
+	last := l.Runs[len(l.Runs)-1]
+	l.Runs[r.LaneSlot] = last
+	last.LaneSlot = r.LaneSlot
+	l.Runs[len(l.Runs)-1] = nil
+	l.Runs = l.Runs[:len(l.Runs)-1]
+}
--- /dev/null
+++ b/sched/queue/queue.go
@@ -0,0 +1,84 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"rhubarbstall.example/sched/ledger"
+)
+
+type laneKey struct{ department, kind string }
+
+// Queue holds the lanes of a zone.
+type Queue struct {
+	lanes map[laneKey]*Lane
+	// list has the lanes in order of creation.
+	list   []*Lane
+	delays delays
+	seq    uint64
+}
+
+// New returns an empty queue.
+func New() *Queue { return &Queue{lanes: map[laneKey]*Lane{}} }
+
+// Lane returns the lane of a kind in a department; fresh tells that it is new.
+func (q *Queue) Lane(department, kind string) (l *Lane, fresh bool) {
+	k := laneKey{department, kind}
+	if l := q.lanes[k]; l != nil {
+		return l, false
+	}
+	l = &Lane{Department: department, Kind: kind, Order: len(q.list)}
+	q.lanes[k] = l
+	q.list = append(q.list, l)
+	return l, true
+}
+
+// Lanes returns the lanes in order of creation.
+func (q *Queue) Lanes() []*Lane { return q.list }
+
+// Add queues a job at the end of a lane.
+func (q *Queue) Add(l *Lane, j *ledger.Job) *Entry {
+	e := &Entry{Job: j, Lane: l}
+	l.push(e)
+	return e
+}
+
+// Requeue queues a task again, before other jobs of its lane. A task that is not
+// ready waits out its delay first.
+func (q *Queue) Requeue(now time.Time, e *Entry, index int) {
+	t := &e.Job.State[index]
+	if t.ReadyNanos > now.UnixNano() {
+		q.seq++
+		e.delayed++
+		heap.Push(&q.delays, delayed{at: t.ReadyNanos, seq: q.seq, entry: e, index: int32(index)})
+		return
+	}
+	e.front = append(e.front, int32(index))
+	if !e.queued {
+		e.Lane.pushFront(e)
+	}
+}
+
+// Wake queues the tasks whose delay is over, and returns the time of the next
+// one, zero if there is none.
+func (q *Queue) Wake(now time.Time) time.Time {
+	for len(q.delays) > 0 {
+		if at := q.delays[0].at; at > now.UnixNano() {
+			return time.Unix(0, at)
+		}
+		d := heap.Pop(&q.delays).(delayed)
+		d.entry.delayed--
+		if d.entry.Job.Cancelled || d.entry.Job.State[d.index].Phase != ledger.Waiting {
+			continue
+		}
+		q.Requeue(now, d.entry, int(d.index))
+	}
+	return time.Time{}
+}
+
+// Resume queues a job again that was held back.
+func (q *Queue) Resume(e *Entry) {
+	if !e.queued {
+		e.Lane.pushFront(e)
+	}
+}
