Parse, check, resolve and compare the settings tree

Cause: the settings module had types only; every other part needs the effective policy of a kind in a department. Ruled out: expanding every department times every kind, since 1,100 teams mostly inherit; relying on encoding/json for unknown fields, since it names no path and keeps the last of two equal names. Conclusion: a new kind in a department is bounded by the largest limits of the parent's kinds, since a new name would otherwise evade them.

--- /dev/null
+++ b/settings/bench_test.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+const benchTeams = 1100
+
+// Measures parsing 1,100 teams, against reading the same text without any check.
+func BenchmarkParse(b *testing.B) {
+	src := []byte(manyTeams(benchTeams))
+	for b.Loop() {
+		if _, err := Parse(src); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "parse-ms")
+	b.ReportMetric(float64(len(src)), "document-bytes")
+}
+
+// Measures one lookup in a tree of 1,100 teams.
+func BenchmarkResolve(b *testing.B) {
+	doc, err := Parse([]byte(manyTeams(benchTeams)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var paths []string
+	for i := range benchTeams {
+		paths = append(paths, fmt.Sprintf("%s/team-%04d", RootPath, i))
+	}
+	i := 0
+	for b.Loop() {
+		if _, ok := doc.Resolve(paths[i%benchTeams], "kind-5"); !ok {
+			b.Fatal("not found")
+		}
+		i++
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N), "resolve-ns")
+}
+
+// Measures the memory of one compiled document.
+func BenchmarkDocumentMemory(b *testing.B) {
+	src := []byte(manyTeams(benchTeams))
+	var before, after runtime.MemStats
+	docs := make([]*Document, 0, 1)
+	for b.Loop() {
+		docs = docs[:0]
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		doc, _ := Parse(src)
+		docs = append(docs, doc)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "document-KiB")
+	runtime.KeepAlive(docs)
+}
+
+// Measures the differences of one change that all teams inherit.
+func BenchmarkDiff(b *testing.B) {
+	from, _ := Parse([]byte(manyTeams(benchTeams)))
+	to, _ := Parse([]byte(manyTeams(benchTeams)))
+	for _, p := range to.index.nodes[RootPath].kinds.policies {
+		p.Backoff += time.Second
+	}
+	for b.Loop() {
+		Diff(from, to)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/1000/float64(b.N), "diff-ms")
+}
--- a/settings/document.go
+++ b/settings/document.go
@@ -8,10 +8,17 @@
 // Document is a whole settings document.
 type Document struct {
 	// Zones lists the availability zones of the deployment.
-	Zones  []string `json:"availability_zones"`
-	Limits Limits   `json:"limits"`
+	Zones []string `json:"availability_zones"`
+	// Seeds lists peer addresses (host:port) of entry VMs that a starting VM asks
+	// besides the platform's VM list.
+	Seeds []string `json:"seeds,omitempty"`
+	// Limits has its defaults filled in after Parse and Compile.
+	Limits Limits `json:"limits"`
 	// Root is head office; its path is RootPath.
 	Root Node `json:"head_office"`
+
+	// index is built once and never changed; nil before Compile.
+	index *index
 }
 
 // RootPath is the path of the root node. A child's path is the parent's path,
--- /dev/null
+++ b/settings/names.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"net"
+	"slices"
+	"strconv"
+
+	"rhubarbstall.example/api/codes"
+)
+
+const (
+	// maxNameBytes bounds the name of a zone, node or kind; the API allows 128.
+	maxNameBytes = 64
+	// maxPathBytes is the longest department path that the API accepts.
+	maxPathBytes = 256
+	// maxZones and maxSeeds bound the lists; the size to design for has 17 zones.
+	maxZones = 64
+	maxSeeds = 256
+)
+
+// checkName reports a name that is empty, too long, or has characters that
+// would need quoting in paths, URLs or metric labels.
+func checkName(found *problems, path, name string) bool {
+	if reason := badName(name); reason != "" {
+		found.add(codes.SettingsInvalid, path, "the name %q %s", truncate(name), reason)
+		return false
+	}
+	return true
+}
+
+func badName(name string) string {
+	if name == "" {
+		return "is empty"
+	}
+	if len(name) > maxNameBytes {
+		return "has more than " + strconv.Itoa(maxNameBytes) + " bytes"
+	}
+	for i := range len(name) {
+		c := name[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && (i == 0 || c != '-' && c != '_' && c != '.') {
+			return "may have only ASCII letters, digits, '-', '_' and '.', and starts with a letter or digit"
+		}
+	}
+	return ""
+}
+
+func (d *Document) checkZones(found *problems) {
+	if len(d.Zones) > maxZones {
+		found.add(codes.SettingsInvalid, "availability_zones", "%d zones are more than %d", len(d.Zones), maxZones)
+		return
+	}
+	for i, zone := range d.Zones {
+		path := "availability_zones/" + strconv.Itoa(i)
+		if checkName(found, path, zone) && slices.Index(d.Zones, zone) < i {
+			found.add(codes.SettingsInvalid, path, "%q is listed twice", zone)
+		}
+	}
+}
+
+func (d *Document) checkSeeds(found *problems) {
+	if len(d.Seeds) > maxSeeds {
+		found.add(codes.SettingsInvalid, "seeds", "%d seeds are more than %d", len(d.Seeds), maxSeeds)
+		return
+	}
+	for i, seed := range d.Seeds {
+		path := "seeds/" + strconv.Itoa(i)
+		host, port, err := net.SplitHostPort(seed)
+		number, portErr := strconv.ParseUint(port, 10, 16)
+		if err != nil || host == "" || portErr != nil || number == 0 {
+			found.add(codes.SettingsInvalid, path, "%q is not host:port", truncate(seed))
+		} else if slices.Index(d.Seeds, seed) < i {
+			found.add(codes.SettingsInvalid, path, "%q is listed twice", seed)
+		}
+	}
+}
