Store, follow and pass on the settings record

Cause: entry VMs need the settings in force without a consensus group of their own. Ruled out: base64 or a JSON string for the document in the record, since a 900 KB document would exceed the platform's 1 MB; replacing a deleted record on its own, since an operator's next change does it and a stale entry VM could bring back an old revision. After: compare-and-swap with change markers; a lost answer is settled by the marker, by the token used up by another change, or reported as unknown.

--- /dev/null
+++ b/daemon/internal/settingsync/apply_test.go
@@ -0,0 +1,304 @@
+package settingsync
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/platform"
+	"rhubarbstall.example/settings"
+	wire "rhubarbstall.example/wire/platform"
+)
+
+// single returns an entry VM with revision 1 in force, without background work.
+func single(t *testing.T) (*cluster, *vm) {
+	c := newCluster(t)
+	v := c.add("vm-1", "a")
+	must.True(t, v.startUpRound(context.Background(), true))
+	mustApply(t, v, 0, 1)
+	return c, v
+}
+
+// Guards against a change that is reported wrongly after a write without an
+// answer: as failed although it is stored, or as stored although it is lost.
+func TestApplySettlesLostAnswer(t *testing.T) {
+	other := func(c *cluster, t *testing.T) *vm {
+		v := c.add("vm-2", "a")
+		_, _ = v.read(context.Background())
+		return v
+	}
+	tests := map[string]struct {
+		put      func(t *testing.T, c *cluster, v, o *vm) func([]byte, uint64) (uint64, error)
+		want     codes.Code
+		revision uint64
+		patience int
+	}{
+		"stored": {
+			func(_ *testing.T, c *cluster, _, _ *vm) func([]byte, uint64) (uint64, error) {
+				return func(value []byte, rev uint64) (uint64, error) {
+					_, _ = c.platform.put(value, rev)
+					return 0, platform.ErrAmbiguous
+				}
+			}, 0, 2, 2,
+		},
+		"not stored": {
+			func(*testing.T, *cluster, *vm, *vm) func([]byte, uint64) (uint64, error) {
+				return func([]byte, uint64) (uint64, error) { return 0, platform.ErrAmbiguous }
+			}, 0, 2, 2,
+		},
+		"stored, then another change": {
+			func(t *testing.T, c *cluster, _, o *vm) func([]byte, uint64) (uint64, error) {
+				return func(value []byte, rev uint64) (uint64, error) {
+					_, _ = c.platform.put(value, rev)
+					_, _ = o.read(context.Background())
+					mustApply(t, o, 2, 30)
+					return 0, platform.ErrAmbiguous
+				}
+			}, 0, 3, 30,
+		},
+		"another change instead": {
+			func(t *testing.T, _ *cluster, _, o *vm) func([]byte, uint64) (uint64, error) {
+				return func([]byte, uint64) (uint64, error) {
+					mustApply(t, o, 1, 30)
+					return 0, platform.ErrAmbiguous
+				}
+			}, codes.SettingsConflict, 2, 30,
+		},
+		"stored late": {
+			func(_ *testing.T, c *cluster, v, _ *vm) func([]byte, uint64) (uint64, error) {
+				return func(value []byte, rev uint64) (uint64, error) {
+					v.store.set(func(s *fakeStore) {
+						s.onPut = func(again []byte, rev2 uint64) (uint64, error) {
+							_, _ = c.platform.put(value, rev)
+							return c.platform.put(again, rev2)
+						}
+					})
+					return 0, platform.ErrAmbiguous
+				}
+			}, 0, 2, 2,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, v := single(t)
+			o := other(c, t)
+			put := tc.put(t, c, v, o)
+			v.store.set(func(s *fakeStore) { s.onPut = put })
+			r, err := apply(v, 1, 2, "op")
+			mustCode(t, tc.want, err)
+			if tc.want == 0 {
+				must.Eq(t, 2, r.Revision)
+				must.Len(t, 1, r.Changes)
+			}
+			mustHold(t, v, tc.revision, tc.patience)
+			marks, err := v.History(context.Background())
+			must.NoError(t, err)
+			must.Len(t, int(tc.revision), marks)
+		})
+	}
+}
+
+// Guards against a lost answer that cannot be settled being reported as not stored.
+func TestApplyReportsUnknownOutcome(t *testing.T) {
+	c, v := single(t)
+	v.store.set(func(s *fakeStore) {
+		s.onPut = func(value []byte, rev uint64) (uint64, error) {
+			v.store.set(func(s *fakeStore) { s.down = true })
+			_, _ = c.platform.put(value, rev)
+			return 0, platform.ErrAmbiguous
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := v.Apply(ctx, Change{ExpectedRevision: 1, Document: document(2)})
+	mustCode(t, codes.OutcomeUnknown, err)
+	must.Eq(t, codes.OutcomeOpen, codes.OutcomeOf(err))
+	mustHold(t, v, 1, 1)
+}
+
+// Guards against two accepted changes with one revision, and against a loser
+// that is not told who won.
+func TestTwoOperatorsRace(t *testing.T) {
+	c, v1 := single(t)
+	v2 := c.add("vm-2", "b")
+	_, _ = v2.read(context.Background())
+	for round := range 10 {
+		expected := uint64(round + 1)
+		errs := make([]error, 2)
+		var wg sync.WaitGroup
+		for i, v := range []*vm{v1, v2} {
+			wg.Go(func() { _, errs[i] = apply(v, expected, 10*round+i+2, fmt.Sprintf("op-%d", i)) })
+		}
+		wg.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		must.NoError(t, errs[winner])
+		mustCode(t, codes.SettingsConflict, errs[1-winner])
+		details := strings.Join(codes.DetailsOf(errs[1-winner]), "\n")
+		must.StrContains(t, details, fmt.Sprintf("by \"op-%d\"", winner))
+		must.StrContains(t, details, fmt.Sprintf("patience_ms %d -> %d", 10*round+winner+2, 10*round+3-winner))
+		mustHold(t, v1, expected+1, 10*round+winner+2)
+		mustHold(t, v2, expected+1, 10*round+winner+2)
+	}
+}
+
+// Guards against a stale read that makes a change overwrite a newer one, fail for
+// good, or bring back an old revision.
+func TestApplyWithStaleReads(t *testing.T) {
+	tests := map[string]struct {
+		holds uint64 // Revision in force on the entry VM that applies.
+		want  codes.Code
+	}{
+		"own revision is newest":    {3, 0},
+		"own revision is stale too": {1, codes.PlatformUnavailable},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, v := single(t)
+			v2 := c.add("vm-2", "b")
+			if tc.holds == 1 {
+				_, _ = v2.read(context.Background())
+			}
+			mustApply(t, v, 1, 2)
+			mustApply(t, v, 2, 3)
+			c.set(func() { c.heartbeats = false })
+			if tc.holds == 3 {
+				_, _ = v2.read(context.Background())
+			}
+			v2.store.set(func(s *fakeStore) { s.behind = 2 })
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := v2.Apply(ctx, Change{ExpectedRevision: tc.holds, Document: document(9)})
+			mustCode(t, tc.want, err)
+			must.Eq(t, tc.holds, v2.revision()-1*boolToUint(err == nil))
+			v2.store.set(func(s *fakeStore) { s.behind = 0 })
+			_, _ = v2.read(context.Background())
+			must.GreaterEq(t, 3, v2.revision())
+		})
+	}
+}
+
+func boolToUint(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards against a damaged or missing record that empties the settings in force,
+// or that stops later changes.
+func TestDamagedRecord(t *testing.T) {
+	tests := map[string]struct {
+		damage func(c *cluster)
+		reason string
+	}{
+		"deleted":   {func(c *cluster) { c.platform.remove() }, "no settings record"},
+		"emptied":   {func(c *cluster) { c.overwrite(nil) }, "corrupt"},
+		"cut off":   {func(c *cluster) { c.overwrite(c.stored()[:120]) }, "corrupt"},
+		"one bit":   {func(c *cluster) { v := c.stored(); v[len(v)-3] ^= 1; c.overwrite(v) }, "corrupt"},
+		"not ours":  {func(c *cluster) { c.overwrite([]byte(`{"revision":99}`)) }, "corrupt"},
+		"set back":  {func(c *cluster) { c.overwrite(c.platform.versions[0].Value) }, "lower revision"},
+		"no kinds":  {func(c *cluster) { c.overwrite(encodeRaw(1, "{}")) }, "lower revision"},
+		"same, new": {func(c *cluster) { c.overwrite(encodeRaw(2, string(document(77)))) }, "another document"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, v := single(t)
+			mustApply(t, v, 1, 2)
+			tc.damage(c)
+			_, _ = v.read(context.Background())
+			mustHold(t, v, 2, 2)
+			must.True(t, loggedWarning(v, tc.reason), must.Sprint(v.logs.All()))
+			mustApply(t, v, 2, 3)
+			fresh := c.add("vm-2", "b")
+			_, _ = fresh.read(context.Background())
+			mustHold(t, fresh, 3, 3)
+		})
+	}
+}
+
+// Guards against a record of a newer version being used in part, overwritten, or
+// kept out without a word.
+func TestRecordOfNewerVersion(t *testing.T) {
+	tests := map[string][]byte{
+		"unknown field":  encodeRaw(2, `{"availability_zones":["a"],"head_office":{"new_field":1}}`),
+		"unknown format": []byte(recordMagic + " 2 00\nanything"),
+	}
+	for name, value := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, v := single(t)
+			c.overwrite(value)
+			_, _ = v.read(context.Background())
+			mustHold(t, v, 1, 1)
+			must.True(t, loggedWarning(v, "cannot be used"))
+			_, err := apply(v, 1, 5, "op")
+			mustCode(t, codes.SettingsConflict, err)
+			must.True(t, bytes.Equal(value, c.stored()))
+		})
+	}
+}
+
+// Guards against a check that stores something, and against a refused document
+// that changes anything.
+func TestDryRunAndRefusal(t *testing.T) {
+	c, v := single(t)
+	before := c.stored()
+	r, err := v.Apply(context.Background(), Change{ExpectedRevision: 1, Document: document(2), DryRun: true})
+	must.NoError(t, err)
+	must.Eq(t, Result{1, []string{`head_office: kind "k": patience_ms 1 -> 2`}}, r)
+	_, err = v.Apply(context.Background(), Change{ExpectedRevision: 1, Document: []byte(`{"head_office":{}}`)})
+	mustCode(t, codes.SettingsInvalid, err)
+	must.True(t, bytes.Equal(before, c.stored()))
+	v.store.set(func(s *fakeStore) { s.down = true })
+	_, err = apply(v, 1, 2, "op")
+	mustCode(t, codes.PlatformUnavailable, err)
+	mustHold(t, v, 1, 1)
+}
+
+// Guards against the largest document with the longest markers not fitting into
+// a platform value, and against markers that grow without bound.
+func TestLargestRecordFits(t *testing.T) {
+	r := record{Revision: 100, document: bytes.Repeat([]byte("\""), settings.MaxBytes)}
+	for range maxMarks {
+		r.Marks = append(r.Marks, newMark(1<<63, Change{Author: strings.Repeat("\"", 999), Comment: strings.Repeat("\x01é", 999)}))
+	}
+	value, err := r.encode()
+	must.NoError(t, err)
+	must.LessEq(t, wire.MaxValueBytes, len(value))
+	back, err := decodeRecord(value)
+	must.NoError(t, err)
+	must.Len(t, maxMarks, back.Marks)
+	must.Eq(t, r.document, back.document)
+}
+
+func (c *cluster) stored() []byte {
+	return bytes.Clone(c.platform.latest().Value)
+}
+
+func (c *cluster) overwrite(value []byte) {
+	_, err := c.platform.put(value, platform.AnyRevision)
+	must.NoError(c.t, err)
+}
+
+func encodeRaw(revision uint64, document string) []byte {
+	value, _ := record{Revision: revision, document: []byte(document)}.encode()
+	return value
+}
+
+func loggedWarning(v *vm, text string) bool {
+	for _, e := range v.logs.All() {
+		if strings.Contains(e.Message+fmt.Sprint(e.ContextMap()), text) && e.Level > 0 {
+			return true
+		}
+	}
+	return false
+}
