--- /dev/null
+++ b/daemon/internal/router/acquire.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/sched/admission"
+)
+
+// noUpstreamPatience bounds the wait of a request for which neither a runner
+// nor another entry VM is known. It covers a short gap, for example a restart.
+const noUpstreamPatience = time.Second
+
+// acquire waits for a slot or a peer. Its errors mean that the request was not run.
+func (r *Router) acquire(ctx context.Context, c *call) (grant, error) {
+	r.mu.Lock()
+	now := r.now()
+	if c.requeued {
+		c.requeued = false
+		r.mu.Unlock()
+		return r.wait(ctx, c)
+	}
+	if c.ticket != nil {
+		// A retry keeps its place: it was admitted before.
+		r.ctl.Readmit(now, c.ticket)
+		r.pump(now)
+		r.mu.Unlock()
+		return r.wait(ctx, c)
+	}
+	startBy := c.startBy
+	if r.ctl.Capacity() == 0 && startBy.After(now.Add(noUpstreamPatience)) {
+		startBy = now.Add(noUpstreamPatience)
+	}
+	t, refusal := r.ctl.Offer(now, c.class, startBy)
+	if refusal != nil {
+		r.mu.Unlock()
+		r.metrics.refused(ctx, c.class.Kind)
+		return grant{}, refusalError(refusal)
+	}
+	c.ticket = t
+	t.Value = c
+	r.pump(now)
+	r.mu.Unlock()
+	return r.wait(ctx, c)
+}
+
+// wait waits until the ticket of the call is started.
+func (r *Router) wait(ctx context.Context, c *call) (grant, error) {
+	select {
+	case g := <-c.grant:
+		return r.granted(ctx, g)
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	cancelled := r.ctl.Cancel(r.now(), c.ticket)
+	r.mu.Unlock()
+	if cancelled {
+		return grant{}, waitError(ctx)
+	}
+	// The call was started or expired at the same moment; the grant is there.
+	g := <-c.grant
+	if !g.expired {
+		r.settle(c, g, result{})
+	}
+	return grant{}, waitError(ctx)
+}
+
+func (r *Router) granted(ctx context.Context, g grant) (grant, error) {
+	if g.expired {
+		r.mu.Lock()
+		none := r.ctl.Capacity() == 0
+		r.mu.Unlock()
+		if none {
+			return grant{}, codes.NoUpstream.With("no upstream can take the request",
+				codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(time.Second))
+		}
+		return grant{}, waitError(ctx)
+	}
+	return g, nil
+}
+
+func waitError(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return codes.CallerGone.With("the caller gave up while the request waited", codes.WithOutcome(codes.OutcomeNotRun))
+	}
+	return codes.WaitedTooLong.With("the request waited too long and was not run",
+		codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(250*time.Millisecond))
+}
+
+func refusalError(refusal *admission.Refusal) error {
+	code := codes.QueueFull
+	if refusal.Reason == admission.TooManyClasses {
+		code = codes.TooManyRequests
+	}
+	return code.With(refusal.Error(), codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(refusal.RetryAfter))
+}
+
+// settle ends an attempt: it frees the slot or the forward and starts waiting calls.
+func (r *Router) settle(c *call, g grant, res result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	o := res.outcome()
+	r.ctl.Done(now, c.ticket, o == Answered)
+	if g.peer != nil {
+		g.peer.inFlight--
+	} else {
+		r.release(now, c, g, o, res)
+	}
+	r.pump(now)
+}
+
+func (r *Router) release(now time.Time, c *call, g grant, o Outcome, res result) {
+	u := g.upstream
+	if f, ok := u.health.flights[g.flight]; ok && o == Answered {
+		r.learn(c.class.Kind, now.Sub(f.at))
+	}
+	// An attempt that never reached the runner says nothing about it.
+	if res.err == nil && o == NotRun {
+		delete(u.health.flights, g.flight)
+	} else {
+		u.health.end(now, g.flight, o, res.refused)
+	}
+	u.release(now, g.slot, o)
+	if res.leaving && !u.leaving {
+		u.leaving = true
+		r.log.Info("[router] runner says that it is leaving; it gets no new requests", zap.String("runner", u.id))
+	}
+}
+
+// learn updates the usual time of a kind on a runner.
+func (r *Router) learn(kind string, took time.Duration) {
+	known, ok := r.usual[kind]
+	if !ok {
+		if len(r.usual) >= maxPolicies {
+			clear(r.usual)
+		}
+		r.usual[kind] = took
+		return
+	}
+	r.usual[kind] = known + (took-known)/16
+}
+
+// rejected puts a call back to the head of its queue after a peer refused the
+// forward, and trusts that peer's report no longer.
+func (r *Router) rejected(c *call, g grant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	g.peer.credit = 0
+	g.peer.inFlight--
+	c.rejected++
+	c.requeued = true
+	r.ctl.Requeue(now, c.ticket)
+	r.pump(now)
+}
--- /dev/null
+++ b/daemon/internal/router/call.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"time"
+
+	"rhubarbstall.example/sched/admission"
+)
+
+// call is a request in progress on this entry VM.
+type call struct {
+	id       string
+	class    admission.Class
+	body     []byte
+	noRepeat bool
+	// hops is the number of forwards before this entry VM.
+	hops    int
+	arrived time.Time
+	startBy time.Time
+	// queue allows a forwarded request to wait here; otherwise it is refused if
+	// it cannot start at once.
+	queue bool
+	// tried holds the runners that this request was sent to.
+	tried map[string]bool
+	// rejected counts the forwards that other entry VMs refused.
+	rejected int
+	// retries counts the attempts after the first.
+	retries int
+	// requeued tells that the ticket waits again after a refused forward.
+	requeued bool
+	// mayHaveRun tells that an attempt ended with an unknown outcome. The call
+	// then never ends as not run, whatever happens to later attempts.
+	mayHaveRun bool
+	// notAfter is the wall clock time after which no attempt of a request that
+	// must not be repeated may start; zero is no bound.
+	notAfter time.Time
+	// guard is called right before the first byte of an attempt may leave. An
+	// error stops the attempt.
+	guard func() error
+
+	ticket *admission.Ticket
+	grant  chan grant
+}
+
+// grant tells a waiting call where it may start.
+type grant struct {
+	// upstream and slot are set for a slot of this entry VM.
+	upstream *upstream
+	slot     int
+	flight   uint64
+	// peer is set for a forward.
+	peer *peerState
+	// queue allows the forward to wait at the peer.
+	queue bool
+	// expired tells that the call waited too long.
+	expired bool
+}
--- /dev/null
+++ b/daemon/internal/router/dispatch_test.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// Guards against a caller that gets a part of an answer, another request's
+// answer, or "not run" for a request that ran.
+func TestOnlyWholeOwnAnswersCount(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = conn.Close()
+	}
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    Outcome
+	}{
+		"whole": {echo, Answered},
+		"truncated": {func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set(wire.HeaderRequestID, req.Header.Get(wire.HeaderRequestID))
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("part"))
+		}, Unknown},
+		"other request": {func(w http.ResponseWriter, _ *http.Request) { answerWhole(w, "other", "body") }, Unknown},
+		"no digest": {func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set(wire.HeaderRequestID, req.Header.Get(wire.HeaderRequestID))
+			_, _ = w.Write([]byte("body"))
+		}, Unknown},
+		"connection cut after the bytes left": {cut, Unknown},
+		"status 500":                          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, Unknown},
+		"plain 503":                           {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, Unknown},
+		"not run": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.HeaderNotRun, "true")
+			w.WriteHeader(503)
+		}, NotRun},
+		"late answer": {func(w http.ResponseWriter, req *http.Request) {
+			time.Sleep(400 * time.Millisecond)
+			echo(w, req)
+		}, Unknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t)
+			r := c.runner("r", "z", tc.handler)
+			u := newUpstream("r", "z", r.Listener.Addr().String())
+			defer u.close()
+			u.pool.limit.Store(8)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			res := u.exchange(ctx, &call{id: "me", body: []byte("work")})
+			must.Eq(t, tc.want, res.outcome(), must.Sprintf("error: %v", res.err))
+			must.Eq(t, tc.want == Answered, res.err == nil)
+		})
+	}
+}
+
+// Guards against a refused connection, which proves that nothing ran, being
+// reported as unknown.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	c := newCell(t)
+	r := c.runner("r", "z", echo)
+	n := c.node("a", "z")
+	c.settled()
+	r.Close()
+	_, err := n.Send(t.Context(), request("proof"))
+	must.Eq(t, codes.OutcomeNotRun, codes.OutcomeOf(err), must.Sprintf("error: %v", err))
+}
+
+// Guards against the thin path: a request that gets its answer, with its identity.
+func TestSendAnswers(t *testing.T) {
+	c := newCell(t)
+	c.runner("r", "z", echo)
+	n := c.node("a", "z")
+	c.settled()
+	must.Eq(t, wire.Slots, n.FreeSlots())
+	a, err := n.Send(t.Context(), request("check"))
+	must.NoError(t, err)
+	must.Eq(t, "ran "+a.RequestID, string(a.Body))
+	must.Eq(t, "r", a.Upstream)
+	must.Eq(t, 0, a.Hops)
+	must.Eq(t, wire.Slots, n.FreeSlots())
+	_, err = n.Send(t.Context(), request("nothing"))
+	must.Eq(t, codes.UnknownKind, codes.Of(err))
+	_, err = n.Send(t.Context(), Request{Department: "elsewhere", Kind: "check"})
+	must.Eq(t, codes.UnknownDepartment, codes.Of(err))
+}
--- /dev/null
+++ b/daemon/internal/router/drain.go
@@ -0,0 +1,30 @@
+package router
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+)
+
+// Drain takes no new requests and waits until those in progress have ended. If
+// the context ends first it returns the context's error; nothing is cut off.
+func (r *Router) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	r.mu.Lock()
+	r.draining = true
+	active := r.active
+	r.idle = append(r.idle, done)
+	r.notifyIdle()
+	r.mu.Unlock()
+	r.log.Info("[router] draining", zap.Int("in_progress", active))
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		r.mu.Lock()
+		active = r.active
+		r.mu.Unlock()
+		r.log.Warn("[router] drain limit reached with requests in progress", zap.Int("in_progress", active))
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/daemon/internal/router/exchange.go
@@ -0,0 +1,129 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// maxAnswerBytes bounds the memory that one answer takes.
+const maxAnswerBytes = 64 << 20
+
+// onceBody hides the type of the body from net/http. For a *bytes.Reader
+// net/http sets GetBody and then sends a request again by itself when a reused
+// connection turns out to be closed.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// sendTrace notes which connections a request used and whether a byte left.
+type sendTrace struct {
+	mu    sync.Mutex
+	conns map[*countedConn]int64
+}
+
+func (s *sendTrace) gotConn(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*countedConn); ok {
+		s.mu.Lock()
+		s.conns[c] = c.writes.Load()
+		s.mu.Unlock()
+	}
+}
+
+func (s *sendTrace) left() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, before := range s.conns {
+		if c.writes.Load() != before {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange sends a request to a runner once and checks the answer. A request
+// that must not be repeated uses a fresh connection, since a reused one may
+// turn out to be closed after the bytes left.
+func (u *upstream) exchange(ctx context.Context, c *call) result {
+	deadline, _ := ctx.Deadline()
+	trace := &sendTrace{conns: map[*countedConn]int64{}}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.addr+wire.PathRun, nil)
+	if err != nil {
+		return result{err: fmt.Errorf("runner address %q: %w", u.addr, err)}
+	}
+	req.Body = onceBody{bytes.NewReader(c.body)}
+	req.ContentLength = int64(len(c.body))
+	req.Header.Set("Content-Type", "application/octet-stream")
+	req.Header.Set(wire.HeaderRequestID, c.id)
+	req.Header.Set(wire.HeaderKind, c.class.Kind)
+	req.Header.Set(wire.HeaderDeadlineMillis, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	transport := u.reused
+	if c.noRepeat {
+		transport = u.fresh
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return result{
+			evidence: evidence{left: trace.left()},
+			err:      fmt.Errorf("runner %s: %w", u.id, err),
+			refused:  errors.Is(err, syscall.ECONNREFUSED),
+		}
+	}
+	defer resp.Body.Close()
+	res := readAnswer(resp, c.id)
+	if res.err != nil {
+		res.err = fmt.Errorf("runner %s: %w", u.id, res.err)
+	}
+	res.left = true
+	res.leaving = resp.Header.Get(wire.HeaderState) == wire.StateLeaving
+	res.answer.Upstream, res.answer.Zone = u.id, u.zone
+	return res
+}
+
+// readAnswer accepts an answer only if its length, digest and request identity
+// match.
+func readAnswer(resp *http.Response, id string) result {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(wire.HeaderNotRun) == "true" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
+		return result{evidence: evidence{denied: true}, err: errors.New("did not run the request")}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return result{err: fmt.Errorf("status %d", resp.StatusCode)}
+	}
+	if got := resp.Header.Get(wire.HeaderRequestID); got != id {
+		return result{err: fmt.Errorf("answer belongs to request %q", got)}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return result{err: fmt.Errorf("answer is cut off after %d bytes: %w", len(body), err)}
+	}
+	if len(body) > maxAnswerBytes {
+		return result{err: fmt.Errorf("answer is larger than %d bytes", maxAnswerBytes)}
+	}
+	if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
+		return result{err: fmt.Errorf("answer has %d of %d bytes", len(body), resp.ContentLength)}
+	}
+	sum := sha256.Sum256(body)
+	if resp.Header.Get(wire.HeaderDigest) != hex.EncodeToString(sum[:]) {
+		return result{err: errors.New("digest of the answer does not match")}
+	}
+	return result{evidence: evidence{whole: true}, answer: Answer{RequestID: id, Body: body}}
+}
--- /dev/null
+++ b/daemon/internal/router/fakes_test.go
@@ -0,0 +1,249 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel/metric/noop"
+	tracenoop "go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/settings"
+	wireplatform "rhubarbstall.example/wire/platform"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// cell is a deployment in this process: runners, entry VMs, one shared list.
+type cell struct {
+	t       *testing.T
+	mu      sync.Mutex
+	vms     []wireplatform.VM
+	listAt  time.Time
+	members []membership.Member
+	nodes   map[string]*node
+}
+
+// node is one entry VM of a cell. Its view is that of the cell.
+type node struct {
+	*Router
+	cell     *cell
+	id       string
+	listener net.Listener
+	server   *peer.Server
+	stop     func()
+}
+
+type cellView struct {
+	c    *cell
+	self string
+}
+
+func newCell(t *testing.T) *cell {
+	return &cell{t: t, nodes: map[string]*node{}, listAt: time.Now()}
+}
+
+func (c *cell) VMs() ([]wireplatform.VM, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms, c.listAt
+}
+
+func (c *cell) Current() (*settings.Document, uint64, bool) {
+	return &settings.Document{Limits: settings.Limits{RetryPercent: 10}}, 1, true
+}
+
+func (c *cell) setMember(id string, f func(*membership.Member)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.members {
+		if c.members[i].ID == id {
+			f(&c.members[i])
+		}
+	}
+}
+
+// beat takes the reports of all nodes over, as a heartbeat does.
+func (c *cell) beat() {
+	for id, n := range c.nodes {
+		free, queued := n.FreeSlots(), n.Queued()
+		c.setMember(id, func(m *membership.Member) {
+			m.Report.FreeSlots, m.Report.QueuedRequests, m.LastHeard = free, queued, time.Now()
+		})
+	}
+}
+
+func (v cellView) Self() membership.Member { m, _ := v.Get(v.self); return m }
+
+func (v cellView) Members() []membership.Member {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	return slices.Clone(v.c.members)
+}
+
+func (v cellView) InZone(zone string) []membership.Member {
+	return slices.DeleteFunc(v.Members(), func(m membership.Member) bool { return m.Zone != zone })
+}
+
+func (v cellView) Get(id string) (membership.Member, bool) {
+	for _, m := range v.Members() {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// testKinds are the kinds that every department has.
+func testKinds(_ *settings.Document, department, kind string) (settings.Policy, bool) {
+	p := settings.Policy{Department: department, Kind: kind, Weight: 1, Patience: 2 * time.Second, Deadline: 5 * time.Second}
+	switch kind {
+	case "check":
+		p.Urgency, p.ReservePercent = 90, 20
+	case "plan":
+		p.Urgency, p.FloorPercent = 10, 20
+	case "proof":
+		p.Urgency, p.NoRepeat = 50, true
+	default:
+		return p, false
+	}
+	return p, strings.HasPrefix(department, settings.RootPath)
+}
+
+// node starts an entry VM. Before it runs, setup may change the router.
+func (c *cell) node(id, zone string) *node {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(c.t, err)
+	self := membership.Member{ID: id, Zone: zone, PeerAddr: l.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), State: membership.Alive, LastHeard: time.Now()}
+	n := &node{cell: c, id: id, listener: l, server: peer.NewServer()}
+	client := peer.NewClient(id)
+	n.Router = New(Config{
+		Self: self, View: cellView{c, id}, VMs: c, Settings: c, Peers: client, Server: n.server,
+		Logger: zap.NewNop(), Meter: noop.Meter{}, Tracer: tracenoop.Tracer{},
+	})
+	n.policies.effective = testKinds
+	n.joinGrace = 0
+	c.mu.Lock()
+	c.members = append(slices.DeleteFunc(c.members, func(m membership.Member) bool { return m.ID == id }), self)
+	slices.SortFunc(c.members, func(a, b membership.Member) int { return strings.Compare(a.ID, b.ID) })
+	c.mu.Unlock()
+	c.nodes[id] = n
+	go func() { _ = n.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = n.Run(ctx); close(done) }()
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+		_ = l.Close()
+		n.server.CloseConnections()
+		client.Close()
+	})
+	c.t.Cleanup(n.stop)
+	return n
+}
+
+// settled waits until every entry VM uses the slots that it owns.
+func (c *cell) settled() {
+	c.t.Helper()
+	c.eventually("entry VMs joined", func() bool {
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			ok := n.join.joined && len(n.ownerIDs) == len(c.zoneOf(n))
+			n.mu.Unlock()
+			if !ok {
+				return false
+			}
+		}
+		return true
+	})
+	c.beat()
+	time.Sleep(2 * tick)
+}
+
+func (c *cell) zoneOf(n *node) []membership.Member { return cellView{c, n.id}.InZone(n.cfg.Self.Zone) }
+
+func (c *cell) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.t.Fatalf("not reached in time: %s", what)
+}
+
+// runner is a fake runner whose handler a test may replace.
+type runner struct {
+	*httptest.Server
+	id       string
+	handler  atomic.Pointer[http.HandlerFunc]
+	runs     atomic.Int64
+	inFlight atomic.Int64
+	most     atomic.Int64
+	conns    atomic.Int64
+}
+
+// answerWhole answers as the protocol says.
+func answerWhole(w http.ResponseWriter, id string, body string) {
+	sum := sha256.Sum256([]byte(body))
+	w.Header().Set(wire.HeaderRequestID, id)
+	w.Header().Set(wire.HeaderDigest, hex.EncodeToString(sum[:]))
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = w.Write([]byte(body))
+}
+
+func echo(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(wire.HeaderRequestID)
+	answerWhole(w, id, "ran "+id)
+}
+
+func (c *cell) runner(id, zone string, h http.HandlerFunc) *runner {
+	r := &runner{id: id}
+	r.handler.Store(&h)
+	r.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		now := r.inFlight.Add(1)
+		defer r.inFlight.Add(-1)
+		for m := r.most.Load(); now > m && !r.most.CompareAndSwap(m, now); m = r.most.Load() {
+		}
+		r.runs.Add(1)
+		(*r.handler.Load())(w, req)
+	}))
+	r.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			r.conns.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			r.conns.Add(-1)
+		}
+	}
+	r.Start()
+	c.t.Cleanup(r.Close)
+	c.list(wireplatform.VM{ID: id, Role: wireplatform.RoleRunner, AvailabilityZone: zone, Addr: r.Listener.Addr().String(), State: wireplatform.VMLive})
+	return r
+}
+
+// list adds or replaces a VM on the platform's list.
+func (c *cell) list(vm wireplatform.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = append(slices.DeleteFunc(slices.Clone(c.vms), func(v wireplatform.VM) bool { return v.ID == vm.ID }), vm)
+	c.listAt = time.Now()
+}
+
+func request(kind string) Request {
+	return Request{Department: settings.RootPath, Kind: kind, Body: []byte("work")}
+}
--- /dev/null
+++ b/daemon/internal/router/forward.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/sched/admission"
+)
+
+const (
+	methodForward = "router.forward"
+	// forwardMargin is left for the reply's way back, so that the sender gets
+	// the outcome and not its own timeout. Latency between zones is 1.5 ms.
+	forwardMargin = 10 * time.Millisecond
+	// handoverWait is how long a forwarded request may wait for a slot that the
+	// sender believed to be free.
+	handoverWait = 50 * time.Millisecond
+	// suspectCheck is the period in which the sender of a forward looks whether
+	// the receiver still answers heartbeats.
+	suspectCheck = 100 * time.Millisecond
+)
+
+// forwardRequest hands a request to another entry VM for one attempt.
+type forwardRequest struct {
+	ID              string          `json:"id"`
+	Class           admission.Class `json:"class"`
+	Body            []byte          `json:"body"`
+	NoRepeat        bool            `json:"no_repeat,omitempty"`
+	Hops            int             `json:"hops"`
+	RemainingMillis int64           `json:"remaining_ms"`
+	// Queue allows the request to wait at the receiver.
+	Queue bool `json:"queue,omitempty"`
+	// NotAfterMillis is the wall clock time after which a request that must not
+	// be repeated is not sent to a runner; zero is no bound.
+	NotAfterMillis int64 `json:"not_after_ms,omitempty"`
+}
+
+// forwardReply is the whole answer of a forwarded request.
+type forwardReply struct {
+	Answer Answer `json:"answer"`
+	// FreeSlots is the receiver's number of free slots after the request.
+	FreeSlots int `json:"free_slots"`
+}
+
+// forward runs one attempt at another entry VM.
+func (r *Router) forward(ctx context.Context, c *call, g grant) result {
+	m := g.peer.member
+	ctx, span := r.cfg.Tracer.Start(ctx, "forward", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("peer.id", m.ID), attribute.String("peer.zone", m.Zone)))
+	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline) - forwardMargin
+	if remaining <= 0 {
+		return result{err: errors.New("no time is left for a forward")}
+	}
+	if !c.noRepeat {
+		stop := r.watchPeer(m, cancel)
+		defer stop()
+	}
+	req := &forwardRequest{
+		ID: c.id, Class: c.class, Body: c.body, NoRepeat: c.noRepeat, Hops: c.hops + 1,
+		RemainingMillis: max(1, remaining.Milliseconds()), Queue: g.queue,
+	}
+	if !c.notAfter.IsZero() {
+		req.NotAfterMillis = c.notAfter.UnixMilli()
+	}
+	reply, err := peer.Call[forwardRequest, forwardReply](ctx, r.cfg.Peers, m.PeerAddr, methodForward, req)
+	if err != nil {
+		span.RecordError(err)
+		return forwardFailure(m.ID, err)
+	}
+	if reply.Answer.RequestID != c.id {
+		return result{
+			evidence: evidence{left: true},
+			err:      fmt.Errorf("entry VM %s: answer belongs to request %q", m.ID, reply.Answer.RequestID),
+		}
+	}
+	r.mu.Lock()
+	g.peer.credit = reply.FreeSlots
+	r.mu.Unlock()
+	return result{evidence: evidence{left: true, whole: true}, answer: reply.Answer}
+}
+
+// forwardFailure collects the evidence of a forward without an answer.
+func forwardFailure(id string, err error) result {
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return result{err: fmt.Errorf("entry VM %s: %w", id, err)}
+	case errors.Is(err, peer.ErrNoReply):
+		return result{evidence: evidence{left: true}, err: fmt.Errorf("entry VM %s: %w", id, err)}
+	case codes.OutcomeOf(err) == codes.OutcomeNotRun:
+		// RetryBudget is the one code of a receiver whose runner got the request.
+		return result{evidence: evidence{left: codes.Of(err) == codes.RetryBudget, denied: true}, err: err}
+	default:
+		return result{evidence: evidence{left: true}, err: err}
+	}
+}
+
+// watchPeer cancels a forward whose receiver became suspect. The request may be
+// repeated, so the sender need not wait for a frozen entry VM.
+func (r *Router) watchPeer(m membership.Member, cancel context.CancelFunc) (stop func()) {
+	return every(suspectCheck, func() bool {
+		now, ok := r.cfg.View.Get(m.ID)
+		if ok && now.Incarnation == m.Incarnation && (now.State == membership.Alive || now.State == membership.Left) {
+			return true
+		}
+		cancel()
+		return false
+	})
+}
+
+// handleForward runs one attempt of a request of another entry VM.
+func (r *Router) handleForward(ctx context.Context, _ string, req *forwardRequest) (*forwardReply, error) {
+	if !r.begin() {
+		return nil, codes.ShuttingDown.With("this entry VM is shutting down", codes.WithOutcome(codes.OutcomeNotRun))
+	}
+	defer r.end()
+	if req.Hops > maxHops {
+		return nil, codes.InvalidValue.With("the request was forwarded too often", codes.WithOutcome(codes.OutcomeNotRun))
+	}
+	remaining := time.Duration(req.RemainingMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	now := r.now()
+	c := &call{
+		id: req.ID, class: req.Class, body: req.Body, noRepeat: req.NoRepeat, hops: req.Hops,
+		arrived: now, startBy: now.Add(min(remaining, handoverWait)), queue: req.Queue,
+		tried: map[string]bool{}, grant: make(chan grant, 1),
+	}
+	if req.Queue {
+		c.startBy = now.Add(min(remaining, req.Class.Patience))
+	}
+	if req.NotAfterMillis > 0 {
+		c.notAfter = time.UnixMilli(req.NotAfterMillis)
+	}
+	answer, err := r.runOnce(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	answer.Hops++
+	answer.RequestID = req.ID
+	return &forwardReply{Answer: answer, FreeSlots: r.FreeSlots()}, nil
+}
+
+// runOnce makes one attempt; the first entry VM decides over others.
+func (r *Router) runOnce(ctx context.Context, c *call) (Answer, error) {
+	g, err := r.acquire(ctx, c)
+	if err != nil {
+		return Answer{}, err
+	}
+	wait := r.now().Sub(c.arrived)
+	res := r.attempt(ctx, c, g)
+	o := res.outcome()
+	r.settle(c, g, res)
+	r.metrics.attempt(ctx, c.class.Kind, g, o)
+	if o != Answered {
+		return Answer{}, attemptError(ctx, o, res)
+	}
+	res.answer.Wait += wait
+	return res.answer, nil
+}
--- /dev/null
+++ b/daemon/internal/router/policies.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/settings"
+)
+
+const (
+	defaultBodyBytes    = 1 << 20
+	defaultRetryPercent = 10
+	defaultKeyRetention = 15 * time.Minute
+	// maxDeadline bounds a request; the API states it.
+	maxDeadline = 10 * time.Minute
+	// maxPolicies bounds the resolved policies that are kept for a revision.
+	maxPolicies = 4096
+	// maxWeight bounds the product of weights along a path.
+	maxWeight = 1 << 30
+)
+
+// policy is the effective policy of a class of requests.
+type policy struct {
+	settings.Policy
+	// weight is the product of the weights along the department's path and the
+	// weight of the kind.
+	weight int
+}
+
+// policies keeps the resolved policies of the revision in force.
+type policies struct {
+	// effective is (*settings.Document).Resolve but for tests.
+	effective func(doc *settings.Document, department, kind string) (settings.Policy, bool)
+	mu        sync.Mutex
+	revision  uint64
+	resolved  map[[2]string]policy
+}
+
+// resolve returns the policy and the limits in force, or an error with a code.
+func (p *policies) resolve(doc *settings.Document, revision uint64, department, kind string) (policy, error) {
+	key := [2]string{department, kind}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resolved == nil || p.revision != revision || len(p.resolved) >= maxPolicies {
+		p.resolved, p.revision = make(map[[2]string]policy), revision
+	}
+	if known, ok := p.resolved[key]; ok {
+		return known, nil
+	}
+	effective, ok := p.effective(doc, department, kind)
+	if !ok {
+		if _, exists := pathWeight(doc, department); !exists {
+			return policy{}, codes.UnknownDepartment.With("department "+department+" is not in the settings",
+				codes.WithOutcome(codes.OutcomeNotRun))
+		}
+		return policy{}, codes.UnknownKind.With("kind "+kind+" is not defined for department "+department,
+			codes.WithOutcome(codes.OutcomeNotRun))
+	}
+	weight, _ := pathWeight(doc, department)
+	found := policy{Policy: effective, weight: min(maxWeight, weight*max(1, effective.Weight))}
+	p.resolved[key] = found
+	return found, nil
+}
+
+// pathWeight returns the product of the weights along a department's path;
+// false if the path does not exist.
+func pathWeight(doc *settings.Document, department string) (int, bool) {
+	names := strings.Split(department, "/")
+	if names[0] != settings.RootPath {
+		return 1, false
+	}
+	weight, node := 1, doc.Root
+	for _, name := range names[1:] {
+		child, ok := node.Children[name]
+		if !ok {
+			return weight, false
+		}
+		if child.Weight != nil {
+			weight = min(maxWeight, weight*max(1, *child.Weight))
+		}
+		node = child
+	}
+	return weight, true
+}
+
+func retryPercent(doc *settings.Document) int {
+	if doc.Limits.RetryPercent > 0 {
+		return doc.Limits.RetryPercent
+	}
+	return defaultRetryPercent
+}
+
+func bodyLimit(doc *settings.Document) int64 {
+	if doc.Limits.BodyBytes > 0 {
+		return doc.Limits.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+func keyRetention(doc *settings.Document) time.Duration {
+	if doc.Limits.KeyRetentionMillis > 0 {
+		return time.Duration(doc.Limits.KeyRetentionMillis) * time.Millisecond
+	}
+	return defaultKeyRetention
+}
--- /dev/null
+++ b/daemon/internal/router/pump.go
@@ -0,0 +1,133 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rhubarbstall.example/sched/admission"
+)
+
+// maxAside bounds the calls that one round passes over because no target suits
+// them, for example a request that must not be repeated when only a runner on
+// probation is free.
+const maxAside = 32
+
+// maxRejected is the number of refused forwards after which a call waits for a
+// slot of this entry VM, so that stale reports do not keep it travelling.
+const maxRejected = 3
+
+// pump starts every call that is due and has a target. The lock is held.
+func (r *Router) pump(now time.Time) {
+	var aside []*admission.Ticket
+	for len(aside) < maxAside {
+		own, free := r.ownCapacity(now)
+		remote := r.remoteFree(own)
+		r.ctl.SetCapacity(now, r.ctl.Running()+free+remote)
+		if free+remote == 0 {
+			break
+		}
+		t := r.ctl.Next(now, r.expire)
+		if t == nil {
+			break
+		}
+		c := t.Value.(*call)
+		g, ok := r.target(now, c, own)
+		if !ok {
+			aside = append(aside, t)
+			continue
+		}
+		c.grant <- g
+	}
+	for _, t := range slices.Backward(aside) {
+		r.ctl.Requeue(now, t)
+	}
+	own, free := r.ownCapacity(now)
+	r.ctl.SetCapacity(now, r.ctl.Running()+free+r.remoteFree(own))
+	r.notifyIdle()
+}
+
+func (r *Router) expire(t *admission.Ticket) {
+	t.Value.(*call).grant <- grant{expired: true}
+}
+
+// ownCapacity returns the slots of this entry VM that runners can take work on,
+// busy ones included, and those that are free.
+func (r *Router) ownCapacity(now time.Time) (own, free int) {
+	for _, u := range r.upstreams {
+		n := u.usable(now)
+		free += n
+		own += n + u.inFlight()
+	}
+	return own, free
+}
+
+// target chooses where a call starts: a slot of this entry VM, else a peer with
+// free slots, else another zone if this one has no runner.
+func (r *Router) target(now time.Time, c *call, own int) (grant, bool) {
+	if u := r.pickUpstream(now, c); u != nil {
+		return r.take(now, u, c), true
+	}
+	if c.hops >= maxHops || c.rejected >= maxRejected {
+		return grant{}, false
+	}
+	if p := r.pickPeer(false); p != nil {
+		return grant{peer: p}, true
+	}
+	if own > 0 || c.hops > 0 {
+		return grant{}, false
+	}
+	if r.zoneHasRunners() {
+		if p := r.pickQueueing(); p != nil {
+			return grant{peer: p, queue: true}, true
+		}
+	}
+	if p := r.pickPeer(true); p != nil {
+		return grant{peer: p, queue: true}, true
+	}
+	return grant{}, false
+}
+
+// pickUpstream returns the better of two random runners with a free slot, or
+// nil. Runners that this request was not sent to yet go first. An ejected
+// runner that is due for a probe gets a request that may be repeated.
+func (r *Router) pickUpstream(now time.Time, c *call) *upstream {
+	fresh, tried := make([]*upstream, 0, len(r.upstreams)), []*upstream(nil)
+	var probe *upstream
+	for _, u := range r.upstreams {
+		switch {
+		case u.usable(now) == 0:
+		case u.health.ejected():
+			if !c.noRepeat && !c.tried[u.id] {
+				probe = u
+			}
+		case c.tried[u.id]:
+			tried = append(tried, u)
+		default:
+			fresh = append(fresh, u)
+		}
+	}
+	if probe != nil {
+		return probe
+	}
+	if len(fresh) == 0 {
+		fresh = tried
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	u, o := fresh[rand.IntN(len(fresh))], fresh[rand.IntN(len(fresh))]
+	if o.health.score(o.inFlight()) < u.health.score(u.inFlight()) {
+		return o
+	}
+	return u
+}
+
+func (r *Router) take(now time.Time, u *upstream, c *call) grant {
+	slot := u.freeSlot()
+	u.busy[slot] = true
+	r.flights++
+	u.health.begin(now, r.flights, r.usual[c.class.Kind])
+	c.tried[u.id] = true
+	return grant{upstream: u, slot: slot, flight: r.flights}
+}
--- /dev/null
+++ b/daemon/internal/router/status.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"time"
+
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// UpstreamStatus describes a runner of the zone.
+type UpstreamStatus struct {
+	ID string
+	// State is "live", "leaving" or "ejected".
+	State string
+	// OwnedSlots and BusySlots count the slots of this entry VM.
+	OwnedSlots int
+	BusySlots  int
+	InFlight   int
+	ErrorRate  float64
+	Latency    time.Duration
+}
+
+// QueueStatus describes the queue of a kind in a department.
+type QueueStatus struct {
+	Department string
+	Kind       string
+	Waiting    int
+	OldestWait time.Duration
+	Limit      int
+	Refused    int64
+}
+
+// FreeSlots returns the slots of this entry VM that could take a request now.
+func (r *Router) FreeSlots() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, free := r.ownCapacity(r.now())
+	return free
+}
+
+// Queued returns the number of requests that wait for a slot.
+func (r *Router) Queued() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ctl.Queued()
+}
+
+// Upstreams describes the runners of the zone in order of identity.
+func (r *Router) Upstreams() []UpstreamStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]UpstreamStatus, 0, len(r.upstreams))
+	for _, u := range r.upstreams {
+		s := UpstreamStatus{
+			ID: u.id, State: "live", OwnedSlots: u.ownedSlots(), InFlight: len(u.health.flights),
+			ErrorRate: u.health.errorRate, Latency: u.health.latency,
+		}
+		for i := range wire.Slots {
+			if u.owned[i] && u.busy[i] {
+				s.BusySlots++
+			}
+		}
+		switch {
+		case u.leaving || u.gone:
+			s.State = wire.StateLeaving
+		case u.health.ejected():
+			s.State = "ejected"
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// Queues describes the request queues in order of kind and department.
+func (r *Router) Queues() []QueueStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := []QueueStatus{}
+	for _, q := range r.ctl.Queues(r.now()) {
+		all = append(all, QueueStatus{
+			Department: q.Department, Kind: q.Kind, Waiting: q.Waiting,
+			OldestWait: q.OldestWait, Limit: q.Limit, Refused: q.Refused,
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/sched/admission/controller.go
@@ -0,0 +1,256 @@
+package admission
+
+import (
+	"container/list"
+	"math"
+	"time"
+)
+
+// Config bounds a controller.
+type Config struct {
+	// MaxQueued bounds the waiting requests of all classes; default 8192.
+	MaxQueued int
+	// MaxClasses bounds the classes that are kept; default 4096.
+	MaxClasses int
+}
+
+// Controller holds the queues of one entry VM.
+type Controller struct {
+	cfg      Config
+	capacity int
+	running  int
+	waiting  int
+	queues   map[classKey]*queue
+	kinds    map[string]*kind
+	// order lists the queues in order of creation, so that decisions do not
+	// depend on the order of a map.
+	order []*queue
+	// active holds the queues with waiting requests.
+	active []*queue
+	// virtual is the virtual time of the last start.
+	virtual float64
+}
+
+// New returns a controller without capacity.
+func New(cfg Config) *Controller {
+	if cfg.MaxQueued <= 0 {
+		cfg.MaxQueued = 8192
+	}
+	if cfg.MaxClasses <= 0 {
+		cfg.MaxClasses = 4096
+	}
+	return &Controller{cfg: cfg, queues: map[classKey]*queue{}, kinds: map[string]*kind{}}
+}
+
+// SetCapacity sets the number of requests that may run at a time.
+func (c *Controller) SetCapacity(now time.Time, n int) {
+	if n == c.capacity {
+		return
+	}
+	for _, k := range c.kinds {
+		k.observe(now)
+	}
+	c.capacity = max(0, n)
+}
+
+// Capacity returns the number of requests that may run at a time.
+func (c *Controller) Capacity() int { return c.capacity }
+
+// Queued returns the number of waiting requests.
+func (c *Controller) Queued() int { return c.waiting }
+
+// Running returns the number of started requests.
+func (c *Controller) Running() int { return c.running }
+
+// Offer admits a request that must start by startBy, or refuses it. The zero
+// time leaves only the patience of the class.
+func (c *Controller) Offer(now time.Time, class Class, startBy time.Time) (*Ticket, *Refusal) {
+	if c.waiting >= c.cfg.MaxQueued {
+		return nil, &Refusal{Reason: Full, RetryAfter: c.drainTime()}
+	}
+	if _, ok := c.queues[class.key()]; !ok && len(c.queues) >= c.cfg.MaxClasses && !c.evict() {
+		return nil, &Refusal{Reason: TooManyClasses, RetryAfter: time.Second}
+	}
+	q := c.queue(now, class)
+	limit := now.Add(class.Patience)
+	if startBy.IsZero() || startBy.After(limit) {
+		startBy = limit
+	}
+	if wait := c.expectedWait(q); wait > startBy.Sub(now) {
+		q.refused++
+		return nil, &Refusal{Reason: TooLate, RetryAfter: retryAfter(wait - startBy.Sub(now))}
+	}
+	t := &Ticket{queue: q, offered: now, startBy: startBy}
+	t.element = q.waiting.PushBack(t)
+	c.noteWaiting(now, q, 1)
+	return t, nil
+}
+
+// Check tells whether Offer would refuse the class now; nil if it would not.
+func (c *Controller) Check(now time.Time, class Class) *Refusal {
+	q, ok := c.queues[class.key()]
+	if !ok {
+		return nil
+	}
+	if wait := c.expectedWait(q); wait > class.Patience {
+		q.refused++
+		return &Refusal{Reason: TooLate, RetryAfter: retryAfter(wait - class.Patience)}
+	}
+	return nil
+}
+
+// Requeue puts a started request back to the head of its queue, for example
+// because the upstream refused it without running it.
+func (c *Controller) Requeue(now time.Time, t *Ticket) {
+	if t.state != ticketStarted {
+		return
+	}
+	c.stop(now, t)
+	t.queue.virtual -= t.estimate.Seconds() / t.queue.class.weight()
+	t.queue.kind.starts = max(0, t.queue.kind.starts-1)
+	c.pushFront(now, t)
+}
+
+// Readmit puts a request that ended back to the head of its queue for another
+// attempt. It was admitted before, so the queue limit does not apply.
+func (c *Controller) Readmit(now time.Time, t *Ticket) {
+	if t.state == ticketClosed {
+		c.pushFront(now, t)
+	}
+}
+
+func (c *Controller) pushFront(now time.Time, t *Ticket) {
+	// The class may have been forgotten since.
+	t.queue = c.queue(now, t.queue.class)
+	t.state = ticketWaiting
+	t.started = time.Time{}
+	t.element = t.queue.waiting.PushFront(t)
+	c.noteWaiting(now, t.queue, 1)
+}
+
+// Cancel removes a waiting request; it returns false if the request does not wait.
+func (c *Controller) Cancel(now time.Time, t *Ticket) bool {
+	if t.state != ticketWaiting {
+		return false
+	}
+	t.state = ticketClosed
+	t.queue.waiting.Remove(t.element)
+	c.noteWaiting(now, t.queue, -1)
+	return true
+}
+
+// Done ends a started request. Served tells whether it ran to an answer; only
+// then its time counts as service time.
+func (c *Controller) Done(now time.Time, t *Ticket, served bool) {
+	if t.state != ticketStarted {
+		return
+	}
+	c.stop(now, t)
+	t.state = ticketClosed
+	actual := now.Sub(t.started)
+	t.queue.virtual += (actual - t.estimate).Seconds() / t.queue.class.weight()
+	if served {
+		t.queue.kind.served(actual)
+	}
+}
+
+func (c *Controller) stop(now time.Time, t *Ticket) {
+	t.queue.kind.observe(now)
+	t.queue.kind.running--
+	t.queue.running--
+	c.running--
+}
+
+func (c *Controller) noteWaiting(now time.Time, q *queue, delta int) {
+	q.kind.observe(now)
+	q.kind.waiting += delta
+	c.waiting += delta
+	switch n := q.waiting.Len(); {
+	case delta > 0 && n == 1:
+		q.activeWeight = q.class.weight()
+		q.kind.weights += q.activeWeight
+		q.index = len(c.active)
+		c.active = append(c.active, q)
+	case delta < 0 && n == 0:
+		q.kind.weights -= q.activeWeight
+		last := c.active[len(c.active)-1]
+		c.active[q.index], last.index = last, q.index
+		c.active = c.active[:len(c.active)-1]
+	}
+}
+
+// queue returns the queue of a class with the policy brought up to date.
+func (c *Controller) queue(now time.Time, class Class) *queue {
+	q, ok := c.queues[class.key()]
+	if !ok {
+		k, ok := c.kinds[class.Kind]
+		if !ok {
+			k = &kind{updated: now}
+			c.kinds[class.Kind] = k
+		}
+		k.classes++
+		q = &queue{kind: k, waiting: list.New()}
+		c.queues[class.key()] = q
+		c.order = append(c.order, q)
+	}
+	if q.idle() {
+		// A class that was idle gets no credit for the time that it did not use.
+		q.virtual = max(q.virtual, c.virtual)
+	}
+	q.class = class
+	q.kind.observe(now)
+	q.kind.urgency = class.Urgency
+	q.kind.floor = float64(min(100, max(0, class.FloorPercent))) / 100
+	q.kind.reserve = float64(min(100, max(0, class.ReservePercent))) / 100
+	return q
+}
+
+// evict forgets the oldest idle class.
+func (c *Controller) evict() bool {
+	for i, q := range c.order {
+		if !q.idle() {
+			continue
+		}
+		c.order = append(c.order[:i], c.order[i+1:]...)
+		delete(c.queues, q.class.key())
+		if q.kind.classes--; q.kind.classes == 0 {
+			delete(c.kinds, q.class.Kind)
+		}
+		return true
+	}
+	return false
+}
+
+// expectedWait returns how long the next request of the class would wait for
+// the requests ahead of it, at the measured service rate of its kind and the
+// share of its class among the classes of the kind that wait.
+func (c *Controller) expectedWait(q *queue) time.Duration {
+	ahead := q.waiting.Len()
+	if ahead == 0 {
+		return 0
+	}
+	rate := q.kind.rate(c.capacity) * q.activeWeight / q.kind.weights
+	if rate <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(min(float64(ahead+1)/rate, 3600) * float64(time.Second))
+}
+
+func (c *Controller) drainTime() time.Duration {
+	rate := 0.0
+	for _, k := range c.kinds {
+		if k.waiting > 0 {
+			rate += k.rate(c.capacity)
+		}
+	}
+	if rate <= 0 {
+		return time.Second
+	}
+	return retryAfter(time.Duration(float64(c.waiting) / rate * float64(time.Second) / 2))
+}
+
+// retryAfter bounds a retry time: a caller told to come back at once would only
+// add load, and one told hours would miss a recovery.
+func retryAfter(d time.Duration) time.Duration {
+	return min(max(d, 100*time.Millisecond), time.Minute)
+}
--- /dev/null
+++ b/sched/admission/next.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Next starts the request that is due and returns it, or returns nil if there
+// is none or no slot for it. Requests past their latest start are removed and
+// passed to expired. The order is: kinds below their floor, then urgency, then
+// the weighted share of the class, then arrival.
+func (c *Controller) Next(now time.Time, expired func(*Ticket)) *Ticket {
+	c.expire(now, expired)
+	if c.running >= c.capacity {
+		return nil
+	}
+	var best *queue
+	bestFloor := false
+	for _, q := range c.active {
+		if !c.allowed(q) {
+			continue
+		}
+		floor := c.belowFloor(now, q.kind)
+		if best == nil || before(q, floor, best, bestFloor) {
+			best, bestFloor = q, floor
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return c.start(now, best)
+}
+
+func before(a *queue, aFloor bool, b *queue, bFloor bool) bool {
+	if aFloor != bFloor {
+		return aFloor
+	}
+	if a.class.Urgency != b.class.Urgency {
+		return a.class.Urgency > b.class.Urgency
+	}
+	return a.virtual < b.virtual
+}
+
+func (c *Controller) start(now time.Time, q *queue) *Ticket {
+	t := q.head()
+	q.waiting.Remove(t.element)
+	c.noteWaiting(now, q, -1)
+	t.state = ticketStarted
+	t.started = now
+	t.estimate = q.kind.serviceTime()
+	q.running++
+	q.kind.running++
+	q.kind.starts++
+	c.running++
+	c.virtual = max(c.virtual, q.virtual)
+	q.virtual += t.estimate.Seconds() / q.class.weight()
+	return t
+}
+
+func (c *Controller) expire(now time.Time, expired func(*Ticket)) {
+	// A queue that becomes empty leaves the list, so it is walked from the end.
+	for _, q := range slices.Backward(c.active) {
+		for t := q.head(); t != nil && now.After(t.startBy); t = q.head() {
+			c.Cancel(now, t)
+			if expired != nil {
+				expired(t)
+			}
+		}
+	}
+}
+
+// allowed tells whether a start of the class leaves the unused reserves of the
+// more urgent kinds free. At least one slot is never reserved, so that a small
+// capacity still serves patient kinds.
+func (c *Controller) allowed(q *queue) bool {
+	held := 0
+	for _, k := range c.kinds {
+		if k.urgency > q.class.Urgency && k.reserve > 0 {
+			held += max(0, int(math.Ceil(k.reserve*float64(c.capacity)))-k.running)
+		}
+	}
+	held = min(held, c.capacity-1)
+	return c.capacity-c.running > held
+}
+
+// belowFloor tells whether the kind uses less than its floor, both over the
+// window and at this moment. The second condition keeps a kind that was idle
+// from taking every slot until the window has caught up.
+func (c *Controller) belowFloor(now time.Time, k *kind) bool {
+	if k.floor <= 0 {
+		return false
+	}
+	k.observe(now)
+	if float64(k.running) >= math.Ceil(k.floor*float64(c.capacity)) {
+		return false
+	}
+	return k.share(c.capacity) < k.floor
+}
--- /dev/null
+++ b/sched/admission/refusal.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason tells why a request was refused.
+type Reason uint8
+
+// The reasons of a refusal.
+const (
+	// TooLate means that the request could not start within its patience.
+	TooLate Reason = iota + 1
+	// Full means that the memory bound of all queues is reached.
+	Full
+	// TooManyClasses means that every class that the controller keeps is in use.
+	TooManyClasses
+)
+
+// Refusal is the answer to a request that is not admitted. It was not run.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is the time after which a new try may succeed.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	switch r.Reason {
+	case Full:
+		return fmt.Sprintf("the queues of this entry VM are full; retry after %v", r.RetryAfter)
+	case TooManyClasses:
+		return fmt.Sprintf("too many kinds and departments at once; retry after %v", r.RetryAfter)
+	default:
+		return fmt.Sprintf("the request cannot start within its patience; retry after %v", r.RetryAfter)
+	}
+}
--- /dev/null
+++ b/sched/admission/status.go
@@ -0,0 +1,39 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Status describes one queue.
+type Status struct {
+	Department string
+	Kind       string
+	Waiting    int
+	Running    int
+	OldestWait time.Duration
+	// Limit is patience times the measured service rate of the class.
+	Limit   int
+	Refused int64
+}
+
+// Queues describes every queue in order of kind and department.
+func (c *Controller) Queues(now time.Time) []Status {
+	all := make([]Status, 0, len(c.order))
+	for _, q := range c.order {
+		all = append(all, Status{
+			Department: q.class.Department,
+			Kind:       q.class.Kind,
+			Waiting:    q.waiting.Len(),
+			Running:    q.running,
+			OldestWait: q.oldestWait(now),
+			Limit:      min(c.cfg.MaxQueued, int(q.kind.rate(c.capacity)*q.class.Patience.Seconds())),
+			Refused:    q.refused,
+		})
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Department, b.Department))
+	})
+	return all
+}
