Add stand-ins for platform, worker, runner and network link

The daemon needs counterparts that enforce what real ones would. Each stand-in keeps its state in memory, serves the protocol of wire and the control calls that inject faults, and appends its history to a file.

Choices that wire leaves open: DELETE /v1/kv takes key and if_revision in the query; lease calls count as writes; the rate buckets hold a quarter of a second; a worker refuses owner leases after a restart as other_owner without an owner identity. Not yet covered by tests.

--- /dev/null
+++ b/standin/cmd/sim-worker/main.go
@@ -0,0 +1,49 @@
+// Command sim-worker is a stand-in for a worker VM.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"rhubarbstall.example/standin/history"
+	"rhubarbstall.example/standin/process"
+	"rhubarbstall.example/standin/worker"
+)
+
+func main() {
+	var o worker.Options
+	addr := flag.String("addr", "127.0.0.1:0", "address to listen on")
+	control := flag.String("control", "127.0.0.1:0", "address of the control calls")
+	path := flag.String("history", "", "file that receives the history")
+	flag.StringVar(&o.ID, "id", "worker", "identity")
+	flag.StringVar(&o.AvailabilityZone, "zone", "", "availability zone")
+	flag.StringVar(&o.Rack, "rack", "", "rack")
+	flag.Int64Var(&o.Capacity.MilliCPU, "milli-cpu", 32_000, "processors in thousandths")
+	flag.Int64Var(&o.Capacity.MemoryMB, "memory-mb", 128<<10, "memory in MB")
+	flag.Int64Var(&o.Capacity.Accelerators, "accelerators", 0, "accelerators")
+	flag.DurationVar(&o.MaxOwnerLease, "max-owner-lease", 0, "longest owner lease; 0 is the protocol's value")
+	flag.DurationVar(&o.UsageLag, "usage-lag", 0, "lag of reported usage; 0 is the default")
+	flag.Parse()
+	if err := run(*addr, *control, *path, o); err != nil {
+		fmt.Fprintln(os.Stderr, "sim-worker:", err)
+		os.Exit(1)
+	}
+}
+
+func run(addr, control, path string, o worker.Options) error {
+	o.Instance = process.NewInstance()
+	h, err := history.Open(path, o.ID, o.Instance)
+	if err != nil {
+		return err
+	}
+	defer h.Close()
+	l, err := process.Listen(addr)
+	if err != nil {
+		return err
+	}
+	o.History = h
+	o.Refuse = l.Refuse
+	s := worker.NewServer(o)
+	return process.Run(l, control, process.Service{Handler: s, Control: s.Control(), Close: s.Close})
+}
--- /dev/null
+++ b/standin/fault/control.go
@@ -0,0 +1,86 @@
+package fault
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"rhubarbstall.example/standin/history"
+)
+
+// Setting is the body of a control call. Enabled is true if absent.
+type Setting struct {
+	Enabled *bool `json:"enabled,omitempty"`
+	// Millis is a duration, used by latency and stale-reads.
+	Millis int64 `json:"ms,omitempty"`
+	// N is a number of answers, used by lose-answers.
+	N int `json:"n,omitempty"`
+	// Path restricts lose-answers to one path.
+	Path string `json:"path,omitempty"`
+}
+
+// On tells whether the fault is switched on.
+func (s Setting) On() bool { return s.Enabled == nil || *s.Enabled }
+
+// Register adds the control calls that every stand-in has: outage, latency,
+// lose-answers, black-hole and refuse.
+func (g *Gate) Register(mux *http.ServeMux) {
+	g.Handle(mux, "outage", func(s Setting) error {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.outage = s.On()
+		return nil
+	})
+	g.Handle(mux, "latency", func(s Setting) error {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.latency = time.Duration(s.Millis) * time.Millisecond
+		return nil
+	})
+	g.Handle(mux, "lose-answers", func(s Setting) error {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.loseNext, g.losePath = s.N, s.Path
+		return nil
+	})
+	g.Handle(mux, "black-hole", func(s Setting) error {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		switch {
+		case s.On() && g.blackHole == nil:
+			g.blackHole = make(chan struct{})
+		case !s.On() && g.blackHole != nil:
+			close(g.blackHole)
+			g.blackHole = nil
+		}
+		return nil
+	})
+	g.Handle(mux, "refuse", func(s Setting) error {
+		if g.Refuse == nil {
+			return errors.New("refuse needs a separate control address")
+		}
+		return g.Refuse(s.On())
+	})
+}
+
+// Handle adds POST /control/NAME. The change is written to the history.
+func (g *Gate) Handle(mux *http.ServeMux, name string, set func(Setting) error) {
+	mux.HandleFunc("POST /control/"+name, func(w http.ResponseWriter, r *http.Request) {
+		var s Setting
+		err := json.NewDecoder(r.Body).Decode(&s)
+		if err != nil && !errors.Is(err, io.EOF) {
+			http.Error(w, fmt.Sprintf("body: %v", err), http.StatusBadRequest)
+			return
+		}
+		if err := set(s); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		text, _ := json.Marshal(s)
+		g.History.Write(history.Event{Type: history.Fault, Reason: name + " " + string(text)})
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
--- /dev/null
+++ b/standin/history/event.go
@@ -0,0 +1,53 @@
+// Package history writes and reads the record of a run: what callers sent and
+// saw, and what the platform, workers and runners did. Each process writes its
+// own file, one JSON object a line.
+package history
+
+import (
+	"time"
+
+	"rhubarbstall.example/wire/worker"
+)
+
+// Event is one line of a history. Fields that do not apply are absent.
+type Event struct {
+	// At is the wall time at which the recorded fact became true. A worker that
+	// was paused writes the time at which a task was due to end.
+	At   time.Time `json:"at"`
+	Type Type      `json:"type"`
+	// Node is the identity of the process that the event is about.
+	Node string `json:"node"`
+	// Instance changes with each start of the process.
+	Instance string `json:"instance,omitempty"`
+
+	Ref      *worker.TaskRef `json:"ref,omitempty"`
+	Size     *worker.Size    `json:"size,omitempty"`
+	Capacity *worker.Size    `json:"capacity,omitempty"`
+	Result   string          `json:"result,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+	Owner    string          `json:"owner,omitempty"`
+	Epoch    uint64          `json:"epoch,omitempty"`
+
+	// Body is the lower-case hex SHA-256 of a request's body. It joins the
+	// events of callers and runners, since request identities are given by entry VMs.
+	Body      string `json:"body,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	// Answer is the digest of the answer that was sent or received.
+	Answer string `json:"answer,omitempty"`
+	// Want is the digest of the answer that belongs to the request.
+	Want       string  `json:"want,omitempty"`
+	Kind       string  `json:"kind,omitempty"`
+	Department string  `json:"department,omitempty"`
+	NoRepeat   bool    `json:"no_repeat,omitempty"`
+	Outcome    string  `json:"outcome,omitempty"`
+	Code       int     `json:"code,omitempty"`
+	WaitMillis float64 `json:"wait_ms,omitempty"`
+
+	Job   string `json:"job,omitempty"`
+	Tasks int    `json:"tasks,omitempty"`
+	State string `json:"state,omitempty"`
+
+	Key      string `json:"key,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Role     string `json:"role,omitempty"`
+}
--- /dev/null
+++ b/standin/history/type.go
@@ -0,0 +1,61 @@
+package history
+
+// Type tells what an event records.
+type Type string
+
+// Events of processes, written by any stand-in or by a harness.
+const (
+	ProcessStarted Type = "process_started"
+	// ProcessKilled is written by a harness after it ended a process without a
+	// graceful shutdown.
+	ProcessKilled  Type = "process_killed"
+	ProcessStopped Type = "process_stopped"
+	Fault          Type = "fault"
+)
+
+// Events of the platform.
+const (
+	KeyWritten   Type = "key_written"
+	KeyDeleted   Type = "key_deleted"
+	LeaseGranted Type = "lease_granted"
+	LeaseLapsed  Type = "lease_lapsed"
+	VMListed     Type = "vm_listed"
+	VMRemoved    Type = "vm_removed"
+	CallRefused  Type = "call_refused"
+)
+
+// Events of a worker.
+const (
+	TaskStarted       Type = "task_started"
+	TaskEnded         Type = "task_ended"
+	TaskRefused       Type = "task_refused"
+	OverfillAttempted Type = "overfill_attempted"
+	OutcomeReported   Type = "outcome_reported"
+	OutcomeAcked      Type = "outcome_acknowledged"
+	OwnerChanged      Type = "owner_changed"
+	Leaving           Type = "leaving"
+)
+
+// Events of a runner.
+const (
+	RunStarted Type = "run_started"
+	RunEnded   Type = "run_ended"
+	// RunRefused has the reason "full" or "leaving".
+	RunRefused Type = "run_refused"
+	// RunAbandoned records that the sender closed the connection of a run.
+	RunAbandoned       Type = "run_abandoned"
+	ConnectionsOverrun Type = "connections_overrun"
+)
+
+// Events of a caller.
+const (
+	RequestSent  Type = "request_sent"
+	RequestEnded Type = "request_ended"
+	JobSent      Type = "job_sent"
+	JobAcked     Type = "job_acknowledged"
+	JobRefused   Type = "job_refused"
+	// JobSeen records the state of a job as an entry VM reported it.
+	JobSeen Type = "job_seen"
+	// JobMissing records that an entry VM did not know an acknowledged job.
+	JobMissing Type = "job_missing"
+)
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rhubarbstall.example/standin/fault"
+	"rhubarbstall.example/standin/history"
+	wire "rhubarbstall.example/wire/platform"
+)
+
+// expiryInterval is how often lapsed leases are looked for.
+const expiryInterval = 10 * time.Millisecond
+
+// Server is the stand-in. It serves the protocol and the control calls.
+type Server struct {
+	store   *store
+	vms     *vmList
+	limiter *limiter
+	gate    *fault.Gate
+	handler http.Handler
+	control *http.ServeMux
+	history *history.Writer
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+// New starts a stand-in. Close stops it.
+func New(o Options) *Server {
+	o.setDefaults()
+	s := &Server{
+		store:   newStore(o.KeepEvents, o.History),
+		vms:     &vmList{lag: o.VMLag, history: o.History, visible: make(map[string]wire.VM)},
+		limiter: newLimiter(o.WritesPerSecond, o.ReadsPerSecond),
+		gate:    &fault.Gate{Refuse: o.Refuse, History: o.History},
+		control: http.NewServeMux(),
+		history: o.History,
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+	}
+	s.routeControl()
+	api := http.NewServeMux()
+	s.route(api)
+	main := http.NewServeMux()
+	main.Handle("/control/", s.control)
+	main.Handle("/", s.gate.Wrap(api))
+	s.handler = main
+	o.History.Write(history.Event{Type: history.ProcessStarted, Role: "platform"})
+	go s.expireLoop()
+	return s
+}
+
+// ServeHTTP serves the protocol and, below /control/, the control calls.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Control serves the control calls only.
+func (s *Server) Control() http.Handler { return s.control }
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts { return s.limiter.snapshot() }
+
+// SetVM adds or changes an entry of the VM list.
+func (s *Server) SetVM(vm wire.VM) { s.vms.set(vm) }
+
+// RemoveVM removes an entry of the VM list.
+func (s *Server) RemoveVM(id string) { s.vms.remove(id) }
+
+// EndWatches makes waiting watches return, so that a shutdown does not wait for them.
+func (s *Server) EndWatches(context.Context) { close(s.store.done) }
+
+// Close stops the expiry of leases.
+func (s *Server) Close() {
+	close(s.stop)
+	<-s.stopped
+	s.history.Write(history.Event{Type: history.ProcessStopped, Role: "platform"})
+}
+
+func (s *Server) expireLoop() {
+	defer close(s.stopped)
+	t := time.NewTicker(expiryInterval)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			s.store.expire(now)
+		case <-s.stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,66 @@
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbstall.example/standin/history"
+	wire "rhubarbstall.example/wire/platform"
+)
+
+// vmList is the list of VMs. A change becomes visible after a lag.
+type vmList struct {
+	lag     time.Duration
+	history *history.Writer
+
+	mu      sync.Mutex
+	visible map[string]wire.VM
+	pending []vmChange
+}
+
+// vmChange is a change that is not visible yet. A nil vm removes.
+type vmChange struct {
+	at time.Time
+	id string
+	vm *wire.VM
+}
+
+func (v *vmList) set(vm wire.VM) {
+	v.add(vmChange{id: vm.ID, vm: &vm})
+	v.history.Write(history.Event{Type: history.VMListed, Key: vm.ID, Role: string(vm.Role), State: string(vm.State)})
+}
+
+func (v *vmList) remove(id string) {
+	v.add(vmChange{id: id})
+	v.history.Write(history.Event{Type: history.VMRemoved, Key: id})
+}
+
+func (v *vmList) add(c vmChange) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c.at = time.Now().Add(v.lag)
+	v.pending = append(v.pending, c)
+}
+
+func (v *vmList) list() []wire.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	for len(v.pending) > 0 && !v.pending[0].at.After(now) {
+		c := v.pending[0]
+		v.pending = v.pending[1:]
+		if c.vm == nil {
+			delete(v.visible, c.id)
+		} else {
+			v.visible[c.id] = *c.vm
+		}
+	}
+	vms := make([]wire.VM, 0, len(v.visible))
+	for _, vm := range v.visible {
+		vms = append(vms, vm)
+	}
+	slices.SortFunc(vms, func(a, b wire.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return vms
+}
--- /dev/null
+++ b/standin/process/instance.go
@@ -0,0 +1,13 @@
+package process
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
+// NewInstance returns a random identity for one start of a process.
+func NewInstance() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // Read never fails.
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/standin/runner/answer.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Digest returns the lower-case hex SHA-256 of b.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+// Answer returns the answer that belongs to a request's body: the digest of the
+// body, a colon, and the body with every bit inverted. A caller that knows its
+// body can so verify that an answer is its own and whole.
+func Answer(body []byte) []byte {
+	out := make([]byte, 0, 2*sha256.Size+1+len(body))
+	out = append(out, Digest(body)...)
+	out = append(out, ':')
+	for _, c := range body {
+		out = append(out, ^c)
+	}
+	return out
+}
--- /dev/null
+++ b/standin/runner/options.go
@@ -0,0 +1,54 @@
+// Package runner is a stand-in for an upstream: a runner of the request service.
+package runner
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"rhubarbstall.example/standin/history"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// Options configures a Runner. A zero field has its default.
+type Options struct {
+	ID string
+	// Slots is the number of requests run at a time; default wire.Slots.
+	Slots int
+	// Service is the service time of a kind; Default applies to other kinds, 20 ms if zero.
+	Service map[string]time.Duration
+	Default time.Duration
+	// History receives the events; nil discards them.
+	History *history.Writer
+	// Refuse refuses new connections; nil if the embedding program cannot.
+	Refuse func(enabled bool) error
+}
+
+func (o *Options) setDefaults() {
+	if o.Slots == 0 {
+		o.Slots = wire.Slots
+	}
+	if o.Default == 0 {
+		o.Default = 20 * time.Millisecond
+	}
+}
+
+// ParseService parses service times such as "preview=20ms,render=300ms".
+func ParseService(text string) (map[string]time.Duration, error) {
+	times := make(map[string]time.Duration)
+	for part := range strings.SplitSeq(text, ",") {
+		if part == "" {
+			continue
+		}
+		kind, value, ok := strings.Cut(part, "=")
+		if !ok {
+			return nil, fmt.Errorf("service time %q is not KIND=DURATION", part)
+		}
+		d, err := time.ParseDuration(value)
+		if err != nil {
+			return nil, fmt.Errorf("service time of %s: %w", kind, err)
+		}
+		times[kind] = d
+	}
+	return times, nil
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,127 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"rhubarbstall.example/standin/fault"
+	"rhubarbstall.example/standin/history"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// Runner is the stand-in. It serves the protocol and the control calls.
+type Runner struct {
+	o       Options
+	handler http.Handler
+	control *http.ServeMux
+	// stop is closed when hanging requests are to end.
+	stop chan struct{}
+
+	mu      sync.Mutex
+	busy    int
+	leaving bool
+	failing bool
+}
+
+// New returns a runner.
+func New(o Options) *Runner {
+	o.setDefaults()
+	s := &Runner{o: o, control: http.NewServeMux(), stop: make(chan struct{})}
+	gate := &fault.Gate{Refuse: o.Refuse, History: o.History}
+	gate.Register(s.control)
+	gate.Handle(s.control, "leave", func(f fault.Setting) error {
+		s.SetLeaving(f.On())
+		return nil
+	})
+	gate.Handle(s.control, "fail", func(f fault.Setting) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failing = f.On()
+		return nil
+	})
+	api := http.NewServeMux()
+	api.HandleFunc("POST "+wire.PathRun, s.run)
+	main := http.NewServeMux()
+	main.Handle("/control/", s.control)
+	main.Handle("/", gate.Wrap(api))
+	s.handler = main
+	o.History.Write(history.Event{Type: history.ProcessStarted, Role: "runner"})
+	return s
+}
+
+// ServeHTTP serves the protocol and, below /control/, the control calls.
+func (s *Runner) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Control serves the control calls only.
+func (s *Runner) Control() http.Handler { return s.control }
+
+// SetLeaving makes the runner refuse new requests, or take them again.
+func (s *Runner) SetLeaving(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on && !s.leaving {
+		s.o.History.Write(history.Event{Type: history.Leaving})
+	}
+	s.leaving = on
+}
+
+// drainPoll is how often Drain looks at the requests in progress.
+const drainPoll = 10 * time.Millisecond
+
+// Drain refuses new requests and waits until those in progress have ended or ctx
+// is done. Hanging requests end at once.
+func (s *Runner) Drain(ctx context.Context) {
+	s.SetLeaving(true)
+	close(s.stop)
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for s.inProgress() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close writes the end of the history.
+func (s *Runner) Close() {
+	s.o.History.Write(history.Event{Type: history.ProcessStopped, Role: "runner"})
+}
+
+func (s *Runner) inProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+// take takes a slot. It returns the reason of a refusal, or the empty string.
+func (s *Runner) take() (refusal string, failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.leaving:
+		return "leaving", false
+	case s.busy >= s.o.Slots:
+		return "full", false
+	}
+	s.busy++
+	return "", s.failing
+}
+
+func (s *Runner) free() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+}
+
+func (s *Runner) state() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return wire.StateLeaving
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/worker/options.go
@@ -0,0 +1,50 @@
+// Package worker is a stand-in for a worker VM: it grants its owner lease, runs
+// simulated tasks by timer and keeps their outcomes until they are acknowledged.
+package worker
+
+import (
+	"time"
+
+	"rhubarbstall.example/standin/history"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// Options configures a Worker. A zero field has its default.
+type Options struct {
+	ID               string
+	AvailabilityZone string
+	Rack             string
+	// Capacity defaults to 32 cores and 128 GB.
+	Capacity wire.Size
+	// Instance identifies this start; random by default.
+	Instance string
+	// MaxOwnerLease is the longest owner lease and the time after the start in
+	// which none is granted; default wire.MaxOwnerLeaseMillis.
+	MaxOwnerLease time.Duration
+	// UsageLag is the age at which a task's usage is first reported; default 500 ms.
+	UsageLag time.Duration
+	// History receives the events; nil discards them.
+	History *history.Writer
+	// Refuse refuses new connections; nil if the embedding program cannot.
+	Refuse func(enabled bool) error
+	// Now is the clock; default time.Now.
+	Now func() time.Time
+}
+
+func (o *Options) setDefaults(instance func() string) {
+	if o.Capacity == (wire.Size{}) {
+		o.Capacity = wire.Size{MilliCPU: 32_000, MemoryMB: 128 << 10}
+	}
+	if o.Instance == "" {
+		o.Instance = instance()
+	}
+	if o.MaxOwnerLease == 0 {
+		o.MaxOwnerLease = wire.MaxOwnerLeaseMillis * time.Millisecond
+	}
+	if o.UsageLag == 0 {
+		o.UsageLag = 500 * time.Millisecond
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,126 @@
+package worker
+
+import (
+	"sync"
+	"time"
+
+	"rhubarbstall.example/standin/history"
+	"rhubarbstall.example/standin/process"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// defaultTaskLease applies until a sync states the task lease.
+const defaultTaskLease = time.Minute
+
+// failAfter is the run time of a task while the worker fails everything.
+const failAfter = 10 * time.Millisecond
+
+// taskKey names a task without its attempt.
+type taskKey struct {
+	job   string
+	index int
+}
+
+// Worker is the state of the stand-in. It is safe for concurrent use. Every
+// call first processes what was due before it, in order of time, so a worker
+// that was paused acts as if its timers had fired in time.
+type Worker struct {
+	o Options
+
+	mu         sync.Mutex
+	startedAt  time.Time
+	owner      owner
+	taskLease  time.Duration
+	tasks      map[taskKey]*task
+	attempts   map[taskKey]int
+	outcomes   []*outcome
+	claimed    wire.Size
+	sequence   uint64
+	first      uint64
+	leaving    bool
+	failingAll bool
+}
+
+// outcome is a kept outcome.
+type outcome struct {
+	wire.Outcome
+	sequence uint64
+	reported bool
+}
+
+// New returns a worker that starts now.
+func New(o Options) *Worker {
+	o.setDefaults(process.NewInstance)
+	now := o.Now()
+	// The sequence starts at a time, so that a number of an earlier instance is
+	// recognized and answered with the full state.
+	first := uint64(now.UnixMicro())
+	w := &Worker{
+		o: o, startedAt: now, taskLease: defaultTaskLease, sequence: first, first: first,
+		tasks: make(map[taskKey]*task), attempts: make(map[taskKey]int),
+	}
+	capacity := o.Capacity
+	w.write(history.Event{At: now, Type: history.ProcessStarted, Role: "worker", Capacity: &capacity})
+	return w
+}
+
+// Advance processes what is due. It returns the time of the next due event,
+// zero if there is none.
+func (w *Worker) Advance() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(w.o.Now())
+	_, at, _ := w.nextDue()
+	return at
+}
+
+// SetLeaving makes the worker refuse new tasks, or take them again.
+func (w *Worker) SetLeaving(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if on && !w.leaving {
+		w.write(history.Event{At: w.o.Now(), Type: history.Leaving})
+	}
+	w.leaving = on
+}
+
+// SetFailing makes every task that starts fail.
+func (w *Worker) SetFailing(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failingAll = on
+}
+
+// Stop ends the running tasks without outcomes, as a stopped VM does.
+func (w *Worker) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.o.Now()
+	w.advance(now)
+	w.write(history.Event{At: now, Type: history.ProcessStopped, Role: "worker"})
+}
+
+func (w *Worker) write(e history.Event) {
+	e.Node, e.Instance = w.o.ID, w.o.Instance
+	w.o.History.Write(e)
+}
+
+func (w *Worker) info() wire.Info {
+	return wire.Info{
+		ID: w.o.ID, AvailabilityZone: w.o.AvailabilityZone, Rack: w.o.Rack,
+		Capacity: w.o.Capacity, Leaving: w.leaving,
+	}
+}
+
+func add(a, b wire.Size, sign int64) wire.Size {
+	return wire.Size{
+		MilliCPU:     a.MilliCPU + sign*b.MilliCPU,
+		MemoryMB:     a.MemoryMB + sign*b.MemoryMB,
+		Accelerators: a.Accelerators + sign*b.Accelerators,
+	}
+}
+
+func fits(used, capacity wire.Size) bool {
+	return used.MilliCPU <= capacity.MilliCPU && used.MemoryMB <= capacity.MemoryMB &&
+		used.Accelerators <= capacity.Accelerators
+}
