Add the history check

A request is joined with its runs by the digest of its body, since entry VMs choose request identities.

Two limits follow from what can be known: a request reported as not run counts only if no other submission of the same body was made, and a full runner counts only while no abandoned run still holds a slot.

--- /dev/null
+++ b/standin/check/report.go
@@ -0,0 +1,108 @@
+// Package check tests the promises of the design page against the histories of a run.
+package check
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbstall.example/standin/history"
+)
+
+// Rule names what a violation breaks.
+type Rule string
+
+// The rules.
+const (
+	Overfill        Rule = "overfilled_vm"
+	TwoPlaces       Rule = "task_in_two_places"
+	WrongAnswer     Rule = "answer_of_other_request"
+	NotRunRan       Rule = "not_run_request_ran"
+	RepeatedRequest Rule = "no_repeat_request_ran_twice"
+	RepeatedTask    Rule = "no_repeat_task_ran_again"
+	LeavingUsed     Rule = "new_work_on_leaving_upstream"
+	LostJob         Rule = "acknowledged_job_lost"
+	DoubledTask     Rule = "task_ran_after_acknowledged_success"
+	FalseSuccess    Rule = "job_succeeded_without_its_tasks"
+)
+
+// Promises gives the promise of the design page that a rule belongs to.
+var Promises = map[Rule]string{
+	Overfill: "P1", TwoPlaces: "P2", WrongAnswer: "P3", NotRunRan: "P4", RepeatedRequest: "P5",
+	RepeatedTask: "P9", LeavingUsed: "P6", LostJob: "P9", DoubledTask: "P9", FalseSuccess: "P9",
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	Rule Rule
+	At   time.Time
+	Text string
+}
+
+// String returns the violation as one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s %s at %s: %s", Promises[v.Rule], v.Rule, v.At.Format("15:04:05.000"), v.Text)
+}
+
+// Report is the result of a check.
+type Report struct {
+	Violations []Violation
+	// Events is the number of events by type.
+	Events map[history.Type]int
+}
+
+// OK tells whether no promise was broken.
+func (r *Report) OK() bool { return len(r.Violations) == 0 }
+
+// Count returns the number of violations of a rule.
+func (r *Report) Count(rule Rule) int {
+	n := 0
+	for _, v := range r.Violations {
+		if v.Rule == rule {
+			n++
+		}
+	}
+	return n
+}
+
+// String returns one line for each violation.
+func (r *Report) String() string {
+	var b strings.Builder
+	for _, v := range r.Violations {
+		b.WriteString(v.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func (r *Report) add(rule Rule, at time.Time, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{Rule: rule, At: at, Text: fmt.Sprintf(format, args...)})
+}
+
+// Run checks the events of all processes of one run. It orders events by time.
+func Run(events []history.Event) *Report {
+	history.Sort(events)
+	r := &Report{Events: make(map[history.Type]int)}
+	for _, e := range events {
+		r.Events[e.Type]++
+	}
+	runs := taskRuns(events)
+	r.checkCapacity(events)
+	r.checkSlots(events)
+	r.checkPlaces(runs)
+	r.checkRequests(events)
+	r.checkLeaving(events)
+	r.checkJobs(events, runs)
+	slices.SortStableFunc(r.Violations, func(a, b Violation) int { return a.At.Compare(b.At) })
+	return r
+}
+
+// Dir checks the history files of a directory.
+func Dir(dir string) (*Report, error) {
+	events, err := history.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	return Run(events), nil
+}
--- /dev/null
+++ b/standin/check/requests.go
@@ -0,0 +1,67 @@
+package check
+
+import "rhubarbstall.example/standin/history"
+
+// request is all that is known of one request body. Callers give each request a
+// body of its own; only a resubmission of the same request has the same body.
+type request struct {
+	sent     int
+	notRun   int
+	noRepeat bool
+	last     history.Event
+	runs     []history.Event
+}
+
+func (r *Report) checkRequests(events []history.Event) {
+	byBody := make(map[string]*request)
+	at := func(body string) *request {
+		q := byBody[body]
+		if q == nil {
+			q = &request{}
+			byBody[body] = q
+		}
+		return q
+	}
+	for _, e := range events {
+		switch e.Type {
+		case history.RequestSent:
+			q := at(e.Body)
+			q.sent++
+			q.noRepeat = q.noRepeat || e.NoRepeat
+		case history.RequestEnded:
+			q := at(e.Body)
+			q.last = e
+			if e.Outcome == history.OutcomeNotRun {
+				q.notRun++
+			}
+		case history.RunStarted:
+			q := at(e.Body)
+			q.runs = append(q.runs, e)
+		}
+	}
+	for _, e := range events {
+		if e.Type != history.RequestEnded || e.Outcome != history.OutcomeAnswered {
+			continue
+		}
+		switch {
+		case e.Answer != e.Want:
+			r.add(WrongAnswer, e.At, "request %s got answer %s instead of %s", short(e.Body), short(e.Answer), short(e.Want))
+		case len(at(e.Body).runs) == 0:
+			r.add(WrongAnswer, e.At, "request %s was answered and never ran", short(e.Body))
+		}
+	}
+	for body, q := range byBody {
+		if q.noRepeat && len(q.runs) > 1 {
+			r.add(RepeatedRequest, q.runs[1].At, "request %s ran %d times, first on %s, then on %s",
+				short(body), len(q.runs), q.runs[0].Node, q.runs[1].Node)
+		}
+		// With several submissions, a run may belong to one that was not refused.
+		if q.sent > 0 && q.notRun == q.sent && len(q.runs) > 0 {
+			r.add(NotRunRan, q.runs[0].At, "request %s ran on %s and was reported not run with code %d",
+				short(body), q.runs[0].Node, q.last.Code)
+		}
+	}
+}
+
+// short returns the start of a digest.
+func short(digest string) string { return digest[:min(12, len(digest))] }
--- a/standin/history/type.go
+++ b/standin/history/type.go
@@ -33,14 +33,15 @@
 	OutcomeReported   Type = "outcome_reported"
 	OutcomeAcked      Type = "outcome_acknowledged"
 	OwnerChanged      Type = "owner_changed"
-	Leaving           Type = "leaving"
+	// Leaving has the state LeavingOn or LeavingOff.
+	Leaving Type = "leaving"
 )
 
 // Events of a runner.
 const (
 	RunStarted Type = "run_started"
 	RunEnded   Type = "run_ended"
-	// RunRefused has the reason "full" or "leaving".
+	// RunRefused has the reason ReasonFull or ReasonLeaving.
 	RunRefused Type = "run_refused"
 	// RunAbandoned records that the sender closed the connection of a run.
 	RunAbandoned       Type = "run_abandoned"
@@ -59,3 +60,23 @@
 	// JobMissing records that an entry VM did not know an acknowledged job.
 	JobMissing Type = "job_missing"
 )
+
+// States of a Leaving event.
+const (
+	LeavingOn  = "on"
+	LeavingOff = "off"
+)
+
+// Outcomes of a RequestEnded event. Apart from OutcomeAnswered they are those of the API.
+const (
+	OutcomeAnswered   = "answered"
+	OutcomeNotRun     = "not_run"
+	OutcomeInProgress = "in_progress"
+	OutcomeUnknown    = "unknown"
+)
+
+// Reasons of a RunRefused event.
+const (
+	ReasonFull    = "full"
+	ReasonLeaving = "leaving"
+)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -61,8 +61,12 @@
 func (s *Runner) SetLeaving(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on && !s.leaving {
-		s.o.History.Write(history.Event{Type: history.Leaving})
+	if on != s.leaving {
+		state := history.LeavingOff
+		if on {
+			state = history.LeavingOn
+		}
+		s.o.History.Write(history.Event{Type: history.Leaving, State: state})
 	}
 	s.leaving = on
 }
@@ -103,9 +107,9 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.leaving:
-		return "leaving", false
+		return history.ReasonLeaving, false
 	case s.busy >= s.o.Slots:
-		return "full", false
+		return history.ReasonFull, false
 	}
 	s.busy++
 	return "", s.failing
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -78,8 +78,8 @@
 func (w *Worker) SetLeaving(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if on && !w.leaving {
-		w.write(history.Event{At: w.o.Now(), Type: history.Leaving})
+	if on != w.leaving {
+		w.write(history.Event{At: w.o.Now(), Type: history.Leaving, State: leavingState(on)})
 	}
 	w.leaving = on
 }
@@ -112,6 +112,13 @@
 	}
 }
 
+func leavingState(on bool) string {
+	if on {
+		return history.LeavingOn
+	}
+	return history.LeavingOff
+}
+
 func add(a, b wire.Size, sign int64) wire.Size {
 	return wire.Size{
 		MilliCPU:     a.MilliCPU + sign*b.MilliCPU,
