--- a/standin/runner/run.go
+++ b/standin/runner/run.go
@@ -85,6 +85,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if result == "truncated" {
 		_, _ = w.Write(answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(answer) // The connection may be gone.
