Run a job on the whole path under a virtual clock

Cause: the first path from submission to acknowledged outcome needed proof. Ruled out: ending every candidacy after two leases; after a restart of all workers none grants a lease for 10 s, so a candidacy that reaches a quorum of voters goes on. After: a job of 20 tasks ends as succeeded on 4 workers and 2 entry VMs.

--- a/daemon/internal/dispatch/apply.go
+++ b/daemon/internal/dispatch/apply.go
@@ -126,7 +126,7 @@
 	ref := toRef(o.Ref)
 	verdict := model.VerdictIgnored
 	if a, ok := l.attempts[ref]; ok {
-		tracked := lp.where[taskOf(ref)] == a
+		tracked := lp.tracked(a)
 		lp.forget(l, a)
 		if tracked {
 			verdict = lp.engine.Finished(now, toOutcome(l.id, o))
--- a/daemon/internal/dispatch/jobs.go
+++ b/daemon/internal/dispatch/jobs.go
@@ -30,7 +30,7 @@
 // Recover hands over the jobs that were known before this term. It is called
 // once, when Ready. Load gets a function that tells whether an attempt of a task
 // was found. Jobs that the engine refuses are returned.
-func (lp *Loop) Recover(ctx context.Context, load func(found func(job string, index int) bool) []model.Job) map[string]error {
+func (lp *Loop) Recover(load func(found func(job string, index int) bool) []model.Job) map[string]error {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	now := time.Now()
@@ -68,7 +68,7 @@
 		for i := range early {
 			lp.finish(now, l, &early[i])
 		}
-		lp.sendControls(ctx, l)
+		lp.sendControls(l)
 	}
 	lp.cfg.Logger.Info("[dispatch] recovery is complete", zap.Int("jobs", len(jobs)), zap.Int("found_tasks", adopted), zap.Bool("silent_workers", gap))
 	lp.Kick()
@@ -100,7 +100,7 @@
 	lp.mu.Lock()
 	now := time.Now()
 	stop := lp.engine.CancelJob(now, id)
-	lp.stopAttempts(context.WithoutCancel(ctx), stop)
+	lp.stopAttempts(stop)
 	for _, l := range lp.links {
 		for ref, f := range l.foreign {
 			if ref.Job == id {
@@ -109,7 +109,7 @@
 					Placement: model.Placement{Ref: ref, Worker: l.id, Size: f.size},
 					phase:     running, asked: wire.ActionStop, unconfirmed: true,
 				}
-				lp.sendControls(context.WithoutCancel(ctx), l)
+				lp.sendControls(l)
 			}
 		}
 	}
--- a/daemon/internal/dispatch/link.go
+++ b/daemon/internal/dispatch/link.go
@@ -79,11 +79,17 @@
 }
 
 // capacity returns the capacity that the engine may use: all of it, less the
-// attempts that the engine does not know yet.
-func (l *link) capacity() model.Resources {
+// attempts that the engine does not know: those found before the job records
+// were read, and those that no job needs and that are being stopped.
+func (l *link) capacity(tracked func(*attempt) bool) model.Resources {
 	c := toResources(l.info.Capacity)
 	for _, f := range l.foreign {
 		c = c.Sub(f.size)
 	}
+	for _, a := range l.attempts {
+		if !tracked(a) {
+			c = c.Sub(a.Size)
+		}
+	}
 	return c
 }
--- a/daemon/internal/dispatch/loop.go
+++ b/daemon/internal/dispatch/loop.go
@@ -79,7 +79,10 @@
 	policyRev uint64
 	hasPolicy bool
 	wake      chan struct{}
-	wg        sync.WaitGroup
+	// ctx is that of Run; ended tells that no new goroutine may start.
+	ctx   context.Context
+	ended bool
+	wg    sync.WaitGroup
 }
 
 // task names a task without its attempt.
@@ -103,7 +106,15 @@
 // Run claims workers and carries out decisions until ctx ends. It returns after
 // every goroutine has ended.
 func (lp *Loop) Run(ctx context.Context) {
-	defer lp.wg.Wait()
+	lp.mu.Lock()
+	lp.ctx = ctx
+	lp.mu.Unlock()
+	defer func() {
+		lp.mu.Lock()
+		lp.ended = true
+		lp.mu.Unlock()
+		lp.wg.Wait()
+	}()
 	refresh := time.NewTicker(syncPeriod)
 	defer refresh.Stop()
 	decide := time.NewTimer(0)
--- a/daemon/internal/dispatch/round.go
+++ b/daemon/internal/dispatch/round.go
@@ -48,8 +48,8 @@
 		}
 	}
 	for l := range touched {
-		lp.send(ctx, l)
-		lp.sendControls(ctx, l)
+		lp.send(l)
+		lp.sendControls(l)
 	}
 	if len(d.Starts) == decisionLimit {
 		return time.Millisecond
--- a/daemon/internal/dispatch/send.go
+++ b/daemon/internal/dispatch/send.go
@@ -12,8 +12,9 @@
 )
 
 // send starts a sender for the queue of a link if none runs.
-func (lp *Loop) send(ctx context.Context, l *link) {
-	if l.sender || len(l.queue) == 0 || ctx.Err() != nil {
+func (lp *Loop) send(l *link) {
+	ctx := lp.ctx
+	if l.sender || len(l.queue) == 0 || lp.ended || ctx == nil {
 		return
 	}
 	l.sender = true
@@ -159,14 +160,18 @@
 
 // sendControls sends the actions that the worker has not confirmed. A failed
 // call is repeated after the next sync.
-func (lp *Loop) sendControls(ctx context.Context, l *link) {
+func (lp *Loop) sendControls(l *link) {
+	ctx := lp.ctx
+	if lp.ended || ctx == nil {
+		return
+	}
 	var list []*attempt
 	for _, a := range l.attempts {
 		if a.unconfirmed && a.phase == running && len(list) < controlBatch {
 			list = append(list, a)
 		}
 	}
-	if len(list) == 0 || l.controlling || l.addr == "" || l.silent || ctx.Err() != nil {
+	if len(list) == 0 || l.controlling || l.addr == "" || l.silent {
 		return
 	}
 	req := &wire.ControlRequest{}
@@ -200,12 +205,12 @@
 				a.unconfirmed = false
 			}
 		}
-		lp.sendControls(ctx, l)
+		lp.sendControls(l)
 	}()
 }
 
 // stopAttempts asks for the end of the attempts of a job.
-func (lp *Loop) stopAttempts(ctx context.Context, placements []model.Placement) {
+func (lp *Loop) stopAttempts(placements []model.Placement) {
 	touched := make(map[*link]bool)
 	for _, p := range placements {
 		if l, ok := lp.links[p.Worker]; ok {
@@ -214,7 +219,7 @@
 		}
 	}
 	for l := range touched {
-		lp.send(ctx, l)
-		lp.sendControls(ctx, l)
+		lp.send(l)
+		lp.sendControls(l)
 	}
 }
--- a/daemon/internal/dispatch/sync.go
+++ b/daemon/internal/dispatch/sync.go
@@ -22,7 +22,7 @@
 		lp.mu.Unlock()
 		return
 	}
-	req := &wire.SyncRequest{Owner: lp.cfg.Role.Claim(l.id), LeaseMillis: 1, TaskLeaseMillis: 1}
+	req := &wire.SyncRequest{Owner: lp.cfg.Role.Claim(l.id), LeaseMillis: 1, TaskLeaseMillis: lp.cfg.TaskLease().Milliseconds()}
 	var acked []model.TaskRef
 	var doubted []*attempt
 	known := make(map[*attempt]bool)
@@ -30,7 +30,6 @@
 		req.Owner.Epoch = 0
 	} else {
 		req.LeaseMillis = lp.cfg.Role.Lease().Milliseconds()
-		req.TaskLeaseMillis = lp.cfg.TaskLease().Milliseconds()
 		req.Since = l.sequence
 		for ref := range l.acks {
 			if len(acked) == ackBatch {
@@ -87,7 +86,7 @@
 	}
 	lp.checkSilence(now, l)
 	lp.upsert(now, l)
-	lp.sendControls(ctx, l)
+	lp.sendControls(l)
 }
 
 // wakeUp ends the silence of a worker.
@@ -136,7 +135,7 @@
 		return
 	}
 	lp.engine.UpsertWorker(now, model.Worker{
-		ID: l.id, Zone: lp.cfg.Zone, Rack: l.info.Rack, Capacity: l.capacity(), State: l.state(now),
+		ID: l.id, Zone: lp.cfg.Zone, Rack: l.info.Rack, Capacity: l.capacity(lp.tracked), State: l.state(now),
 	})
 	lp.Kick()
 }
--- a/daemon/internal/dispatch/track.go
+++ b/daemon/internal/dispatch/track.go
@@ -16,6 +16,9 @@
 	}
 }
 
+// tracked reports whether the engine knows an attempt.
+func (lp *Loop) tracked(a *attempt) bool { return lp.where[taskOf(a.Ref)] == a }
+
 // setPhase changes the phase of a tracked attempt.
 func (lp *Loop) setPhase(a *attempt, p phase) {
 	was := a.phase == sending || a.phase == uncertain
@@ -72,7 +75,7 @@
 
 // lose records that an attempt no longer runs and left no outcome.
 func (lp *Loop) lose(now time.Time, l *link, a *attempt) {
-	tracked := lp.where[taskOf(a.Ref)] == a
+	tracked := lp.tracked(a)
 	lp.forget(l, a)
 	if !tracked {
 		return
--- /dev/null
+++ b/daemon/internal/jobs/path_test.go
@@ -0,0 +1,61 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+)
+
+// run runs f with a zone under a virtual clock.
+func run(t *testing.T, seed uint64, workers, nodes int, f func(t *testing.T, s *sim)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSim(t, ctx, seed, workers, nodes)
+		defer func() {
+			for _, n := range s.nodes {
+				n.unpause()
+			}
+			cancel()
+			for _, n := range s.nodes {
+				<-n.done
+			}
+		}()
+		f(t, s)
+	})
+}
+
+func spec(tasks int, run time.Duration) Spec {
+	return Spec{
+		Kind: "batch", Department: "head_office", Tasks: tasks,
+		Size: Size{MilliCPU: 1000, MemoryMB: 1000}, RunMillis: run.Milliseconds(),
+	}
+}
+
+// Guards against a path that stores a job and never runs or finishes it.
+func TestJobRunsToItsEnd(t *testing.T) {
+	run(t, 1, 4, 2, func(t *testing.T, s *sim) {
+		s.await(20*time.Second, "no holder", func() bool { return s.holder() != nil })
+		n := s.holder()
+		job, err := n.svc.Submit(t.Context(), spec(20, 2*time.Second))
+		must.NoError(t, err)
+		must.Eq(t, Pending, job.State)
+		s.await(30*time.Second, "job does not finish", func() bool {
+			job, err = n.svc.Get(t.Context(), job.ID)
+			must.NoError(t, err)
+			return job.State == Succeeded
+		})
+		must.Eq(t, 20, job.Counts.Succeeded)
+		_, err = n.svc.Submit(t.Context(), spec(0, -time.Second))
+		must.Eq(t, codes.InvalidValue, codes.Of(err))
+		big := spec(1, time.Second)
+		big.Size.MemoryMB = 1 << 20
+		_, err = n.svc.Submit(t.Context(), big)
+		must.Eq(t, codes.NeverFits, codes.Of(err))
+	})
+}
--- a/daemon/internal/jobs/term.go
+++ b/daemon/internal/jobs/term.go
@@ -91,7 +91,7 @@
 	if !t.campaign.Holds() {
 		return
 	}
-	s.recover(ctx, t)
+	s.recover(t)
 	s.metrics.recovery.Record(ctx, time.Since(t.campaign.HeldAt()).Seconds())
 	for sleep(ctx, sweepPeriod) {
 		for _, id := range t.ledger.sweep(time.Now(), t.loop.Active) {
@@ -115,8 +115,8 @@
 
 // recover hands the jobs of earlier terms to the engine. A task that must not be
 // repeated, may have started and was found nowhere ends as unknown.
-func (s *Service) recover(ctx context.Context, t *term) {
-	refused := t.loop.Recover(ctx, func(found func(string, int) bool) []model.Job {
+func (s *Service) recover(t *term) {
+	refused := t.loop.Recover(func(found func(string, int) bool) []model.Job {
 		return t.ledger.recovered(found)
 	})
 	for id, err := range refused {
--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -21,13 +21,15 @@
 	dropped bool
 	// stale tells that a voter knows a later roster.
 	stale bool
-	held  chan struct{}
+	// answered holds the voters that were reached, whatever they answered.
+	answered map[string]bool
+	held     chan struct{}
 }
 
 func newCampaign(owner string, roster quorum.Roster, term uint32, lease time.Duration) *Campaign {
 	return &Campaign{
 		owner: owner, lease: lease,
-		holder: quorum.New(roster, term), held: make(chan struct{}),
+		holder: quorum.New(roster, term), answered: make(map[string]bool), held: make(chan struct{}),
 	}
 }
 
@@ -75,6 +77,7 @@
 	if c.dropped {
 		return
 	}
+	c.answered[voter] = true
 	c.holder.Granted(voter, quorum.Epoch(epoch), sentAt, c.lease)
 	if c.heldAt.IsZero() && c.holder.Holds(time.Now()) {
 		c.heldAt = time.Now()
@@ -86,6 +89,12 @@
 func (c *Campaign) Refused(worker string, r wire.Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered[worker] = true
+	if r.Code == wire.RefusedStaleEpoch && r.OwnerID == c.owner {
+		// A claim of this campaign overtook the refused message; the reply to the
+		// claim is on its way.
+		return
+	}
 	if r.Code == wire.RefusedStaleEpoch {
 		if !c.holder.Refused(worker, quorum.Epoch(r.Epoch)) {
 			c.stale = true
@@ -143,10 +152,21 @@
 	tooSlow
 )
 
-func (c *Campaign) check(startedAt time.Time, limit time.Duration) verdict {
+// check ends a candidacy without the quorum after two leases. If a quorum of
+// voters answers, it goes on for the time in which restarted workers grant no
+// lease, since another entry VM would do no better.
+func (c *Campaign) check(startedAt time.Time) verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	limit := 2 * c.lease
+	sum := 0
+	for id := range c.answered {
+		sum += c.holder.Roster().Weight(id)
+	}
+	if c.holder.Roster().Majority(sum) {
+		limit += wire.MaxOwnerLeaseMillis * time.Millisecond
+	}
 	switch {
 	case c.stale:
 		return staleRoster
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -49,7 +49,6 @@
 // watch returns the reason for the end of the campaign.
 func (l *Lead) watch(ctx context.Context, c *Campaign) string {
 	startedAt := time.Now()
-	limit := 2 * l.cfg.OwnerLease()
 	announced := false
 	last := time.Now()
 	for {
@@ -62,7 +61,7 @@
 			return "this process was paused"
 		}
 		last = now
-		switch c.check(startedAt, limit) {
+		switch c.check(startedAt) {
 		case lostQuorum:
 			return "quorum lost"
 		case staleRoster:
