Test the quorum over random schedules

Cause: the rule that there is one holder at a time rests on weights, leases, margins and roster steps together. A cut by age of the workers with joins at the same time finds the missing wait. Conclusion: workers that restart and forget an epoch are not part of these schedules.

--- /dev/null
+++ b/sched/quorum/quorum_test.go
@@ -0,0 +1,109 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// Guards against two holders at one real time, whatever is lost, delayed,
+// duplicated, paused or changed in the roster.
+func TestOneHolderAtATime(t *testing.T) {
+	held, steps := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		workers := rapid.IntRange(1, 15).Draw(t, "workers")
+		candidates := rapid.IntRange(2, 4).Draw(t, "candidates")
+		w := newWorld(rand.New(rand.NewPCG(seed, 0)).IntN, mutation{}, workers, candidates)
+		if v := w.run(time.Minute); v != "" {
+			t.Fatal(v)
+		}
+		held, steps = held+w.held, steps+w.steps
+	})
+	must.Positive(t, held)
+	must.Positive(t, steps)
+}
+
+// Guards against a property test that cannot fail: without the margin, or
+// without the wait for a quorum after a roster step, it finds two holders.
+func TestPropertyFailsWithoutAMechanism(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		mut  mutation
+		// first is the seed to begin with, close before one that is known to show
+		// the fault, so that the test is short.
+		first uint64
+	}{
+		{"no margin", mutation{noMargin: true}, 30},
+		{"no wait", mutation{noWait: true}, 215},
+		{"odd platform weight", mutation{oddPlatformWeight: true}, 315},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := c.first; seed < c.first+500; seed++ {
+				rng := rand.New(rand.NewPCG(seed, 0))
+				w := newWorld(rng.IntN, c.mut, 2+rng.IntN(12), 3)
+				if v := w.run(time.Minute); v != "" {
+					t.Logf("schedule %d: %s", seed, v)
+					return
+				}
+			}
+			t.Fatal("no schedule shows two holders")
+		})
+	}
+}
+
+// disjoint reports whether a roster of n workers with platform weight p and the
+// roster after one more worker joined have majorities without a common voter.
+func disjoint(n, p, nextP int) bool {
+	before := Roster{Workers: make([]string, n), PlatformWeight: p}
+	after := Roster{Workers: make([]string, n+1), PlatformWeight: nextP}
+	for a := range n + 1 {
+		rest := WorkerWeight * (n + 1 - a)
+		if before.Majority(WorkerWeight*a) && after.Majority(rest+nextP) ||
+			before.Majority(WorkerWeight*a+p) && after.Majority(rest) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against weights for which two adjacent rosters have disjoint majorities.
+func TestMajoritiesOfAdjacentRostersIntersect(t *testing.T) {
+	odd := false
+	for n := range 200 {
+		p := PlatformWeightFor(n)
+		must.False(t, disjoint(n, p, p), must.Sprintf("%d workers", n))
+		// A step of the platform's weight alone.
+		for a := range n + 1 {
+			before := Roster{Workers: make([]string, n), PlatformWeight: p}
+			after := Roster{Workers: make([]string, n), PlatformWeight: p + 2}
+			must.False(t, before.Majority(2*a) && after.Majority(2*(n-a)+p+2))
+			must.False(t, before.Majority(2*a+p) && after.Majority(2*(n-a)))
+		}
+		odd = odd || disjoint(n, n|1, n|1)
+	}
+	must.True(t, odd, must.Sprint("odd weights should show disjoint majorities"))
+	must.True(t, disjoint(13, 13, 13))
+}
+
+// Guards against a roster that changes by more than one step at a time, or
+// before the last step is acknowledged.
+func TestStepNeedsAcknowledgement(t *testing.T) {
+	now := time.Unix(0, 0)
+	h := New(NewRoster([]string{"a", "b"}), 1)
+	next, ok := h.Roster().Next([]string{"a", "b", "c"})
+	must.True(t, ok)
+	must.ErrorIs(t, h.Step(next), ErrStepPending)
+	for _, v := range []string{"a", "b", Platform} {
+		h.Granted(v, h.Epoch(), now, testLease)
+	}
+	must.ErrorIs(t, h.Step(next.Join("d")), ErrNotAStep)
+	must.NoError(t, h.Step(next))
+	last := next.Join("e")
+	must.ErrorIs(t, h.Step(last), ErrStepPending)
+	must.True(t, h.Holds(now))
+	must.False(t, h.Holds(now.Add(HolderLease(testLease))))
+}
--- /dev/null
+++ b/sched/quorum/schedule_test.go
@@ -0,0 +1,418 @@
+package quorum
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	testLease = 3 * time.Second
+	// maxDelay is the longest delay of a message in the schedules.
+	maxDelay = 4 * time.Second
+)
+
+// mutation switches one mechanism off.
+type mutation struct {
+	oddPlatformWeight bool
+	noMargin          bool
+	noWait            bool
+}
+
+// world is a random schedule in virtual time. Real time is a duration; each
+// party has a clock with a rate of its own.
+type world struct {
+	intn func(n int) int
+	mut  mutation
+	now  time.Duration
+	// events is ordered by time and then by order of creation.
+	events eventQueue
+	seq    int
+
+	voters     map[string]*voterState
+	platform   platformState
+	candidates []*candidate
+	wanted     []string
+	joined     int
+	violation  string
+	held       int
+	steps      int
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// voterState is a worker as a voter.
+type voterState struct {
+	rate  float64
+	owner int
+	epoch Epoch
+	until time.Duration
+}
+
+type platformState struct {
+	rate   float64
+	owner  int
+	until  time.Duration
+	roster Roster
+}
+
+// candidate is an entry VM.
+type candidate struct {
+	id     int
+	rate   float64
+	h      *Holder
+	cached Roster
+	paused time.Duration
+	// cut holds the voters that cannot be reached at the moment.
+	cut  map[string]bool
+	term uint32
+	// stepping tells that a write of the next roster is in progress.
+	stepping bool
+}
+
+func newWorld(intn func(int) int, mut mutation, workers, candidates int) *world {
+	w := &world{intn: intn, mut: mut, voters: map[string]*voterState{}}
+	var ids []string
+	for i := range workers {
+		ids = append(ids, fmt.Sprintf("w%03d", i))
+	}
+	w.joined = workers
+	w.wanted = ids
+	w.platform = platformState{rate: w.rate(), owner: -1, roster: NewRoster(ids)}
+	if mut.oddPlatformWeight {
+		w.platform.roster.PlatformWeight = workers
+	}
+	for _, id := range ids {
+		w.addVoter(id)
+	}
+	for i := range candidates {
+		w.candidates = append(w.candidates, &candidate{id: i, rate: w.rate(), cached: w.platform.roster, cut: map[string]bool{}})
+	}
+	return w
+}
+
+// rate returns the rate of a clock, mostly at the limits that the margin covers.
+func (w *world) rate() float64 {
+	return []float64{0.95, 0.95, 0.97, 1, 1.03, 1.05, 1.05}[w.intn(7)]
+}
+
+func (w *world) addVoter(id string) { w.voters[id] = &voterState{rate: w.rate(), owner: -1} }
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + d, w.seq, f})
+}
+
+// delay returns the delay of a message: mostly short, sometimes very long.
+func (w *world) delay() time.Duration {
+	if w.intn(10) == 0 {
+		return time.Duration(w.intn(int(maxDelay/time.Millisecond))) * time.Millisecond
+	}
+	return time.Duration(1+w.intn(20)) * time.Millisecond
+}
+
+func (w *world) lost() bool { return w.intn(20) == 0 }
+
+// clock returns the local time of a candidate.
+func (c *candidate) clock(now time.Duration) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(now) * c.rate))
+}
+
+// lasts returns the real time that a lease runs on a voter.
+func lasts(rate float64) time.Duration { return time.Duration(float64(testLease) / rate) }
+
+// run plays the schedule and returns the first violation.
+func (w *world) run(limit time.Duration) string {
+	for _, c := range w.candidates {
+		w.after(time.Duration(w.intn(1000))*time.Millisecond, func() { w.act(c) })
+	}
+	for w.events.Len() > 0 && w.violation == "" {
+		e := heap.Pop(&w.events).(event)
+		if e.at > limit {
+			break
+		}
+		w.now = e.at
+		e.run()
+		w.check()
+	}
+	return w.violation
+}
+
+// check finds two candidates that hold the quorum at this real time.
+func (w *world) check() {
+	first := -1
+	for _, c := range w.candidates {
+		if c.h == nil || !c.h.Holds(c.clock(w.now)) {
+			continue
+		}
+		w.held++
+		if first >= 0 {
+			w.violation = fmt.Sprintf("at %v candidates %d and %d both hold the quorum", w.now, first, c.id)
+		}
+		first = c.id
+	}
+}
+
+// act is one tick of a candidate.
+func (w *world) act(c *candidate) {
+	w.after(time.Duration(40+w.intn(200))*time.Millisecond, func() { w.act(c) })
+	if w.now < c.paused {
+		return
+	}
+	switch w.intn(40) {
+	case 0:
+		c.paused = w.now + time.Duration(w.intn(6000))*time.Millisecond
+	case 1:
+		w.cutSome(c)
+	case 2:
+		for range 1 + w.intn(4) {
+			w.changeWanted()
+		}
+	case 4:
+		w.split()
+	case 5:
+		w.splitByAge()
+	case 3:
+		// A detected pause drops everything; the candidacy starts again.
+		c.h = nil
+	}
+	if c.h == nil {
+		w.campaign(c)
+		return
+	}
+	w.renew(c)
+	w.step(c)
+}
+
+// cutSome cuts a candidate from a random part of the voters.
+func (w *world) cutSome(c *candidate) {
+	share := w.intn(4)
+	clear(c.cut)
+	c.cut[Platform] = w.intn(4) < share
+	for _, id := range w.sortedVoters() {
+		c.cut[id] = w.intn(4) < share
+	}
+}
+
+// split lets each voter be reached by one candidate only.
+func (w *world) split() {
+	reach := func(id string) {
+		to := w.intn(len(w.candidates))
+		for _, c := range w.candidates {
+			c.cut[id] = c.id != to
+		}
+	}
+	reach(Platform)
+	for _, id := range w.sortedVoters() {
+		reach(id)
+	}
+}
+
+// splitByAge lets one candidate reach the workers of now, and another one the
+// platform and several workers that join. The first one has an old roster soon.
+func (w *world) splitByAge() {
+	old := w.sortedVoters()
+	one, other := w.intn(len(w.candidates)), w.intn(len(w.candidates))
+	for range 4 + w.intn(6) {
+		w.join()
+	}
+	for _, c := range w.candidates {
+		clear(c.cut)
+		c.cut[Platform] = c.id != other
+		for _, id := range w.sortedVoters() {
+			_, isOld := slices.BinarySearch(old, id)
+			c.cut[id] = isOld && c.id != one || !isOld && c.id != other
+		}
+	}
+}
+
+func (w *world) sortedVoters() []string {
+	ids := make([]string, 0, len(w.voters))
+	for id := range w.voters {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *world) changeWanted() {
+	if w.intn(2) == 0 && len(w.wanted) > 2 {
+		i := w.intn(len(w.wanted))
+		w.wanted = slices.Delete(slices.Clone(w.wanted), i, i+1)
+		return
+	}
+	w.join()
+}
+
+func (w *world) join() {
+	id := fmt.Sprintf("w%03d", w.joined)
+	w.joined++
+	w.addVoter(id)
+	w.wanted = append(slices.Clone(w.wanted), id)
+}
+
+// campaign starts a candidacy: with the platform's vote and the roster that is
+// read after it, or without the platform with the roster read last.
+func (w *world) campaign(c *candidate) {
+	c.term++
+	c.stepping = false
+	if c.cut[Platform] {
+		c.h = New(c.cached, c.term)
+		return
+	}
+	sent := c.clock(w.now)
+	w.after(w.delay(), func() {
+		if w.platform.owner >= 0 && w.platform.owner != c.id && w.now < w.platform.until {
+			return
+		}
+		w.platform.owner, w.platform.until = c.id, w.now+lasts(w.platform.rate)
+		w.after(w.delay(), func() {
+			roster := w.platform.roster
+			w.after(w.delay(), func() {
+				if c.h != nil {
+					return
+				}
+				c.cached = roster
+				c.h = New(roster, c.term)
+				w.granted(c, c.h, Platform, c.h.Epoch(), sent)
+			})
+		})
+	})
+}
+
+// granted records a vote. Without the margin the whole lease counts.
+func (w *world) granted(c *candidate, h *Holder, voter string, e Epoch, sent time.Time) {
+	if c.h != h {
+		return
+	}
+	lease := testLease
+	if w.mut.noMargin {
+		lease = (testLease + FixedMargin) * marginDivisor / (marginDivisor - 1)
+	}
+	h.Granted(voter, e, sent, lease)
+}
+
+func (w *world) renew(c *candidate) {
+	h := c.h
+	for _, id := range h.Roster().Workers {
+		if !c.cut[id] && w.intn(3) == 0 {
+			w.claim(c, h, id)
+		}
+	}
+	if c.cut[Platform] {
+		return
+	}
+	epoch, sent := h.Epoch(), c.clock(w.now)
+	w.after(w.delay(), func() {
+		if w.platform.owner != c.id || w.now >= w.platform.until {
+			return
+		}
+		w.platform.until = w.now + lasts(w.platform.rate)
+		if !w.lost() {
+			w.after(w.delay(), func() { w.granted(c, h, Platform, epoch, sent) })
+		}
+	})
+}
+
+// claim sends a claim to a worker; it may arrive late, twice or never.
+func (w *world) claim(c *candidate, h *Holder, id string) {
+	epoch, sent := h.ClaimEpoch(id), c.clock(w.now)
+	if w.intn(12) == 0 {
+		h.Fence(id)
+	}
+	arrive := func() {
+		v := w.voters[id]
+		if epoch < v.epoch || epoch == v.epoch && v.owner != c.id {
+			seen := v.epoch
+			w.after(w.delay(), func() {
+				if c.h == h && !h.Refused(id, seen) {
+					c.h = nil
+				}
+			})
+			return
+		}
+		if v.owner != c.id && w.now < v.until {
+			return
+		}
+		v.owner, v.epoch, v.until = c.id, epoch, w.now+lasts(v.rate)
+		if !w.lost() {
+			w.after(w.delay(), func() { w.granted(c, h, id, epoch, sent) })
+		}
+	}
+	if w.lost() {
+		return
+	}
+	w.after(w.delay(), arrive)
+	if w.intn(15) == 0 {
+		w.after(w.delay(), arrive)
+	}
+}
+
+// step changes the roster by one step.
+func (w *world) step(c *candidate) {
+	h := c.h
+	if c.cut[Platform] || c.stepping || !h.Holds(c.clock(w.now)) || !w.mut.noWait && !h.Acknowledged() {
+		return
+	}
+	next, ok := h.Roster().Next(w.wanted)
+	if w.mut.oddPlatformWeight {
+		next, ok = oddNext(h.Roster(), w.wanted)
+	}
+	if !ok {
+		return
+	}
+	c.stepping = true
+	w.after(w.delay(), func() {
+		ok := w.platform.roster.Revision == next.Revision-1
+		if ok {
+			w.platform.roster = next
+		}
+		w.after(w.delay(), func() {
+			c.stepping = false
+			if c.h != h {
+				return
+			}
+			if !ok {
+				c.h = nil
+				return
+			}
+			w.steps++
+			c.cached = next
+			if w.mut.noWait || w.mut.oddPlatformWeight {
+				h.roster = next
+				return
+			}
+			if h.Step(next) != nil {
+				c.h = nil
+			}
+		})
+	})
+}
+
+// oddNext keeps the platform's weight equal to the number of workers, in the
+// same step as the join or the leave.
+func oddNext(r Roster, wanted []string) (Roster, bool) {
+	r.PlatformWeight = PlatformWeightFor(len(r.Workers))
+	next, ok := r.Next(wanted)
+	next.PlatformWeight = len(next.Workers)
+	return next, ok
+}
