Confirm the state of every worker after the quorum and number attempts by term

Cause: a candidate that heard a worker, lost its lease to the holder of the moment and then got the quorum took the old report as current. Ruled out: storing the next attempt of each task, which grows segments and still misses attempts on silent workers.

--- a/daemon/internal/dispatch/apply.go
+++ b/daemon/internal/dispatch/apply.go
@@ -14,7 +14,7 @@
 // sync was claimed under a higher epoch than they, so a doubted attempt that the
 // worker does not report will never start.
 func (lp *Loop) apply(now time.Time, l *link, resp *wire.SyncResponse, known map[*attempt]bool, doubted []*attempt) {
-	if l.heard() && l.instance != resp.Instance {
+	if l.instance != "" && l.instance != resp.Instance {
 		lp.cfg.Logger.Info("[dispatch] worker restarted and lost its tasks", zap.String("worker", l.id), zap.Int("attempts", len(l.attempts)))
 		restarted := make(map[*attempt]bool)
 		for a := range known {
--- a/daemon/internal/dispatch/fits.go
+++ b/daemon/internal/dispatch/fits.go
@@ -10,7 +10,7 @@
 	var most, sum model.Resources
 	var biggest [3]string
 	for id, l := range lp.links {
-		if !l.heard() {
+		if !l.confirmed {
 			// The size of this worker is not known yet.
 			return nil
 		}
--- a/daemon/internal/dispatch/jobs.go
+++ b/daemon/internal/dispatch/jobs.go
@@ -20,7 +20,7 @@
 	}
 	for _, id := range lp.cfg.Role.Workers() {
 		l, ok := lp.links[id]
-		if !ok || !l.heard() && !l.expired {
+		if !ok || !l.confirmed && !l.expired {
 			return false
 		}
 	}
@@ -34,10 +34,10 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	now := time.Now()
-	gap := false
+	silent := false
 	seen := make(map[task]bool)
 	for _, l := range lp.links {
-		gap = gap || !l.heard()
+		silent = silent || !l.confirmed
 		for ref := range l.foreign {
 			seen[taskOf(ref)] = true
 		}
@@ -48,9 +48,6 @@
 	jobs := load(func(job string, index int) bool { return seen[task{job, index}] })
 	refused := make(map[string]error)
 	for _, j := range jobs {
-		if gap {
-			raiseAttempts(&j)
-		}
 		if err := lp.engine.AddJob(now, j); err != nil {
 			refused[j.ID] = err
 		}
@@ -70,21 +67,11 @@
 		}
 		lp.sendControls(l)
 	}
-	lp.cfg.Logger.Info("[dispatch] recovery is complete", zap.Int("jobs", len(jobs)), zap.Int("found_tasks", adopted), zap.Bool("silent_workers", gap))
+	lp.cfg.Logger.Info("[dispatch] recovery is complete", zap.Int("jobs", len(jobs)), zap.Int("found_tasks", adopted), zap.Bool("silent_workers", silent))
 	lp.Kick()
 	return refused
 }
 
-func raiseAttempts(j *model.Job) {
-	next := make(map[int]int, j.Tasks)
-	for i := range j.Tasks {
-		if !j.Done[i] {
-			next[i] = max(1, j.NextAttempt[i]) + attemptGap
-		}
-	}
-	j.NextAttempt = next
-}
-
 // AddJob queues a job that was stored in this term.
 func (lp *Loop) AddJob(j model.Job) error {
 	lp.mu.Lock()
--- a/daemon/internal/dispatch/link.go
+++ b/daemon/internal/dispatch/link.go
@@ -14,9 +14,13 @@
 	addr string
 	info wire.Info
 	// instance and sequence are those of the last sync; the instance is empty
-	// until the worker was heard in this term.
+	// before the first one.
 	instance string
 	sequence uint64
+	// confirmed tells that the worker reported its full state in a sync that was
+	// sent with the quorum. What it reported before may have changed under an
+	// earlier holder, which may have had the worker's lease once more.
+	confirmed bool
 	// heardAt is the time of the last reply, and mayHaveReached that of the end
 	// of the last call that renews leases or starts tasks on the worker.
 	heardAt        time.Time
@@ -81,13 +85,10 @@
 	}
 }
 
-// heard reports whether the worker answered a sync in this term.
-func (l *link) heard() bool { return l.instance != "" }
-
 // state returns the state that the engine sees.
 func (l *link) state(now time.Time) model.WorkerState {
 	switch {
-	case l.silent || !l.heard() || now.Before(l.holdUntil):
+	case l.silent || !l.confirmed || now.Before(l.holdUntil):
 		return model.WorkerSilent
 	case l.info.Leaving:
 		return model.WorkerLeaving
--- a/daemon/internal/dispatch/loop.go
+++ b/daemon/internal/dispatch/loop.go
@@ -30,9 +30,6 @@
 	// refusalHold keeps starts away from a worker that refused one, since the
 	// engine would choose the same worker again at once.
 	refusalHold = 500 * time.Millisecond
-	// attemptGap is added to the attempt numbers of recovered tasks if a worker
-	// could not be heard: it may have seen attempts that nobody else knows.
-	attemptGap = 1000
 )
 
 // Config configures a loop.
@@ -120,8 +117,12 @@
 	decide := time.NewTimer(0)
 	defer decide.Stop()
 	lp.refreshLinks(ctx)
+	held := lp.cfg.Role.Held()
 	for {
 		select {
+		case <-held:
+			held = nil
+			lp.kickLinks()
 		case <-ctx.Done():
 			return
 		case <-refresh.C:
@@ -135,6 +136,16 @@
 	}
 }
 
+// kickLinks makes every link sync at once. The sync of a new holder is the one
+// that the recovery waits for.
+func (lp *Loop) kickLinks() {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	for _, l := range lp.links {
+		l.kick()
+	}
+}
+
 // Kick asks for a decision round.
 func (lp *Loop) Kick() {
 	select {
--- a/daemon/internal/dispatch/sync.go
+++ b/daemon/internal/dispatch/sync.go
@@ -23,6 +23,7 @@
 		return
 	}
 	req := &wire.SyncRequest{Owner: lp.cfg.Role.Claim(l.id), LeaseMillis: 1, TaskLeaseMillis: lp.cfg.TaskLease().Milliseconds()}
+	confirms := !l.confirmed && !lp.cfg.Role.HeldAt().IsZero()
 	var acked []model.TaskRef
 	var doubted []*attempt
 	known := make(map[*attempt]bool)
@@ -31,6 +32,9 @@
 	} else {
 		req.LeaseMillis = lp.cfg.Role.Lease().Milliseconds()
 		req.Since = l.sequence
+		if confirms {
+			req.Since = 0
+		}
 		for ref := range l.acks {
 			if len(acked) == ackBatch {
 				break
@@ -79,7 +83,16 @@
 		l.heardAt, l.mayHaveReached = now, now
 		lp.cfg.Role.Granted(l.id, req.Owner.Epoch, sentAt)
 		lp.wakeUp(l)
-		lp.apply(now, l, resp, known, doubted)
+		if confirms && resp.Full {
+			l.confirmed = true
+		}
+		if l.confirmed {
+			lp.apply(now, l, resp, known, doubted)
+		} else {
+			// A candidate only takes the vote. What runs may change until it has the
+			// quorum, and the full state is asked for then.
+			l.sequence, l.info = resp.Sequence, resp.Info
+		}
 		for _, ref := range acked {
 			delete(l.acks, ref)
 		}
@@ -131,7 +144,7 @@
 
 // upsert tells the engine the state of a worker.
 func (lp *Loop) upsert(now time.Time, l *link) {
-	if !l.heard() {
+	if !l.confirmed {
 		return
 	}
 	lp.engine.UpsertWorker(now, model.Worker{
--- a/daemon/internal/jobs/changes.go
+++ b/daemon/internal/jobs/changes.go
@@ -70,7 +70,7 @@
 		return model.Job{}, false
 	}
 	r.accepted = true
-	return r.model(), !r.Cancelled && r.endedCount() < r.Spec.Tasks
+	return r.model(1), !r.Cancelled && r.endedCount() < r.Spec.Tasks
 }
 
 // cancel stores the cancellation of a job. It reports false without calling done
@@ -162,9 +162,9 @@
 		changed = r.Unknown.add(ref.Index)
 	case model.VerdictRetry, model.VerdictParked:
 		r.parked = r.parked || verdict == model.VerdictParked
-		changed = r.used(ref.Index, ref.Attempt)
+		r.failed = true
 		if o != nil {
-			r.keepCheckpoint(ref.Index, o.Checkpoint)
+			changed = r.keepCheckpoint(ref.Index, o.Checkpoint)
 		}
 	}
 	if verdict != model.VerdictRetry && verdict != model.VerdictParked {
@@ -180,7 +180,8 @@
 	if stored == nil {
 		return
 	}
-	if !r.segment.dirty && !r.segment.writing {
+	if !changed && !r.segment.dirty && !r.segment.writing {
+		// Another attempt follows, or the end is stored already.
 		go stored()
 		return
 	}
--- a/daemon/internal/jobs/here.go
+++ b/daemon/internal/jobs/here.go
@@ -65,7 +65,7 @@
 	active := t.loop.Active(r.ID)
 	t.ledger.mu.Lock()
 	j := r.view(active)
-	failed := r.Failed.n > 0 || len(r.Attempts) > 0
+	failed := r.Failed.n > 0 || r.failed
 	t.ledger.mu.Unlock()
 	if j.State == Pending && failed {
 		// The engine also parks a job by the failure of a task that ended, of which
--- a/daemon/internal/jobs/ledger.go
+++ b/daemon/internal/jobs/ledger.go
@@ -31,6 +31,11 @@
 	// earlier holder added.
 	revived func(r *record)
 
+	// generation is the number of the term in the platform. Attempt numbers of
+	// recovered tasks start above those of every earlier term, since a worker that
+	// stays silent may know attempts that nobody else does.
+	generation int
+
 	mu       sync.Mutex
 	records  map[string]*record
 	segments map[int]*segment
--- a/daemon/internal/jobs/record.go
+++ b/daemon/internal/jobs/record.go
@@ -30,13 +30,14 @@
 	Unknown   indexSet `json:"unknown,omitzero"`
 	// Intended holds the tasks that must not be repeated and may have started.
 	Intended indexSet `json:"intended,omitzero"`
-	// Attempts holds, by attempt number, the tasks that have used it and continue.
-	Attempts map[int]*indexSet `json:"attempts,omitempty"`
 	// Checkpoints holds small checkpoints by task.
 	Checkpoints map[int][]byte `json:"checkpoints,omitempty"`
 
 	segment *segment
-	parked  bool
+	// parked and failed tell that the engine parked the job, and that an attempt
+	// of it failed in this term.
+	parked bool
+	failed bool
 	// accepted tells that the record is stored, and sent that a write of it had
 	// no answer, so that it may be stored.
 	accepted bool
@@ -59,40 +60,11 @@
 // endedCount returns the number of tasks that have ended.
 func (r *record) endedCount() int { return r.Succeeded.n + r.Failed.n + r.Unknown.n }
 
-// done reports whether nothing of the job will run any more.
-func (r *record) done(active int) bool {
-	return active == 0 && (r.Cancelled || r.endedCount() >= r.Spec.Tasks)
-}
-
-// used records the highest attempt number of a task.
-func (r *record) used(index, attempt int) bool {
-	for n, set := range r.Attempts {
-		if !set.has(index) {
-			continue
-		}
-		if n >= attempt {
-			return false
-		}
-		set.words[index/64] &^= 1 << (index % 64)
-		if set.n--; set.n == 0 {
-			delete(r.Attempts, n)
-		}
-	}
-	if r.Attempts == nil {
-		r.Attempts = make(map[int]*indexSet)
-	}
-	set, ok := r.Attempts[attempt]
-	if !ok {
-		set = &indexSet{}
-		r.Attempts[attempt] = set
-	}
-	return set.add(index)
-}
-
-// keepCheckpoint remembers the saved state of a task.
-func (r *record) keepCheckpoint(index int, data []byte) {
+// keepCheckpoint remembers the saved state of a task. It reports whether the
+// stored form changed.
+func (r *record) keepCheckpoint(index int, data []byte) bool {
 	if len(data) == 0 {
-		return
+		return false
 	}
 	sum := len(data)
 	for i, c := range r.Checkpoints {
@@ -106,13 +78,15 @@
 		}
 		r.Checkpoints[index] = data
 		delete(r.large, index)
-		return
+		return true
 	}
+	_, changed := r.Checkpoints[index]
 	delete(r.Checkpoints, index)
 	if r.large == nil {
 		r.large = make(map[int][]byte)
 	}
 	r.large[index] = data
+	return changed
 }
 
 // checkpoint returns the saved state of a task.
@@ -123,8 +97,8 @@
 	return r.Checkpoints[index]
 }
 
-// model returns the job for the engine.
-func (r *record) model() model.Job {
+// model returns the job for the engine. First is the first attempt number to use.
+func (r *record) model(first int) model.Job {
 	j := model.Job{
 		ID: r.ID, Department: r.Spec.Department, Kind: r.Spec.Kind, Type: r.Spec.Type, Tasks: r.Spec.Tasks,
 		Size:    model.Resources(r.Spec.Size),
@@ -137,9 +111,11 @@
 			j.Done[i] = true
 		}
 	}
-	for n, set := range r.Attempts {
-		for i := range set.all() {
-			j.NextAttempt[i] = max(j.NextAttempt[i], n+1)
+	if first > 1 {
+		for i := range j.Tasks {
+			if !j.Done[i] {
+				j.NextAttempt[i] = first
+			}
 		}
 	}
 	return j
@@ -160,11 +136,6 @@
 	changed = r.Failed.union(&o.Failed) || changed
 	changed = r.Unknown.union(&o.Unknown) || changed
 	changed = r.Intended.union(&o.Intended) || changed
-	for n, set := range o.Attempts {
-		for i := range set.all() {
-			changed = r.used(i, n) || changed
-		}
-	}
 	if o.Cancelled && !r.Cancelled {
 		r.Cancelled, changed = true, true
 	}
--- a/daemon/internal/jobs/recovered.go
+++ b/daemon/internal/jobs/recovered.go
@@ -9,6 +9,10 @@
 	"rhubarbstall.example/sched/model"
 )
 
+// attemptsPerTerm is the number of attempts of a task that one term may make
+// before its numbers meet those of the next term.
+const attemptsPerTerm = 1000
+
 // recovered returns the unfinished jobs of earlier terms in order of submission.
 // Jobs accepted in this term are not among them, since the engine has them.
 func (g *ledger) recovered(found func(job string, index int) bool) []model.Job {
@@ -42,7 +46,7 @@
 	})
 	jobs := make([]model.Job, 0, len(list))
 	for _, r := range list {
-		jobs = append(jobs, r.model())
+		jobs = append(jobs, r.model(g.generation*attemptsPerTerm+1))
 	}
 	return jobs
 }
--- a/daemon/internal/jobs/sweep.go
+++ b/daemon/internal/jobs/sweep.go
@@ -29,7 +29,7 @@
 	for _, r := range candidates {
 		if !busy[r] && r.Finished.IsZero() && g.records[r.ID] == r {
 			r.Finished = now.UTC().Truncate(time.Millisecond)
-			r.Checkpoints, r.large, r.Attempts = nil, nil, nil
+			r.Checkpoints, r.large = nil, nil
 			g.markDirty(r.segment)
 			finished = append(finished, r.ID)
 		}
--- a/daemon/internal/jobs/term.go
+++ b/daemon/internal/jobs/term.go
@@ -103,7 +103,10 @@
 func (s *Service) load(ctx context.Context, t *term) bool {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
-	err := t.ledger.load(ctx)
+	err := t.ledger.takeGeneration(ctx)
+	if err == nil {
+		err = t.ledger.load(ctx)
+	}
 	if err == nil {
 		err = s.loadDrained(ctx, t)
 	}
