Keep ignored outcomes until the end of the task is stored

Cause: two attempts of a task had outcomes; the second one was acknowledged while the end by the first was not stored, and a new holder ran the task again. A late write of an earlier holder could end a task unknown to the engine, which then asked for its start for ever.

--- a/daemon/internal/dispatch/apply.go
+++ b/daemon/internal/dispatch/apply.go
@@ -153,9 +153,8 @@
 	}
 	lp.metrics.outcome(string(o.Result))
 	if verdict == model.VerdictIgnored {
-		delete(l.unstored, ref)
-		l.acks[ref] = true
-		return
+		lp.cfg.Logger.Debug("[dispatch] outcome of an attempt that no task needs", zap.String("worker", l.id),
+			zap.String("job", ref.Job), zap.Int("index", ref.Index), zap.Int("attempt", ref.Attempt), zap.String("result", string(o.Result)))
 	}
 	lp.cfg.Book.Ended(ref, verdict, o, func() {
 		lp.mu.Lock()
--- a/daemon/internal/dispatch/jobs.go
+++ b/daemon/internal/dispatch/jobs.go
@@ -85,7 +85,10 @@
 func (lp *Loop) StopJob(id string) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	now := time.Now()
+	lp.stopJob(time.Now(), id)
+}
+
+func (lp *Loop) stopJob(now time.Time, id string) {
 	stop := lp.engine.CancelJob(now, id)
 	lp.stopAttempts(stop)
 	for _, l := range lp.links {
--- a/daemon/internal/dispatch/send.go
+++ b/daemon/internal/dispatch/send.go
@@ -74,8 +74,18 @@
 		if l.attempts[a.Ref] != a {
 			continue
 		}
-		spec, ok := lp.cfg.Book.Spec(a.Ref)
-		if !ok || a.asked == wire.ActionStop {
+		if a.asked == wire.ActionStop {
+			lp.takeBack(now, l, a)
+			continue
+		}
+		spec, need := lp.cfg.Book.Spec(a.Ref)
+		switch need {
+		case NeedNothing:
+			lp.forget(l, a)
+			lp.engine.Finished(now, model.Outcome{Ref: a.Ref, Worker: l.id, Result: model.Succeeded})
+			continue
+		case NeedStop:
+			lp.stopJob(now, a.Ref.Job)
 			lp.takeBack(now, l, a)
 			continue
 		}
--- a/daemon/internal/jobs/changes.go
+++ b/daemon/internal/jobs/changes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/dispatch"
 	"rhubarbstall.example/sched/model"
 	wire "rhubarbstall.example/wire/worker"
 )
@@ -111,15 +112,18 @@
 }
 
 // Spec implements dispatch.Book.
-func (g *ledger) Spec(ref model.TaskRef) (wire.Spec, bool) {
+func (g *ledger) Spec(ref model.TaskRef) (wire.Spec, dispatch.Need) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r, ok := g.records[ref.Job]
-	if !ok || !r.accepted || r.cancelStored || r.ended(ref.Index) {
-		return wire.Spec{}, false
+	switch {
+	case !ok || !r.accepted || r.cancelStored:
+		return wire.Spec{}, dispatch.NeedStop
+	case r.ended(ref.Index):
+		return wire.Spec{}, dispatch.NeedNothing
 	}
 	r.parked = false
-	return r.wireSpec(ref.Index), true
+	return r.wireSpec(ref.Index), dispatch.NeedRun
 }
 
 // Intend implements dispatch.Book. Only jobs that must not be repeated need the
--- a/daemon/internal/jobs/faults_test.go
+++ b/daemon/internal/jobs/faults_test.go
@@ -28,7 +28,6 @@
 	acked     map[string]Spec
 	cancelled map[string]time.Time
 	keys      map[string]string
-	refused   int
 }
 
 func (c *clients) pick(n int) int { return int(c.s.random(time.Duration(n))) }
@@ -229,7 +228,12 @@
 }
 
 func randomFaults(t *testing.T, s *sim, seed uint64) {
-	s.loss, s.dup, s.late, s.store.loseAnswer = 0.02, 0.02, 0.02, 0.05
+	s.mu.Lock()
+	s.loss, s.dup, s.late = 0.02, 0.02, 0.02
+	s.mu.Unlock()
+	s.store.mu.Lock()
+	s.store.loseAnswer = 0.05
+	s.store.mu.Unlock()
 	c := &clients{s: s, acked: map[string]Spec{}, cancelled: map[string]time.Time{}, keys: map[string]string{}}
 	var healing sync.WaitGroup
 	for i := range 60 {
@@ -302,6 +306,11 @@
 		len(c.cancelled), report.Events[history.TaskStarted], report.Events[history.TaskRefused], lapsed(events))
 	if !report.OK() {
 		t.Errorf("seed %d:\n%s", seed, report)
+		for _, e := range events {
+			if e.Ref != nil && strings.Contains(report.String(), fmt.Sprintf("%s/%d ", e.Ref.Job, e.Ref.Index)) {
+				t.Logf("%s %s %s %+v %s", e.At.Format("04:05.000"), e.Type, e.Instance, *e.Ref, e.Result)
+			}
+		}
 	}
 }
 
--- a/daemon/internal/jobs/record.go
+++ b/daemon/internal/jobs/record.go
@@ -137,7 +137,7 @@
 	changed = r.Unknown.union(&o.Unknown) || changed
 	changed = r.Intended.union(&o.Intended) || changed
 	if o.Cancelled && !r.Cancelled {
-		r.Cancelled, changed = true, true
+		r.Cancelled, r.cancelStored, changed = true, true, true
 	}
 	return changed
 }
--- a/daemon/internal/jobs/sim_test.go
+++ b/daemon/internal/jobs/sim_test.go
@@ -115,10 +115,10 @@
 	})
 }
 
-func (s *sim) chance(p float64) bool {
+func (s *sim) chance(p *float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rng.Float64() < p
+	return s.rng.Float64() < *p
 }
 
 func (s *sim) random(d time.Duration) time.Duration {
@@ -313,20 +313,20 @@
 		ch <- answer{r, refusal}
 	}
 	d := s.random(4 * time.Millisecond)
-	if s.chance(s.late) {
+	if s.chance(&s.late) {
 		d = s.random(2 * time.Second)
 	}
-	if !n.cutFrom(addr) && !s.chance(s.loss) {
+	if !n.cutFrom(addr) && !s.chance(&s.loss) {
 		s.flying.Add(1)
 		go deliver(d)
-		if s.chance(s.dup) {
+		if s.chance(&s.dup) {
 			s.flying.Add(1)
 			go deliver(d + s.random(2*time.Second))
 		}
 	}
 	select {
 	case a := <-ch:
-		if s.chance(s.loss) || n.gate(ctx) != nil {
+		if s.chance(&s.loss) || n.gate(ctx) != nil {
 			<-ctx.Done()
 			return zero, dispatch.ErrNoReply
 		}
