Make the loss of the quorum final for a campaign

Cause: a quorum that lapsed and came back between two checks had told waiting writes that the role is lost, and the campaign went on without them.

--- a/daemon/internal/jobs/changes.go
+++ b/daemon/internal/jobs/changes.go
@@ -71,7 +71,7 @@
 		return model.Job{}, false
 	}
 	r.accepted = true
-	return r.model(1), !r.Cancelled && r.endedCount() < r.Spec.Tasks
+	return r.model(1), !r.cancelStored && r.endedCount() < r.Spec.Tasks
 }
 
 // cancel stores the cancellation of a job. It reports false without calling done
--- a/daemon/internal/jobs/here.go
+++ b/daemon/internal/jobs/here.go
@@ -242,5 +242,5 @@
 func (g *ledger) isCancelled(r *record) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return r.Cancelled
+	return r.cancelStored
 }
--- a/daemon/internal/jobs/record.go
+++ b/daemon/internal/jobs/record.go
@@ -146,7 +146,7 @@
 func (r *record) view(active int) Job {
 	c := Counts{Running: active, Succeeded: r.Succeeded.n, Failed: r.Failed.n, Unknown: r.Unknown.n}
 	rest := max(0, r.Spec.Tasks-r.endedCount()-active)
-	if r.Cancelled {
+	if r.cancelStored {
 		c.Cancelled = rest
 	} else {
 		c.Pending = rest
@@ -159,7 +159,7 @@
 
 func (r *record) state(active int, c Counts) State {
 	switch {
-	case r.Cancelled:
+	case r.cancelStored:
 		return Cancelled
 	case active > 0:
 		return Running
--- a/daemon/internal/jobs/recovered.go
+++ b/daemon/internal/jobs/recovered.go
@@ -20,7 +20,7 @@
 	defer g.mu.Unlock()
 	var list []*record
 	for _, r := range g.records {
-		if !r.loaded || r.Cancelled || r.endedCount() >= r.Spec.Tasks {
+		if !r.loaded || r.cancelStored || r.endedCount() >= r.Spec.Tasks {
 			continue
 		}
 		list = append(list, r)
--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -62,14 +62,26 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	owner := wire.Owner{ID: c.owner, Epoch: uint64(c.holder.GrantedEpoch(worker))}
-	return owner, !c.dropped && c.holder.HasVote(now, worker) && c.holder.Holds(now)
+	return owner, c.holds(now) && c.holder.HasVote(now, worker)
+}
+
+// holds reports whether the quorum is held. The first loss is final even if the
+// votes come back at once: what waited for the role was told that it is lost.
+func (c *Campaign) holds(now time.Time) bool {
+	if c.dropped || c.heldAt.IsZero() {
+		return false
+	}
+	if !c.holder.Holds(now) {
+		c.dropped = true
+	}
+	return !c.dropped
 }
 
 // Holds reports whether the candidate has the quorum at this moment.
 func (c *Campaign) Holds() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.dropped && c.holder.Holds(time.Now())
+	return c.holds(time.Now())
 }
 
 // Granted records the lease of a voter.
@@ -122,7 +134,7 @@
 func (c *Campaign) Epoch() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dropped || !c.holder.Holds(time.Now()) {
+	if !c.holds(time.Now()) {
 		return 0
 	}
 	return uint64(c.holder.Epoch())
@@ -164,7 +176,7 @@
 	switch {
 	case c.stale:
 		return staleRoster
-	case c.dropped, !c.heldAt.IsZero() && !c.holder.Holds(now):
+	case c.dropped, !c.heldAt.IsZero() && !c.holds(now):
 		return lostQuorum
 	case c.heldAt.IsZero() && now.Sub(startedAt) > limit:
 		return tooSlow
