Add the demo, the caller and the start of a deployment as processes

The demo cannot pass yet, since the daemon is a stub that ends at once: it reports 'entry VM ended before it was ready' and exits with 1. What was run is the start and the stop of the stand-ins.

--- /dev/null
+++ b/standin/caller/job.go
@@ -0,0 +1,102 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/api/oas"
+	"rhubarbstall.example/standin/history"
+)
+
+// pollInterval is how often a job is looked at.
+const pollInterval = 100 * time.Millisecond
+
+// Submit submits a job once to an entry VM.
+func (c *Caller) Submit(ctx context.Context, entry int, spec *oas.JobSpec) (*oas.Job, Result) {
+	e := history.Event{
+		Kind: spec.Kind, Department: spec.Department, Tasks: spec.Tasks.Or(1),
+		NoRepeat: spec.NoRepeat.Or(false), Key: spec.IdempotencyKey.Or(""), Owner: c.entries[entry].Name,
+	}
+	e.Type = history.JobSent
+	c.history.Write(e)
+	job, err := c.clients[entry].SubmitJob(ctx, spec)
+	if err != nil {
+		res := resultOf(err)
+		e.Type = history.JobRefused
+		e.Outcome, e.Code, e.Reason = res.Outcome, int(res.Code), res.Message
+		c.history.Write(e)
+		return nil, res
+	}
+	e.Type, e.Job = history.JobAcked, job.ID
+	c.history.Write(e)
+	return job, Result{Outcome: history.OutcomeAnswered}
+}
+
+// SubmitUntilAcked submits a job to one entry VM after another until it is
+// acknowledged, the input is refused, or ctx is done. The job needs an
+// idempotency key, since an acknowledgment may be lost.
+func (c *Caller) SubmitUntilAcked(ctx context.Context, spec *oas.JobSpec) (*oas.Job, error) {
+	for {
+		job, res := c.Submit(ctx, c.Pick(), spec)
+		if job != nil {
+			return job, nil
+		}
+		if res.Code/1000 == 1 || !pause(ctx, res.RetryAfter) {
+			return nil, fmt.Errorf("job %s: code %d: %s", spec.IdempotencyKey.Or(""), res.Code, res.Message)
+		}
+	}
+}
+
+// Look asks an entry VM for a job. It returns nil if the entry VM gave no state.
+func (c *Caller) Look(ctx context.Context, entry int, id string) *oas.Job {
+	job, err := c.clients[entry].GetJob(ctx, oas.GetJobParams{ID: id})
+	if err != nil {
+		if resultOf(err).Code == codes.NotFound {
+			c.history.Write(history.Event{Type: history.JobMissing, Job: id, Owner: c.entries[entry].Name})
+		}
+		return nil
+	}
+	c.history.Write(history.Event{
+		Type: history.JobSeen, Job: id, State: string(job.State), Tasks: job.Counts.Succeeded,
+		Owner: c.entries[entry].Name,
+	})
+	return job
+}
+
+// AwaitJob looks at a job until done holds. It returns the last state seen, and
+// an error if ctx ended first.
+func (c *Caller) AwaitJob(ctx context.Context, id string, done func(*oas.Job) bool) (*oas.Job, error) {
+	var last *oas.Job
+	for {
+		if job := c.Look(ctx, c.Pick(), id); job != nil {
+			last = job
+			if done(job) {
+				return job, nil
+			}
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			if last == nil {
+				return nil, fmt.Errorf("job %s: never seen", id)
+			}
+			return last, fmt.Errorf("job %s: still %s (%+v)", id, last.State, last.Counts)
+		}
+	}
+}
+
+// Cancel cancels a job through one entry VM after another until one answers or
+// ctx is done.
+func (c *Caller) Cancel(ctx context.Context, id string) error {
+	for {
+		_, err := c.clients[c.Pick()].CancelJob(ctx, oas.CancelJobParams{ID: id})
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, resultOf(err).RetryAfter) {
+			return fmt.Errorf("cancel job %s: %w", id, err)
+		}
+	}
+}
--- /dev/null
+++ b/standin/cluster/entry.go
@@ -0,0 +1,146 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"rhubarbstall.example/wire/platform"
+)
+
+// EntryOptions configures an entry VM. A zero field has its default.
+type EntryOptions struct {
+	Name string
+	Zone string
+	// Platform is the address of the platform as the entry VM reaches it.
+	Platform string
+	// LogLevel defaults to "info".
+	LogLevel string
+}
+
+// entryConfig is the settings file of an entry VM.
+type entryConfig struct {
+	ID               string     `json:"id"`
+	AvailabilityZone string     `json:"availability_zone"`
+	APIAddr          string     `json:"api_addr"`
+	PeerAddr         string     `json:"peer_addr"`
+	PlatformAddrs    []string   `json:"platform_addrs"`
+	Seeds            []string   `json:"seeds"`
+	Log              logConfig  `json:"log"`
+	Trace            traceParam `json:"trace"`
+}
+
+type logConfig struct {
+	Level  string `json:"level"`
+	Format string `json:"format"`
+}
+
+type traceParam struct {
+	Sample float64 `json:"sample"`
+	File   string  `json:"file"`
+}
+
+// StartEntry starts an entry VM whose seeds are all entry VMs started before,
+// and adds it to the platform's list. A name that was used before gets its old addresses.
+func (c *Cluster) StartEntry(o EntryOptions) error {
+	if o.Platform == "" {
+		o.Platform = c.platform
+	}
+	if o.LogLevel == "" {
+		o.LogLevel = "info"
+	}
+	e, seeds, err := c.place(o.Name)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(entryConfig{
+		ID: o.Name, AvailabilityZone: o.Zone, APIAddr: e.api, PeerAddr: e.peer,
+		PlatformAddrs: []string{"http://" + o.Platform}, Seeds: seeds,
+		Log: logConfig{Level: o.LogLevel, Format: "json"},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(c.Dir, o.Name+".json")
+	if err := os.WriteFile(file, append([]byte("// Settings file of entry VM "+o.Name+".\n"), text...), 0o644); err != nil {
+		return err
+	}
+	if _, err := c.start(o.Name, "rhubarbstalld", false, "run", "--config", file); err != nil {
+		return err
+	}
+	return c.SetVM(platform.VM{
+		ID: o.Name, Role: platform.RoleEntry, AvailabilityZone: o.Zone, Addr: e.peer, State: platform.VMLive,
+	})
+}
+
+// place returns the addresses of an entry VM and the peer addresses of the others.
+func (c *Cluster) place(name string) (entry, []string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seeds := []string{}
+	found := entry{}
+	for _, e := range c.entries {
+		if e.name == name {
+			found = e
+		} else {
+			seeds = append(seeds, e.peer)
+		}
+	}
+	if found.name != "" {
+		return found, seeds, nil
+	}
+	api, err := freeAddr()
+	if err != nil {
+		return entry{}, nil, err
+	}
+	peer, err := freeAddr()
+	if err != nil {
+		return entry{}, nil, err
+	}
+	found = entry{name: name, api: api, peer: peer}
+	c.entries = append(c.entries, found)
+	return found, seeds, nil
+}
+
+// readyPoll is how often readiness is looked at.
+const readyPoll = 50 * time.Millisecond
+
+// AwaitReady waits until GET /readyz of an entry VM answers 200, or with
+// anyStatus until it answers at all. It returns an error if the process ends or ctx is done.
+func (c *Cluster) AwaitReady(ctx context.Context, name string, anyStatus bool) error {
+	p, err := c.Process(name)
+	if err != nil {
+		return err
+	}
+	var api string
+	for _, e := range c.Entries() {
+		if e.Name == name {
+			api = e.Addr
+		}
+	}
+	last := "no answer"
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+api+"/readyz", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+			last = resp.Status
+			if anyStatus || resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-p.Exited():
+			return fmt.Errorf("entry VM %s ended before it was ready: %v", name, p.Err())
+		case <-ctx.Done():
+			return fmt.Errorf("entry VM %s is not ready: %s", name, last)
+		}
+	}
+}
--- /dev/null
+++ b/standin/cmd/demo/start.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbstall.example/standin/caller"
+	"rhubarbstall.example/standin/cluster"
+)
+
+const (
+	workersPerZone = 4
+	runnersPerZone = 3
+	entriesPerZone = 2
+)
+
+var zones = []string{"regina", "saskatoon"}
+
+//go:embed settings.jsonc
+var document string
+
+// startAll starts the deployment, applies the settings and waits until every
+// entry VM is ready.
+func startAll(ctx context.Context, c *cluster.Cluster) error {
+	if err := c.StartPlatform(); err != nil {
+		return err
+	}
+	for _, zone := range zones {
+		for i := range workersPerZone {
+			name := fmt.Sprintf("%s-worker-%d", zone, i+1)
+			rack := fmt.Sprintf("%s-rack-%d", zone, i/2+1)
+			// The owner lease of the settings is 3 s, so a worker need not refuse for longer after its start.
+			if err := c.StartWorker(name, zone, rack, "-max-owner-lease", "3s", "-milli-cpu", "16000", "-memory-mb", "65536"); err != nil {
+				return err
+			}
+		}
+		for i := range runnersPerZone {
+			if err := c.StartRunner(fmt.Sprintf("%s-runner-%d", zone, i+1), zone, "-service", "check=15ms,proof=60ms"); err != nil {
+				return err
+			}
+		}
+	}
+	for _, zone := range zones {
+		for i := range entriesPerZone {
+			if err := c.StartEntry(cluster.EntryOptions{Name: fmt.Sprintf("%s-entry-%d", zone, i+1), Zone: zone}); err != nil {
+				return err
+			}
+		}
+	}
+	return settle(ctx, c)
+}
+
+// settle applies the settings. An entry VM is not ready before it has some.
+func settle(ctx context.Context, c *cluster.Cluster) error {
+	if err := awaitAll(ctx, c, true); err != nil {
+		return err
+	}
+	ca, err := caller.New(c.Entries(), nil)
+	if err != nil {
+		return err
+	}
+	if _, err := ca.Apply(ctx, document, "first settings"); err != nil {
+		return err
+	}
+	return awaitAll(ctx, c, false)
+}
+
+func awaitAll(ctx context.Context, c *cluster.Cluster, anyStatus bool) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, e := range c.Entries() {
+		g.Go(func() error { return c.AwaitReady(ctx, e.Name, anyStatus) })
+	}
+	return g.Wait()
+}
--- a/standin/history/type.go
+++ b/standin/history/type.go
@@ -73,6 +73,8 @@
 	OutcomeNotRun     = "not_run"
 	OutcomeInProgress = "in_progress"
 	OutcomeUnknown    = "unknown"
+	// OutcomeUnsent records that no connection to an entry VM was made.
+	OutcomeUnsent = "unsent"
 )
 
 // Reasons of a RunRefused event.
