--- a/standin/caller/settings.go
+++ b/standin/caller/settings.go
@@ -12,7 +12,7 @@
 // is accepted or ctx is done. It returns the accepted revision.
 func (c *Caller) Apply(ctx context.Context, document, comment string) (int64, error) {
 	for {
-		revision, err := c.applyOnce(ctx, c.Pick(), document, comment)
+		revision, err := c.ApplyVia(ctx, c.Pick(), document, comment)
 		if err == nil {
 			return revision, nil
 		}
@@ -22,7 +22,8 @@
 	}
 }
 
-func (c *Caller) applyOnce(ctx context.Context, entry int, document, comment string) (int64, error) {
+// ApplyVia applies a settings document once through an entry VM.
+func (c *Caller) ApplyVia(ctx context.Context, entry int, document, comment string) (int64, error) {
 	// An entry VM without settings may refuse the read; the first revision is then expected to be 0.
 	var expected int64
 	if current, err := c.clients[entry].GetSettings(ctx); err == nil {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -10,6 +10,7 @@
 
 	"rhubarbstall.example/standin/caller"
 	"rhubarbstall.example/standin/history"
+	"rhubarbstall.example/wire/platform"
 )
 
 // Cluster is a running deployment.
@@ -26,7 +27,7 @@
 	byName   map[string]*Process
 	entries  []entry
 	platform string
-	links    map[string]string
+	vms      map[string]platform.VM
 }
 
 // entry is a started entry VM.
@@ -34,11 +35,13 @@
 	name string
 	api  string
 	peer string
+	// advertise is the peer address that others use.
+	advertise string
 }
 
 // New prepares a deployment that starts programs from bin and writes below dir.
 func New(bin, dir string) (*Cluster, error) {
-	c := &Cluster{Bin: bin, Dir: dir, byName: make(map[string]*Process), links: make(map[string]string)}
+	c := &Cluster{Bin: bin, Dir: dir, byName: make(map[string]*Process), vms: make(map[string]platform.VM)}
 	if err := os.MkdirAll(c.HistoryDir(), 0o755); err != nil {
 		return nil, err
 	}
--- a/standin/cluster/entry.go
+++ b/standin/cluster/entry.go
@@ -18,6 +18,9 @@
 	Zone string
 	// Platform is the address of the platform as the entry VM reaches it.
 	Platform string
+	// PeerRelay lets other entry VMs reach this one through a relay whose link
+	// is named NAME-peer.
+	PeerRelay bool
 	// LogLevel defaults to "info".
 	LogLevel string
 }
@@ -28,6 +31,7 @@
 	AvailabilityZone string     `json:"availability_zone"`
 	APIAddr          string     `json:"api_addr"`
 	PeerAddr         string     `json:"peer_addr"`
+	PeerAdvertise    string     `json:"peer_advertise"`
 	PlatformAddrs    []string   `json:"platform_addrs"`
 	Seeds            []string   `json:"seeds"`
 	Log              logConfig  `json:"log"`
@@ -53,12 +57,12 @@
 	if o.LogLevel == "" {
 		o.LogLevel = "info"
 	}
-	e, seeds, err := c.place(o.Name)
+	e, seeds, err := c.place(o)
 	if err != nil {
 		return err
 	}
 	text, err := json.MarshalIndent(entryConfig{
-		ID: o.Name, AvailabilityZone: o.Zone, APIAddr: e.api, PeerAddr: e.peer,
+		ID: o.Name, AvailabilityZone: o.Zone, APIAddr: e.api, PeerAddr: e.peer, PeerAdvertise: e.advertise,
 		PlatformAddrs: []string{"http://" + o.Platform}, Seeds: seeds,
 		Log: logConfig{Level: o.LogLevel, Format: "json"},
 	}, "", "  ")
@@ -73,37 +77,50 @@
 		return err
 	}
 	return c.SetVM(platform.VM{
-		ID: o.Name, Role: platform.RoleEntry, AvailabilityZone: o.Zone, Addr: e.peer, State: platform.VMLive,
+		ID: o.Name, Role: platform.RoleEntry, AvailabilityZone: o.Zone, Addr: e.advertise, State: platform.VMLive,
 	})
 }
 
 // place returns the addresses of an entry VM and the peer addresses of the others.
-func (c *Cluster) place(name string) (entry, []string, error) {
+func (c *Cluster) place(o EntryOptions) (entry, []string, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	seeds := []string{}
-	found := entry{}
-	for _, e := range c.entries {
-		if e.name == name {
-			found = e
+	var found *entry
+	for i, e := range c.entries {
+		if e.name == o.Name {
+			found = &c.entries[i]
 		} else {
-			seeds = append(seeds, e.peer)
+			seeds = append(seeds, e.advertise)
 		}
 	}
-	if found.name != "" {
-		return found, seeds, nil
+	c.mu.Unlock()
+	if found != nil {
+		return *found, seeds, nil
 	}
-	api, err := freeAddr()
+	e, err := c.newEntry(o)
 	if err != nil {
 		return entry{}, nil, err
 	}
-	peer, err := freeAddr()
-	if err != nil {
-		return entry{}, nil, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = append(c.entries, e)
+	return e, seeds, nil
+}
+
+func (c *Cluster) newEntry(o EntryOptions) (entry, error) {
+	e := entry{name: o.Name}
+	var err error
+	if e.api, err = freeAddr(); err != nil {
+		return entry{}, err
+	}
+	if e.peer, err = freeAddr(); err != nil {
+		return entry{}, err
+	}
+	e.advertise = e.peer
+	if o.PeerRelay {
+		e.advertise, err = c.StartRelay(o.Name+"-peer", e.peer)
 	}
-	found = entry{name: name, api: api, peer: peer}
-	c.entries = append(c.entries, found)
-	return found, seeds, nil
+	return e, err
 }
 
 // readyPoll is how often readiness is looked at.
--- a/standin/cluster/standins.go
+++ b/standin/cluster/standins.go
@@ -60,8 +60,28 @@
 	return addr, err
 }
 
+// PlatformAddr returns the address of the platform.
+func (c *Cluster) PlatformAddr() string { return c.platform }
+
 // SetVM adds or changes an entry of the platform's list.
-func (c *Cluster) SetVM(vm platform.VM) error { return c.Control("platform", "vms", vm) }
+func (c *Cluster) SetVM(vm platform.VM) error {
+	c.mu.Lock()
+	c.vms[vm.ID] = vm
+	c.mu.Unlock()
+	return c.Control("platform", "vms", vm)
+}
+
+// SetVMState changes the state of an entry of the platform's list.
+func (c *Cluster) SetVMState(id string, state platform.VMState) error {
+	c.mu.Lock()
+	vm, ok := c.vms[id]
+	c.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("no VM %q", id)
+	}
+	vm.State = state
+	return c.SetVM(vm)
+}
 
 // controlTimeout bounds a control call.
 const controlTimeout = 5 * time.Second
--- /dev/null
+++ b/standin/scenario/processes.go
@@ -0,0 +1,92 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rhubarbstall.example/standin/cluster"
+)
+
+// cmdStart starts a process again that was killed or stopped; an entry VM is
+// waited for until it is ready.
+func (w *world) cmdStart(_ *testscript.TestScript, words []string) error {
+	for _, name := range words {
+		start, ok := w.restart[name]
+		if !ok {
+			return fmt.Errorf("no process %q", name)
+		}
+		if err := start(); err != nil {
+			return err
+		}
+		if _, err := w.entry(name); err == nil {
+			ctx, cancel := context.WithTimeout(w.ctx, waitLimit)
+			err := w.cluster.AwaitReady(ctx, name, false)
+			cancel()
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) each(words []string, do func(*cluster.Process) error) error {
+	if len(words) == 0 {
+		return fmt.Errorf("a process is needed")
+	}
+	for _, name := range words {
+		p, err := w.cluster.Process(name)
+		if err != nil {
+			return err
+		}
+		if err := do(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) cmdKill(_ *testscript.TestScript, words []string) error {
+	return w.each(words, func(p *cluster.Process) error { p.Kill(); return nil })
+}
+
+func (w *world) cmdFreeze(_ *testscript.TestScript, words []string) error {
+	return w.each(words, func(p *cluster.Process) error { p.Freeze(); return nil })
+}
+
+func (w *world) cmdThaw(_ *testscript.TestScript, words []string) error {
+	return w.each(words, func(p *cluster.Process) error { p.Thaw(); return nil })
+}
+
+// cmdStop ends processes gracefully. A process that does not end is an error.
+func (w *world) cmdStop(_ *testscript.TestScript, words []string) error {
+	return w.each(words, func(p *cluster.Process) error {
+		p.Terminate()
+		select {
+		case <-p.Exited():
+			return p.Err()
+		case <-time.After(waitLimit):
+			return fmt.Errorf("%s did not end in %v", p.Name, waitLimit)
+		}
+	})
+}
+
+// cmdPause lets time pass.
+func (w *world) cmdPause(_ *testscript.TestScript, words []string) error {
+	if len(words) != 1 {
+		return fmt.Errorf("a duration is needed")
+	}
+	d, err := time.ParseDuration(words[0])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-w.ctx.Done():
+		return w.ctx.Err()
+	}
+}
