--- a/standin/runner/behavior.go
+++ b/standin/runner/behavior.go
@@ -14,6 +14,8 @@
 	Fail bool `json:"fail,omitempty"`
 	// Truncate breaks the connection in the middle of the answer.
 	Truncate bool `json:"truncate,omitempty"`
+	// Misdirect sends the whole answer of another request, under its identity.
+	Misdirect bool `json:"misdirect,omitempty"`
 	// Hang never answers; the slot is free when the sender closes the connection.
 	Hang bool `json:"hang,omitempty"`
 }
--- a/standin/runner/run.go
+++ b/standin/runner/run.go
@@ -38,6 +38,8 @@
 		e.Result = "failed"
 	case b.Truncate:
 		e.Result = "truncated"
+	case b.Misdirect:
+		e.Result = "misdirected"
 	case b.Hang:
 		e.Result = "hung"
 	}
@@ -80,6 +82,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := Answer(body)
+	if result == "misdirected" {
+		answer = Answer(append([]byte("other "), body...))
+		w.Header().Set(wire.HeaderRequestID, "other")
+	}
 	w.Header().Set(wire.HeaderDigest, Digest(answer))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -70,6 +70,10 @@
 	must.NoError(t, err)
 	must.Eq(t, 500, resp.StatusCode)
 	must.Eq(t, "", resp.Header.Get(wire.HeaderNotRun))
+	resp, answer, err := post(t, h.URL, `{"misdirect":true}`)
+	must.NoError(t, err)
+	must.NotEq(t, "q1", resp.Header.Get(wire.HeaderRequestID))
+	must.Eq(t, Digest(answer), resp.Header.Get(wire.HeaderDigest))
 	_, _, err = post(t, h.URL, `{"truncate":true}`)
 	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
--- a/standin/scenario/cluster.go
+++ b/standin/scenario/cluster.go
@@ -48,6 +48,9 @@
 	if w.caller, err = w.cluster.Caller(); err != nil {
 		return err
 	}
+	if len(w.caller.Entries()) == 0 {
+		return nil
+	}
 	document := defaultSettings
 	if text, err := os.ReadFile(ts.MkAbs(settingsFile)); err == nil {
 		document = string(text)
--- a/standin/scenario/expect.go
+++ b/standin/scenario/expect.go
@@ -14,9 +14,9 @@
 	"rhubarbstall.example/standin/check"
 )
 
-// cmdWait waits for the end of a flow, for a job's state, or for a number of
+// cmdAwait waits for the end of a flow, for a job's state, or for a number of
 // running tasks of a job.
-func (w *world) cmdWait(_ *testscript.TestScript, words []string) error {
+func (w *world) cmdAwait(_ *testscript.TestScript, words []string) error {
 	a, err := parse(words, 1)
 	if err != nil {
 		return err
