--- /dev/null
+++ b/standin/cmd/check-history/main.go
@@ -0,0 +1,26 @@
+// Command check-history checks the histories of a run. It prints each violation
+// and exits with 1 if there is one.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"rhubarbstall.example/standin/check"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: check-history DIR")
+		os.Exit(2)
+	}
+	report, err := check.Dir(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "check-history:", err)
+		os.Exit(2)
+	}
+	fmt.Print(report)
+	if !report.OK() {
+		os.Exit(1)
+	}
+}
