--- a/daemon/internal/settingsync/apply_test.go
+++ b/daemon/internal/settingsync/apply_test.go
@@ -277,7 +277,7 @@
 	back, err := decodeRecord(value)
 	must.NoError(t, err)
 	must.Len(t, maxMarks, back.Marks)
-	must.Eq(t, r.document, back.document)
+	must.True(t, bytes.Equal(r.document, back.document))
 }
 
 func (c *cluster) stored() []byte {
