--- a/sched/health/tracker.go
+++ b/sched/health/tracker.go
@@ -143,9 +143,6 @@
 	return workers, jobs, next
 }
 
-// Held returns the number of quarantined workers and of parked jobs.
-func (t *Tracker) Held() (workers, jobs int) { return len(t.heldWorkers), len(t.heldJobs) }
-
 // ProbeLost records that the probe of a job ended without a result; another
 // probe follows after the same delay.
 func (t *Tracker) ProbeLost(now time.Time, job string) {
--- a/sched/ledger/book.go
+++ b/sched/ledger/book.go
@@ -43,9 +43,6 @@
 	}
 }
 
-// Len returns the number of jobs.
-func (b *Book) Len() int { return len(b.jobs) }
-
 // Find returns the attempt in progress that ref names, nil if there is none.
 func (b *Book) Find(ref model.TaskRef) *Run {
 	j := b.jobs[ref.Job]
--- a/sched/queue/entry.go
+++ b/sched/queue/entry.go
@@ -19,14 +19,6 @@
 	queued  bool
 }
 
-// Ready returns the number of tasks that may start now.
-func (e *Entry) Ready() int {
-	if e.Job.Cancelled || e.Job.Parked {
-		return 0
-	}
-	return max(e.Job.Waiting-e.delayed, 0)
-}
-
 // Peek returns the index of the next task, or -1 if none is ready.
 func (e *Entry) Peek(now time.Time) int {
 	if e.Job.Cancelled || e.Job.Parked || e.Job.Waiting == 0 {
--- a/sched/queue/queue.go
+++ b/sched/queue/queue.go
@@ -33,9 +33,6 @@
 	return l, true
 }
 
-// Lanes returns the lanes in order of creation.
-func (q *Queue) Lanes() []*Lane { return q.list }
-
 // Add queues a job at the end of a lane.
 func (q *Queue) Add(l *Lane, j *ledger.Job) *Entry {
 	e := &Entry{Job: j, Lane: l}
--- a/sched/quota/tree.go
+++ b/sched/quota/tree.go
@@ -67,6 +67,3 @@
 		a.update(t.total)
 	}
 }
-
-// Departments returns the departments in order of creation.
-func (t *Tree) Departments() []*Node { return t.list }
