--- a/daemon/internal/membership/list.go
+++ b/daemon/internal/membership/list.go
@@ -32,7 +32,7 @@
 func New(cfg Config) *List {
 	l := &List{
 		cfg:     cfg,
-		log:     cfg.Logger.Named("[membership]"),
+		log:     cfg.Logger,
 		table:   newTable(cfg.Self),
 		calling: make(map[string]bool),
 	}
@@ -72,7 +72,7 @@
 	for {
 		now := time.Now()
 		if late := now.Sub(last) - heartbeatInterval; late > pauseLimit {
-			l.log.Warn("process was paused", zap.Duration("pause", late))
+			l.log.Warn("[membership] process was paused", zap.Duration("pause", late))
 			if l.cfg.OnPause != nil {
 				l.cfg.OnPause(late)
 			}
@@ -100,7 +100,7 @@
 			callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 			defer cancel()
 			if _, err := peer.Call[leave, empty](callCtx, l.cfg.Peers, m.PeerAddr, methodLeave, msg); err != nil {
-				l.log.Info("leave message not delivered", zap.String("member", m.ID), zap.Error(err))
+				l.log.Info("[membership] leave message not delivered", zap.String("member", m.ID), zap.Error(err))
 			}
 		})
 	}
@@ -268,6 +268,6 @@
 
 func (l *List) handleLeave(_ context.Context, _ string, msg *leave) (*empty, error) {
 	l.table.left(time.Now(), msg.ID, msg.Incarnation)
-	l.log.Info("member left", zap.String("member", msg.ID))
+	l.log.Info("[membership] member left", zap.String("member", msg.ID))
 	return &empty{}, nil
 }
--- a/daemon/internal/platform/call.go
+++ b/daemon/internal/platform/call.go
@@ -111,7 +111,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, cl.method, "http://"+addr+cl.target, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, cl.method, addr+cl.target, bytes.NewReader(body))
 	if err != nil {
 		return false, err
 	}
--- a/daemon/internal/platform/client.go
+++ b/daemon/internal/platform/client.go
@@ -57,7 +57,7 @@
 		cfg.Tracer = tracenoop.NewTracerProvider().Tracer("platform")
 	}
 	c := &Client{
-		addrs:   cfg.Addrs,
+		addrs:   baseURLs(cfg.Addrs),
 		writes:  newBudget(cfg.WritesPerSecond),
 		reads:   newBudget(cfg.ReadsPerSecond),
 		slots:   make(chan struct{}, maxInFlight),
--- a/daemon/internal/platform/config.go
+++ b/daemon/internal/platform/config.go
@@ -8,7 +8,7 @@
 
 // Config configures a client.
 type Config struct {
-	// Addrs are the addresses of the service, host:port, tried in order from the
+	// Addrs are the addresses of the service, URLs or host:port, tried in order from the
 	// one that answered last.
 	Addrs []string
 	// WritesPerSecond and ReadsPerSecond give this entry VM's share of the budget.
--- a/daemon/internal/vmlist/poller.go
+++ b/daemon/internal/vmlist/poller.go
@@ -36,7 +36,7 @@
 
 // NewPoller returns a poller without a list.
 func NewPoller(lister Lister, log *zap.Logger) *Poller {
-	return &Poller{lister: lister, log: log.Named("[vmlist]")}
+	return &Poller{lister: lister, log: log}
 }
 
 // VMs implements Source.
@@ -53,7 +53,7 @@
 		err := p.poll(ctx)
 		if (err != nil) != failing {
 			failing = err != nil
-			p.log.Info("platform list reachable", zap.Bool("reachable", !failing), zap.Error(err))
+			p.log.Info("[vmlist] platform list reachable", zap.Bool("reachable", !failing), zap.Error(err))
 		}
 		// The jitter keeps entry VMs that start together from polling together.
 		wait := pollInterval*3/4 + rand.N(pollInterval/2)
