Report ready only after the runner slots are confirmed; wait for the runner list in the demo

Cause: the demo's p99 wait of 773 to 819 ms came from its first second only: entry VMs answered ready before the owners of the zone had confirmed them, and the platform's list had not shown the runners yet. Ruled out: queueing behind the killed entry VM (no slow request after the kill); slow runners (their service time is 15 ms). Conclusion: readiness now includes the join; the rest was the list's lag at a cold start of everything, which the demo waits out.

--- a/daemon/internal/httpapi/server.go
+++ b/daemon/internal/httpapi/server.go
@@ -65,6 +65,10 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case !ok:
 		http.Error(w, "no settings", http.StatusServiceUnavailable)
+	case !s.services.Requests.Ready():
+		// Without this, the balancer would send requests that wait about a second
+		// until the owners of the zone's slots confirmed this entry VM.
+		http.Error(w, "joining", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/daemon/internal/httpapi/services.go
+++ b/daemon/internal/httpapi/services.go
@@ -16,6 +16,8 @@
 	Send(ctx context.Context, req router.Request) (router.Answer, error)
 	Upstreams() []router.UpstreamStatus
 	Queues() []router.QueueStatus
+	// Ready tells whether requests can be dispatched or forwarded.
+	Ready() bool
 }
 
 // JobService runs jobs on workers.
--- a/standin/cmd/demo/start.go
+++ b/standin/cmd/demo/start.go
@@ -4,9 +4,11 @@
 	"context"
 	_ "embed"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbstall.example/api/oas"
 	"rhubarbstall.example/standin/caller"
 	"rhubarbstall.example/standin/cluster"
 )
@@ -65,7 +67,37 @@
 	if _, err := ca.Apply(ctx, document, "first settings"); err != nil {
 		return err
 	}
-	return awaitAll(ctx, c, false)
+	if err := awaitAll(ctx, c, false); err != nil {
+		return err
+	}
+	return awaitUpstreams(ctx, c)
+}
+
+// upstreamPoll is how often the upstreams of an entry VM are looked at.
+const upstreamPoll = 50 * time.Millisecond
+
+// awaitUpstreams waits until every entry VM lists the runners of its zone. All
+// processes start at once here, and the platform's list lags, so the first
+// requests would otherwise measure that lag.
+func awaitUpstreams(ctx context.Context, c *cluster.Cluster) error {
+	for _, e := range c.Entries() {
+		client, err := oas.NewClient("http://" + e.Addr)
+		if err != nil {
+			return err
+		}
+		for {
+			list, err := client.ListUpstreams(ctx)
+			if err == nil && len(list) == runnersPerZone {
+				break
+			}
+			select {
+			case <-time.After(upstreamPoll):
+			case <-ctx.Done():
+				return fmt.Errorf("entry VM %s lists %d of %d runners: %w", e.Name, len(list), runnersPerZone, ctx.Err())
+			}
+		}
+	}
+	return nil
 }
 
 func awaitAll(ctx context.Context, c *cluster.Cluster, anyStatus bool) error {
