Close gaps in the settings tests that mutations showed

Cause: three single-line mutations of adopt, prepare and holdsWatch passed every test, since another check or the slow poll covered for them. Conclusion: trial mutations only; no behaviour changed.

--- a/daemon/internal/settingsync/apply_test.go
+++ b/daemon/internal/settingsync/apply_test.go
@@ -63,6 +63,16 @@
 				}
 			}, 0, 3, 30,
 		},
+		"stored, platform answers old, a peer has it": {
+			func(_ *testing.T, c *cluster, v, o *vm) func([]byte, uint64) (uint64, error) {
+				return func(value []byte, rev uint64) (uint64, error) {
+					_, _ = c.platform.put(value, rev)
+					_, _ = o.read(context.Background())
+					v.store.set(func(s *fakeStore) { s.behind = 1 })
+					return 0, platform.ErrAmbiguous
+				}
+			}, 0, 2, 2,
+		},
 		"another change instead": {
 			func(t *testing.T, _ *cluster, _, o *vm) func([]byte, uint64) (uint64, error) {
 				return func([]byte, uint64) (uint64, error) {
--- a/daemon/internal/settingsync/syncer_test.go
+++ b/daemon/internal/settingsync/syncer_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,6 +145,7 @@
 			first, other := holder(pair)
 			must.False(t, other.holdsWatch())
 			c.set(func() { fault(c, first) })
+			must.Eq(t, name != "holder's watch lost", other.holdsWatch())
 			// The change comes from elsewhere, so that only watches can bring it.
 			c.overwrite(encodeRaw(1, string(document(1))))
 			if name == "holder's watch lost" {
@@ -192,6 +194,28 @@
 	c.allAt(4, again, v2)
 }
 
+// Guards against a lower revision that overtakes a higher one when several
+// sources answer at the same time.
+func TestConcurrentOffers(t *testing.T) {
+	v := newCluster(t).add("vm", "a")
+	var wg sync.WaitGroup
+	for worker := range 8 {
+		wg.Go(func() {
+			for i := range 30 {
+				revision := 1 + (i*7+worker*11)%40
+				before := v.revision()
+				_, _ = v.offer(encodeRaw(uint64(revision), string(document(revision))), 0, fromZone, "peer")
+				must.GreaterEq(t, before, v.revision())
+			}
+		})
+	}
+	wg.Wait()
+	must.Eq(t, 40, v.revision())
+	old := &state{record: record{Revision: 39}}
+	must.False(t, v.adopt(old))
+	must.Eq(t, 40, v.revision())
+}
+
 // Guards against reads of the settings that need the platform.
 func TestReadsWithoutPlatform(t *testing.T) {
 	_, v := single(t)
