--- a/daemon/internal/app/app.go
+++ b/daemon/internal/app/app.go
@@ -14,6 +14,7 @@
 	"rhubarbstall.example/daemon/internal/httpapi"
 	"rhubarbstall.example/daemon/internal/jobs"
 	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/netcount"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/daemon/internal/platform"
 	"rhubarbstall.example/daemon/internal/router"
@@ -61,6 +62,9 @@
 func (a *App) assemble(tel *telemetry.Telemetry) error {
 	meter := otel.Meter("rhubarbstall")
 	tracer := otel.Tracer("rhubarbstall")
+	if err := netcount.Register(meter); err != nil {
+		return err
+	}
 	self := membership.Member{
 		ID:          a.cfg.ID,
 		Zone:        a.cfg.AvailabilityZone,
--- a/daemon/internal/dispatch/http.go
+++ b/daemon/internal/dispatch/http.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"rhubarbstall.example/daemon/internal/netcount"
 	wire "rhubarbstall.example/wire/worker"
 )
 
@@ -36,7 +36,7 @@
 	return &HTTPTransport{
 		tracer: tracer,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         netcount.Dial(netcount.Worker, dialTimeout),
 			MaxConnsPerHost:     4,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     30 * time.Second,
--- /dev/null
+++ b/daemon/internal/netcount/conn.go
@@ -0,0 +1,45 @@
+package netcount
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// conn counts the bytes of a connection.
+type conn struct {
+	net.Conn
+	totals *totals
+}
+
+// Wrap returns a connection whose bytes count for the link.
+func Wrap(l Link, c net.Conn) net.Conn {
+	return &conn{Conn: c, totals: &byLink[l]}
+}
+
+// Dial returns a dial function for a transport. A connection attempt ends after
+// the timeout.
+func Dial(l Link, timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: timeout}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return Wrap(l, c), nil
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.totals.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.totals.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/daemon/internal/netcount/conn_test.go
@@ -0,0 +1,40 @@
+package netcount
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against traffic that is missing from the cost of control, or counted
+// for another link.
+func TestCountsBothDirectionsOfTheLink(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.CopyN(c, c, 5)
+	}()
+	sent0, received0 := Bytes(Platform)
+	other0, _ := Bytes(Worker)
+	c, err := Dial(Platform, time.Second)(t.Context(), "tcp", l.Addr().String())
+	must.NoError(t, err)
+	_, err = c.Write([]byte("hello"))
+	must.NoError(t, err)
+	got, err := io.ReadAll(c)
+	must.NoError(t, err)
+	must.Eq(t, "hello", string(got))
+	sent, received := Bytes(Platform)
+	other, _ := Bytes(Worker)
+	must.Eq(t, int64(5), sent-sent0)
+	must.Eq(t, int64(5), received-received0)
+	must.Eq(t, other0, other)
+}
--- a/daemon/internal/peer/client.go
+++ b/daemon/internal/peer/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -14,6 +13,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"rhubarbstall.example/daemon/internal/netcount"
 )
 
 // ErrNotSent means that no byte of the call left this process.
@@ -31,6 +32,8 @@
 	maxCallsPerPeer = 1024
 )
 
+var dial = netcount.Dial(netcount.Peer, dialTimeout)
+
 // Client calls other entry VMs. It keeps one connection an address and is safe
 // for concurrent use.
 type Client struct {
@@ -163,8 +166,7 @@
 	if cn.client != nil {
 		return cn.client, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", cn.addr)
+	nc, err := dial(ctx, "tcp", cn.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/netcount"
 )
 
 // maxServerCalls bounds the calls that a server handles at a time; a call above
@@ -87,7 +88,7 @@
 		s.track(conn, true)
 		go func() {
 			defer s.track(conn, false)
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeConn(netcount.Wrap(netcount.Peer, conn))
 		}()
 	}
 }
--- a/daemon/internal/platform/client.go
+++ b/daemon/internal/platform/client.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,8 @@
 	"go.opentelemetry.io/otel/trace"
 	tracenoop "go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/netcount"
 )
 
 const (
@@ -65,7 +66,7 @@
 		log:     cfg.Logger,
 		tracer:  cfg.Tracer,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         netcount.Dial(netcount.Platform, dialTimeout),
 			MaxConnsPerHost:     maxConnsPerAddr + maxWatches,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     30 * time.Second,
--- a/daemon/internal/router/conn.go
+++ b/daemon/internal/router/conn.go
@@ -7,10 +7,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rhubarbstall.example/daemon/internal/netcount"
 )
 
 const dialTimeout = time.Second
 
+var dialUpstream = netcount.Dial(netcount.Upstream, dialTimeout)
+
 // errConnLimit means that this entry VM's share of the runner's connections is in use.
 var errConnLimit = errors.New("share of the runner's connections is in use")
 
@@ -47,8 +51,7 @@
 		p.open.Add(-1)
 		return nil, errConnLimit
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, network, addr)
+	conn, err := dialUpstream(ctx, network, addr)
 	if err != nil {
 		p.open.Add(-1)
 		return nil, err
