Measure the cost of control against workers, tasks, starts and requests

Cause: docs/CAPACITY.md must rest on measured slopes of real daemons. Ruled out: a microbenchmark for each message, which leaves out the HTTP and encoding around it; workers as processes, since 400 of them exceed a few hundred processes.

--- /dev/null
+++ b/standin/slope/run.go
@@ -0,0 +1,282 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rhubarbstall.example/api/oas"
+	"rhubarbstall.example/standin/caller"
+	"rhubarbstall.example/standin/cluster"
+	standplatform "rhubarbstall.example/standin/platform"
+)
+
+// Case is one deployment to measure.
+type Case struct {
+	Name    string
+	Entries int
+	Workers int
+	// Tasks is the number of long tasks that run while it is measured.
+	Tasks int
+	// Runners and RequestsPerSecond load the request path.
+	Runners           int
+	RequestsPerSecond int
+	// StartsPerSecond submits jobs of short tasks at this rate of tasks.
+	StartsPerSecond int
+}
+
+// Result is what the daemons of a case used per second.
+type Result struct {
+	Case Case
+	// Scheduler is the zone scheduler, Other an entry VM that is not.
+	Scheduler Sample
+	Other     Sample
+	Seconds   float64
+	// PlatformCalls holds the calls a second by type.
+	PlatformCalls map[string]float64
+	// Requests and Tasks count what ended while it was measured.
+	Requests int64
+}
+
+const (
+	zone = "z1"
+	// settleTime lets start-up work end before the first sample.
+	settleTime = 5 * time.Second
+	// startupLimit bounds the start of a case.
+	startupLimit = 3 * time.Minute
+	// tasksPerJob keeps jobs within the API's limit.
+	tasksPerJob = 2000
+	// burstTasks is the size of the jobs that load the starts.
+	burstTasks = 50
+)
+
+const document = `{
+  "availability_zones": ["z1"],
+  "limits": {"owner_lease_ms": 3000, "task_lease_ms": 60000, "job_retention_ms": 60000},
+  "head_office": {"kinds": {
+    "check": {"urgency": 90, "patience_ms": 2000, "deadline_ms": 10000},
+    "long": {"urgency": 10, "patience_ms": 3600000},
+    "short": {"urgency": 50, "patience_ms": 60000},
+  }},
+}`
+
+// Run starts a case, measures it for the given time, and stops it.
+func Run(ctx context.Context, bin string, cs Case, measure time.Duration) (Result, error) {
+	dir, err := os.MkdirTemp("", "rhubarbstall-slopes-")
+	if err != nil {
+		return Result{}, err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cluster.New(bin, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	defer c.Stop(5 * time.Second)
+	if err := c.StartPlatform("-history", ""); err != nil {
+		return Result{}, err
+	}
+	workers, err := StartWorkers(c, zone, cs.Workers)
+	if err != nil {
+		return Result{}, err
+	}
+	defer workers.Close()
+	if err := start(ctx, c, cs); err != nil {
+		return Result{}, err
+	}
+	return observe(ctx, c, cs, measure)
+}
+
+// start brings the case into its steady state.
+func start(ctx context.Context, c *cluster.Cluster, cs Case) error {
+	ctx, cancel := context.WithTimeout(ctx, startupLimit)
+	defer cancel()
+	for i := range cs.Runners {
+		if err := c.StartRunner(fmt.Sprintf("runner-%d", i), zone, "-service", "check=5ms", "-history", ""); err != nil {
+			return err
+		}
+	}
+	for i := range cs.Entries {
+		if err := c.StartEntry(cluster.EntryOptions{Name: fmt.Sprintf("entry-%d", i), Zone: zone, LogLevel: "warn"}); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries() {
+		if err := c.AwaitReady(ctx, e.Name, false); err != nil {
+			return err
+		}
+	}
+	ca, err := caller.New(c.Entries(), nil)
+	if err != nil {
+		return err
+	}
+	if _, err := ca.Apply(ctx, document, "slopes"); err != nil {
+		return err
+	}
+	if cs.Workers > 0 {
+		if _, err := ca.AwaitZoneScheduler(ctx, zone, ""); err != nil {
+			return err
+		}
+	}
+	for left := cs.Tasks; left > 0; left -= tasksPerJob {
+		if err := runLong(ctx, ca, min(left, tasksPerJob)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+// runLong submits a job of long tasks and waits until all of them run.
+func runLong(ctx context.Context, ca *caller.Caller, tasks int) error {
+	job, err := ca.SubmitUntilAcked(ctx, spec("long", tasks, time.Hour))
+	if err != nil {
+		return err
+	}
+	_, err = ca.AwaitJob(ctx, job.ID, func(j *oas.Job) bool { return j.Counts.Running == tasks })
+	return err
+}
+
+func spec(kind string, tasks int, run time.Duration) *oas.JobSpec {
+	return &oas.JobSpec{
+		Kind: kind, Department: "head_office", Tasks: oas.NewOptInt(tasks),
+		Size: oas.Size{MilliCPU: 500, MemoryMB: 512}, RunMs: oas.NewOptInt64(run.Milliseconds()),
+		IdempotencyKey: oas.NewOptString(fmt.Sprintf("%s-%d", kind, time.Now().UnixNano())),
+	}
+}
+
+// observe samples the daemons before and after the measured time.
+func observe(ctx context.Context, c *cluster.Cluster, cs Case, measure time.Duration) (Result, error) {
+	ca, err := caller.New(c.Entries(), nil)
+	if err != nil {
+		return Result{}, err
+	}
+	before, err := sampleAll(c)
+	if err != nil {
+		return Result{}, err
+	}
+	callsBefore, err := platformCalls(c)
+	if err != nil {
+		return Result{}, err
+	}
+	begin := time.Now()
+	requests := load(ctx, ca, cs, measure)
+	seconds := time.Since(begin).Seconds()
+	after, err := sampleAll(c)
+	if err != nil {
+		return Result{}, err
+	}
+	callsAfter, err := platformCalls(c)
+	if err != nil {
+		return Result{}, err
+	}
+	res := Result{Case: cs, Seconds: seconds, Requests: requests, PlatformCalls: make(map[string]float64)}
+	for call, n := range callsAfter {
+		res.PlatformCalls[call] = float64(n-callsBefore[call]) / seconds
+	}
+	scheduler := schedulerOf(ctx, ca)
+	for name := range after {
+		used := after[name].Since(before[name])
+		if name == scheduler {
+			res.Scheduler = used
+		} else {
+			res.Other = used
+		}
+	}
+	return res, nil
+}
+
+// schedulerOf names the zone scheduler, or nothing if there is none.
+func schedulerOf(ctx context.Context, ca *caller.Caller) string {
+	vms, err := ca.Client(0).ListVMs(ctx)
+	if err != nil {
+		return ""
+	}
+	for _, vm := range vms {
+		if vm.ZoneScheduler.Or(false) {
+			return vm.ID
+		}
+	}
+	return ""
+}
+
+func sampleAll(c *cluster.Cluster) (map[string]Sample, error) {
+	out := make(map[string]Sample)
+	for _, e := range c.Entries() {
+		s, err := Read(e.Addr)
+		if err != nil {
+			return nil, err
+		}
+		out[e.Name] = s
+	}
+	return out, nil
+}
+
+func platformCalls(c *cluster.Cluster) (map[string]uint64, error) {
+	p, err := c.Process("platform")
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.Get(fmt.Sprintf("http://%s/control/counts", p.Ready.Control))
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var counts standplatform.Counts
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		return nil, err
+	}
+	return counts.Calls, nil
+}
+
+// load sends requests and jobs at the case's rates and returns the number of
+// answered requests.
+func load(ctx context.Context, ca *caller.Caller, cs Case, measure time.Duration) int64 {
+	ctx, cancel := context.WithTimeout(ctx, measure)
+	defer cancel()
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	if cs.RequestsPerSecond > 0 {
+		wg.Go(func() {
+			every(ctx, time.Second/time.Duration(cs.RequestsPerSecond), func() {
+				r := caller.Request{Kind: "check", Department: "head_office"}
+				if _, err := ca.Client(ca.Pick()).SendRequest(context.WithoutCancel(ctx), &oas.UpstreamRequest{
+					Kind: r.Kind, Department: r.Department, Body: []byte("x"),
+				}); err == nil {
+					answered.Add(1)
+				}
+			})
+		})
+	}
+	if cs.StartsPerSecond > 0 {
+		wg.Go(func() {
+			every(ctx, time.Second*burstTasks/time.Duration(cs.StartsPerSecond), func() {
+				_, _ = ca.Client(ca.Pick()).SubmitJob(context.WithoutCancel(ctx), spec("short", burstTasks, time.Second))
+			})
+		})
+	}
+	<-ctx.Done()
+	wg.Wait()
+	return answered.Load()
+}
+
+// every calls f in its own goroutine at an interval until ctx ends, and waits
+// for the calls.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			wg.Go(f)
+		}
+	}
+}
