Read the VM list by zone and only when it changed; send digests from one member

Cause: the whole VM list was read each second by each entry VM, 46 KB/s with 400 workers and 1.7 MB/s worked out for 14,000; each heartbeat round of each member carried a digest of every member. Ruled out: a longer poll interval, which the 3 s target for leaving upstreams forbids; HTTP entity tags alone, since any change elsewhere would still transfer the whole fleet. The member that speaks for its zone sends the digests of other zones, heartbeats to other zones slow down with the number of zones, and a digest to another zone covers the own zone only. Addresses of the own zone that a seed knows are tried, since digests no longer reach every member.

--- a/daemon/internal/app/app.go
+++ b/daemon/internal/app/app.go
@@ -81,7 +81,7 @@
 		Meter:           meter,
 		Tracer:          tracer,
 	})
-	a.vms = vmlist.NewPoller(a.store, tel.Logger)
+	a.vms = vmlist.NewPoller(a.store, self.Zone, tel.Logger)
 	a.members = membership.New(membership.Config{
 		Self:    self,
 		Seeds:   a.cfg.Seeds,
--- a/daemon/internal/membership/list.go
+++ b/daemon/internal/membership/list.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/daemon/internal/peer"
-	"rhubarbstall.example/daemon/internal/rendezvous"
 	wire "rhubarbstall.example/wire/platform"
 )
 
@@ -25,7 +23,13 @@
 	// calling holds the addresses with a heartbeat in progress, so that a frozen
 	// member holds one goroutine only.
 	calling map[string]bool
-	round   uint64
+	// hints holds addresses of members of the own zone that others know.
+	hints map[string]bool
+
+	// The times of the last rounds; only Run uses them.
+	digestAt time.Time
+	remoteAt time.Time
+	retryAt  time.Time
 }
 
 // New registers the peer methods and returns a list that knows only this entry VM.
@@ -35,6 +39,7 @@
 		log:     cfg.Logger,
 		table:   newTable(cfg.Self),
 		calling: make(map[string]bool),
+		hints:   make(map[string]bool),
 	}
 	peer.Handle(cfg.Server, methodHeartbeat, l.handleHeartbeat)
 	peer.Handle(cfg.Server, methodLeave, l.handleLeave)
@@ -114,66 +119,27 @@
 		l.table.applyVMList(now, vms)
 	}
 	l.table.refresh(now)
-	l.round++
-	remote := l.round%uint64(remoteInterval/heartbeatInterval) == 1
-	for _, addr := range l.targets(remote) {
-		l.send(ctx, addr, remote)
+	plan := l.plan(now)
+	for _, addr := range plan.zone {
+		l.send(ctx, addr, plan.digest, false)
 	}
-}
-
-// targets returns the addresses of this round: every member of the own zone,
-// and in a remote round one member of each other zone if this entry VM is the
-// one that speaks for its zone, and the addresses that are not known yet.
-func (l *List) targets(remote bool) []string {
-	self := l.cfg.Self
-	var out []string
-	known := map[string]bool{self.PeerAddr: true}
-	zones := make(map[string][]string)
-	addrs := make(map[string]string)
-	for _, m := range l.Members() {
-		if m.ID == self.ID {
-			zones[m.Zone] = append(zones[m.Zone], m.ID)
-			continue
-		}
-		known[m.PeerAddr] = true
-		if m.State == Dead || m.State == Left {
-			// The address is tried in remote rounds, since a replacement may use it.
-			if remote {
-				out = append(out, m.PeerAddr)
-			}
-			continue
-		}
-		if m.Zone == self.Zone {
-			out = append(out, m.PeerAddr)
-		}
-		if m.State == Alive || m.Zone != self.Zone {
-			zones[m.Zone] = append(zones[m.Zone], m.ID)
-			addrs[m.ID] = m.PeerAddr
-		}
-	}
-	if !remote {
-		return out
-	}
-	speaker := rendezvous.Owner("speaker", zones[self.Zone]) == self.ID
-	for zone, ids := range zones {
-		if zone == self.Zone || !speaker {
-			continue
-		}
-		// A random member of the zone, so that a dead one is passed over in time.
-		out = append(out, addrs[ids[rand.IntN(len(ids))]])
+	for _, addr := range plan.remote {
+		l.send(ctx, addr, nil, true)
 	}
-	for _, addr := range l.candidates() {
-		if !known[addr] {
-			known[addr] = true
-			out = append(out, addr)
-		}
+	for _, addr := range plan.unknown {
+		l.send(ctx, addr, nil, true)
 	}
-	return out
 }
 
-// candidates returns the peer addresses from the settings and the platform's list.
+// candidates returns the peer addresses from the settings, the platform's list
+// and the digests of members of the own zone.
 func (l *List) candidates() []string {
 	out := append([]string(nil), l.cfg.Seeds...)
+	l.mu.Lock()
+	for addr := range l.hints {
+		out = append(out, addr)
+	}
+	l.mu.Unlock()
 	vms, _ := l.cfg.VMs.VMs()
 	for _, vm := range vms {
 		if vm.Role == wire.RoleEntry {
@@ -184,7 +150,7 @@
 }
 
 // send starts one heartbeat call unless one to the address is in progress.
-func (l *List) send(ctx context.Context, addr string, digest bool) {
+func (l *List) send(ctx context.Context, addr string, digest []info, wantDigest bool) {
 	l.mu.Lock()
 	busy := l.calling[addr]
 	l.calling[addr] = true
@@ -198,15 +164,18 @@
 			delete(l.calling, addr)
 			l.mu.Unlock()
 		}()
-		l.exchange(ctx, addr, digest)
+		l.exchange(ctx, addr, digest, wantDigest)
 	}()
 }
 
-func (l *List) exchange(ctx context.Context, addr string, digest bool) {
+func (l *List) exchange(ctx context.Context, addr string, digest []info, wantDigest bool) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	msg := l.message(digest)
-	msg.WantDigest = digest
+	if wantDigest {
+		msg.WantDigest = true
+		msg.Digest = l.zoneDigest()
+	}
 	reply, err := peer.Call[heartbeat, heartbeat](ctx, l.cfg.Peers, addr, methodHeartbeat, msg)
 	switch {
 	case err == nil:
@@ -220,21 +189,27 @@
 	}
 }
 
-// message builds a heartbeat. A digest covers every member, so that the answer
-// of one member tells about its whole zone.
-func (l *List) message(digest bool) *heartbeat {
-	now := time.Now()
-	self := l.Self()
-	msg := &heartbeat{Sender: toInfo(now, self)}
-	if !digest {
-		return msg
-	}
+// message builds a heartbeat.
+func (l *List) message(digest []info) *heartbeat {
+	return &heartbeat{Sender: toInfo(time.Now(), l.Self()), Digest: digest}
+}
+
+// zoneDigest tells of the other members of the own zone. A heartbeat to another
+// zone and its answer carry one each, so that two members exchange their zones.
+func (l *List) zoneDigest() []info {
+	return l.digest(time.Now(), func(m Member) bool { return m.Zone == l.cfg.Self.Zone })
+}
+
+// digest describes the members that keep accepts. A suspect one is left out,
+// since its last news are old.
+func (l *List) digest(now time.Time, keep func(Member) bool) []info {
+	var out []info
 	for _, m := range l.Members() {
-		if m.ID != self.ID && m.State != Suspect {
-			msg.Digest = append(msg.Digest, toInfo(now, m))
+		if m.ID != l.cfg.Self.ID && m.State != Suspect && keep(m) {
+			out = append(out, toInfo(now, m))
 		}
 	}
-	return msg
+	return out
 }
 
 func toInfo(now time.Time, m Member) info {
@@ -251,19 +226,36 @@
 	now := time.Now()
 	l.table.heard(now, msg.Sender, 0)
 	for _, in := range msg.Digest {
-		// Members of the own zone are judged by their own heartbeats only.
 		if in.Zone != l.cfg.Self.Zone {
 			l.table.heard(now, in, time.Duration(in.AgeMillis)*time.Millisecond)
+			continue
 		}
+		// Members of the own zone are judged by their own heartbeats only; their
+		// address is worth a try.
+		l.hint(in.PeerAddr)
 	}
 	if m, ok := l.table.get(msg.Sender.ID); ok && l.cfg.OnHeard != nil {
 		l.cfg.OnHeard(m)
 	}
 }
 
+// hint keeps an address for the next try of unknown addresses.
+func (l *List) hint(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.hints) >= maxHints {
+		clear(l.hints)
+	}
+	l.hints[addr] = true
+}
+
 func (l *List) handleHeartbeat(_ context.Context, _ string, msg *heartbeat) (*heartbeat, error) {
 	l.accept(msg)
-	return l.message(msg.WantDigest), nil
+	reply := l.message(nil)
+	if msg.WantDigest {
+		reply.Digest = l.zoneDigest()
+	}
+	return reply, nil
 }
 
 func (l *List) handleLeave(_ context.Context, _ string, msg *leave) (*empty, error) {
--- a/daemon/internal/membership/member.go
+++ b/daemon/internal/membership/member.go
@@ -27,18 +27,19 @@
 	Report    Report
 }
 
-// Report is what an entry VM tells about itself in each heartbeat.
+// Report is what an entry VM tells about itself in each heartbeat. Its JSON names
+// are short, since heartbeats are most of the idle traffic between entry VMs.
 type Report struct {
 	// SettingsRevision is the highest settings revision that the member has.
-	SettingsRevision uint64
+	SettingsRevision uint64 `json:"rev,omitempty"`
 	// FreeSlots is the number of upstream slots that the member owns and does not use.
-	FreeSlots int
+	FreeSlots int `json:"free,omitempty"`
 	// QueuedRequests is the number of requests that wait for a slot.
-	QueuedRequests int
+	QueuedRequests int `json:"queue,omitempty"`
 	// SchedulerEpoch is above zero if the member is the zone scheduler.
-	SchedulerEpoch uint64
+	SchedulerEpoch uint64 `json:"epoch,omitempty"`
 	// Draining tells that the member takes no new work.
-	Draining bool
+	Draining bool `json:"drain,omitempty"`
 	// PlatformReachable tells whether the member's last platform call succeeded.
-	PlatformReachable bool
+	PlatformReachable bool `json:"plat,omitempty"`
 }
--- a/daemon/internal/membership/table.go
+++ b/daemon/internal/membership/table.go
@@ -123,14 +123,19 @@
 func (t *table) refresh(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	remoteLimit := remoteSuspectRounds * t.remoteInterval()
 	for id, r := range t.members {
+		limit := remoteLimit
+		if r.Zone == t.self.Zone {
+			limit = suspectAfter
+		}
 		switch r.State {
 		case Alive:
-			if now.Sub(r.LastHeard) > t.silenceLimit(r) {
+			if now.Sub(r.LastHeard) > limit {
 				r.State = Suspect
 			}
 		case Suspect:
-			if now.Sub(r.LastHeard) <= t.silenceLimit(r) {
+			if now.Sub(r.LastHeard) <= limit {
 				r.State = Alive
 			}
 		case Dead, Left:
@@ -144,11 +149,14 @@
 	}
 }
 
-func (t *table) silenceLimit(r *record) time.Duration {
-	if r.Zone == t.self.Zone {
-		return suspectAfter
+// remoteInterval returns the time between heartbeats to each other zone. The
+// caller holds the lock.
+func (t *table) remoteInterval() time.Duration {
+	zones := make(map[string]bool)
+	for _, r := range t.members {
+		zones[r.Zone] = true
 	}
-	return remoteSuspectAfter
+	return max(minRemoteInterval, time.Duration(len(zones))*remoteIntervalPerZone)
 }
 
 // applyVMList takes the platform's list as a hint: it adds nothing, and it ends
@@ -176,6 +184,13 @@
 	t.listed = listed
 }
 
+// remotePace is remoteInterval for callers without the lock.
+func (t *table) remotePace() time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.remoteInterval()
+}
+
 func (t *table) setReport(r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/daemon/internal/platform/kv.go
+++ b/daemon/internal/platform/kv.go
@@ -89,7 +89,27 @@
 
 // VMs returns the platform's list of VMs.
 func (c *Client) VMs(ctx context.Context) ([]wire.VM, error) {
-	var resp wire.VMList
-	err := c.do(ctx, call{op: "vms", method: http.MethodGet, target: wire.PathVMs}, &resp)
-	return resp.VMs, err
+	list, err := c.ListVMs(ctx, wire.VMQuery{})
+	return list.VMs, err
+}
+
+// ListVMs returns the selected part of the platform's list of VMs.
+func (c *Client) ListVMs(ctx context.Context, q wire.VMQuery) (wire.VMList, error) {
+	params := url.Values{}
+	if q.AvailabilityZone != "" {
+		params.Set(wire.ParamZone, q.AvailabilityZone)
+	}
+	if q.Role != "" {
+		params.Set(wire.ParamRole, string(q.Role))
+	}
+	if q.Revision != 0 {
+		params.Set(wire.ParamRevision, strconv.FormatUint(q.Revision, 10))
+	}
+	target := wire.PathVMs
+	if len(params) > 0 {
+		target += "?" + params.Encode()
+	}
+	var list wire.VMList
+	err := c.do(ctx, call{op: "vms", method: http.MethodGet, target: target}, &list)
+	return list, err
 }
--- a/standin/platform/routes.go
+++ b/standin/platform/routes.go
@@ -135,8 +135,14 @@
 	reply(w, http.StatusOK, struct{}{})
 }
 
-func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, wire.VMList{VMs: s.vms.list()})
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
+	params := r.URL.Query()
+	revision, _ := strconv.ParseUint(params.Get(wire.ParamRevision), 10, 64)
+	reply(w, http.StatusOK, s.vms.query(wire.VMQuery{
+		AvailabilityZone: params.Get(wire.ParamZone),
+		Role:             wire.VMRole(params.Get(wire.ParamRole)),
+		Revision:         revision,
+	}))
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +46,25 @@
 	v.pending = append(v.pending, c)
 }
 
+// query returns the selected VMs. The revision is a digest of them, so that
+// changes elsewhere do not count.
+func (v *vmList) query(q wire.VMQuery) wire.VMList {
+	var vms []wire.VM
+	digest := fnv.New64a()
+	for _, vm := range v.list() {
+		if (q.AvailabilityZone != "" && vm.AvailabilityZone != q.AvailabilityZone) || (q.Role != "" && vm.Role != q.Role) {
+			continue
+		}
+		vms = append(vms, vm)
+		fmt.Fprintf(digest, "%+v", vm)
+	}
+	revision := digest.Sum64()
+	if q.Revision == revision {
+		return wire.VMList{Revision: revision, Unchanged: true}
+	}
+	return wire.VMList{Revision: revision, VMs: vms}
+}
+
 func (v *vmList) list() []wire.VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/wire/platform/vm.go
+++ b/wire/platform/vm.go
@@ -29,7 +29,26 @@
 	State            VMState `json:"state"`
 }
 
-// VMList answers GET /v1/vms.
+// VMQuery selects VMs; an empty field selects all. Revision is that of the list
+// that the sender has, zero if none.
+type VMQuery struct {
+	AvailabilityZone string
+	Role             VMRole
+	Revision         uint64
+}
+
+// Names of the query parameters of GET /v1/vms. A service that knows none of
+// them answers the whole list.
+const (
+	ParamZone     = "availability_zone"
+	ParamRole     = "role"
+	ParamRevision = "revision"
+)
+
+// VMList answers GET /v1/vms. Revision changes with the selected VMs. With
+// Unchanged set, VMs is empty and the list of the given revision is still current.
 type VMList struct {
-	VMs []VM `json:"vms"`
+	Revision  uint64 `json:"revision,omitempty"`
+	Unchanged bool   `json:"unchanged,omitempty"`
+	VMs       []VM   `json:"vms,omitempty"`
 }
