Fail the check if a history is missing; run the scripts against the daemon

A demo run printed a table with no events and passed, because its temporary directory had been removed by another process during the run. The check now needs the history of every stand-in that was started.

--- a/standin/check/check_test.go
+++ b/standin/check/check_test.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Guards against a run that passes because its histories are gone.
+func TestMissingHistory(t *testing.T) {
+	dir := t.TempDir()
+	_, err := Dir(dir)
+	must.ErrorContains(t, err, "no histories")
+	_, err = Dir(dir, "w1")
+	must.ErrorContains(t, err, "history of w1 is missing")
+}
+
 // other gives the event another task.
 func other(e history.Event) history.Event {
 	ref := *e.Ref
--- a/standin/check/report.go
+++ b/standin/check/report.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -98,11 +100,21 @@
 	return r
 }
 
-// Dir checks the history files of a directory.
-func Dir(dir string) (*Report, error) {
+// Dir checks the history files of a directory. The history of each named process
+// must be there, since a check without it would find nothing.
+func Dir(dir string, processes ...string) (*Report, error) {
+	for _, name := range processes {
+		path := filepath.Join(dir, name+".jsonl")
+		if info, err := os.Stat(path); err != nil || info.Size() == 0 {
+			return nil, fmt.Errorf("history of %s is missing", name)
+		}
+	}
 	events, err := history.ReadDir(dir)
 	if err != nil {
 		return nil, err
 	}
+	if len(events) == 0 {
+		return nil, fmt.Errorf("no histories in %s", dir)
+	}
 	return Run(events), nil
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rhubarbstall.example/standin/caller"
+	"rhubarbstall.example/standin/check"
 	"rhubarbstall.example/standin/history"
 	"rhubarbstall.example/wire/platform"
 )
@@ -118,6 +119,21 @@
 	_ = c.History.Close()
 }
 
+// CheckHistory checks the histories of the processes that write one. It is
+// called after Stop.
+func (c *Cluster) CheckHistory() (*check.Report, error) {
+	var names []string
+	c.mu.Lock()
+	for name := range c.byName {
+		if !slices.ContainsFunc(c.entries, func(e entry) bool { return e.name == name }) {
+			names = append(names, name)
+		}
+	}
+	c.mu.Unlock()
+	slices.Sort(names)
+	return check.Dir(c.HistoryDir(), names...)
+}
+
 func (c *Cluster) isEntry(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"time"
 
-	"rhubarbstall.example/standin/check"
 	"rhubarbstall.example/standin/cluster"
 )
 
@@ -54,7 +53,7 @@
 	if err != nil {
 		return false, err
 	}
-	report, err := check.Dir(c.HistoryDir())
+	report, err := c.CheckHistory()
 	if err != nil {
 		return false, err
 	}
--- a/standin/cmd/sim-relay/main.go
+++ b/standin/cmd/sim-relay/main.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	defer h.Close()
+	h.Write(history.Event{Type: history.ProcessStarted, Role: "relay"})
 	links := make(map[string]*relay.Link)
 	for _, spec := range specs {
 		name, ends, ok1 := strings.Cut(spec, "=")
--- a/standin/scenario/expect.go
+++ b/standin/scenario/expect.go
@@ -213,7 +213,7 @@
 func (w *world) cmdCheckHistory(ts *testscript.TestScript, words []string) error {
 	w.lookAtJobs()
 	w.stop()
-	report, err := check.Dir(w.cluster.HistoryDir())
+	report, err := w.cluster.CheckHistory()
 	if err != nil {
 		return err
 	}
--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -34,8 +34,13 @@
 	}())
 }
 
+// Guards against a harness that does not start, fault or check the stand-ins.
+func TestStandIns(t *testing.T) {
+	testscript.Run(t, Params(bin, "testdata/standins"))
+}
+
 // Guards against a deployment that breaks a promise when its parts fail; each
 // script says which.
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, Params(bin, "testdata/standins"))
+	testscript.Run(t, Params(bin, "testdata/daemon"))
 }
