--- a/standin/caller/settings.go
+++ b/standin/caller/settings.go
@@ -22,6 +22,21 @@
 	}
 }
 
+// ApplyEverywhere applies a settings document and waits until it is in force on
+// every entry VM.
+func (c *Caller) ApplyEverywhere(ctx context.Context, document, comment string) error {
+	revision, err := c.Apply(ctx, document, comment)
+	if err != nil {
+		return err
+	}
+	for i := range c.entries {
+		if _, err := c.AwaitRevision(ctx, i, revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ApplyVia applies a settings document once through an entry VM.
 func (c *Caller) ApplyVia(ctx context.Context, entry int, document, comment string) (int64, error) {
 	// An entry VM without settings may refuse the read; the first revision is then expected to be 0.
