--- /dev/null
+++ b/standin/caller/vms.go
@@ -0,0 +1,35 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rhubarbstall.example/api/oas"
+)
+
+// AwaitVMs waits until every entry VM counts a number of entry VMs as alive.
+func (c *Caller) AwaitVMs(ctx context.Context, want int) error {
+	for i, e := range c.entries {
+		for {
+			alive := 0
+			known, err := c.clients[i].ListVMs(ctx)
+			if err == nil {
+				for _, vm := range known {
+					if vm.State == oas.VMStateAlive {
+						alive++
+					}
+				}
+			}
+			if alive >= want {
+				break
+			}
+			select {
+			case <-time.After(inForcePoll):
+			case <-ctx.Done():
+				return fmt.Errorf("entry VM %s counts %d of %d entry VMs as alive", e.Name, alive, want)
+			}
+		}
+	}
+	return nil
+}
--- a/standin/cmd/demo/start.go
+++ b/standin/cmd/demo/start.go
@@ -68,6 +68,9 @@
 	if err := awaitAll(ctx, c, false); err != nil {
 		return err
 	}
+	if err := ca.AwaitVMs(ctx, len(c.Entries())); err != nil {
+		return err
+	}
 	return ca.AwaitUpstreams(ctx, runnersPerZone)
 }
 
--- a/standin/scenario/cluster.go
+++ b/standin/scenario/cluster.go
@@ -138,7 +138,7 @@
 }
 
 // settle applies the settings and waits until every entry VM is ready and knows
-// the runners of its zone.
+// the others and the runners of its zone.
 func (w *world) settle(document string, runners int) error {
 	ctx, cancel := context.WithTimeout(w.ctx, waitLimit)
 	defer cancel()
@@ -155,6 +155,9 @@
 	if err := w.awaitReady(ctx, false); err != nil {
 		return err
 	}
+	if err := quiet.AwaitVMs(ctx, len(w.cluster.Entries())); err != nil {
+		return err
+	}
 	return quiet.AwaitUpstreams(ctx, runners)
 }
 
--- a/standin/scenario/promises_test.go
+++ b/standin/scenario/promises_test.go
@@ -54,3 +54,6 @@
 
 // Guards against a zone that stops working when it loses contact with another.
 func TestP9ZonesCut(t *testing.T) { runDaemon(t, "p9-zones-cut") }
+
+// Guards against slots of a runner that two entry VMs use while their owner changes.
+func TestP1EntryJoins(t *testing.T) { runDaemon(t, "p1-entry-joins") }
