once: record requests that must run at most once

A claim is written by compare-and-swap before the first byte leaves; a claim without an outcome is never taken over, unless its living claimant says that it gave it up. Ruled out: pruning claims by age alone, since a frozen claimant could still send after the key was claimed again; waiting for the outcome's write before the answer, since a slow platform would delay every caller.

--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -118,9 +118,8 @@
 	if f, ok := u.health.flights[g.flight]; ok && o == Answered {
 		r.learn(c.class.Kind, now.Sub(f.at))
 	}
-	// An attempt that never reached the runner says nothing about it.
-	if res.err == nil && o == NotRun {
-		delete(u.health.flights, g.flight)
+	if o == NotRun && !res.left && !res.refused {
+		u.health.cancel(g.flight)
 	} else {
 		u.health.end(now, g.flight, o, res.refused)
 	}
--- a/daemon/internal/router/call.go
+++ b/daemon/internal/router/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rhubarbstall.example/daemon/internal/once"
 	"rhubarbstall.example/sched/admission"
 )
 
@@ -33,9 +34,9 @@
 	// notAfter is the wall clock time after which no attempt of a request that
 	// must not be repeated may start; zero is no bound.
 	notAfter time.Time
-	// guard is called right before the first byte of an attempt may leave. An
-	// error stops the attempt.
-	guard func() error
+	// claim is the right to send a request that must not be repeated. It is set
+	// at the first entry VM only.
+	claim *once.Claim
 
 	ticket *admission.Ticket
 	grant  chan grant
--- a/daemon/internal/router/drain.go
+++ b/daemon/internal/router/drain.go
@@ -6,8 +6,9 @@
 	"go.uber.org/zap"
 )
 
-// Drain takes no new requests and waits until those in progress have ended. If
-// the context ends first it returns the context's error; nothing is cut off.
+// Drain takes no new requests and waits until those in progress have ended
+// and their outcomes are stored. If the context ends first it returns the
+// context's error; nothing is cut off.
 func (r *Router) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	r.mu.Lock()
@@ -19,7 +20,7 @@
 	r.log.Info("[router] draining", zap.Int("in_progress", active))
 	select {
 	case <-done:
-		return nil
+		return r.once.Drain(ctx)
 	case <-ctx.Done():
 		r.mu.Lock()
 		active = r.active
--- a/daemon/internal/router/exchange.go
+++ b/daemon/internal/router/exchange.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -84,7 +84,7 @@
 		return result{
 			evidence: evidence{left: trace.left()},
 			err:      fmt.Errorf("runner %s: %w", u.id, err),
-			refused:  errors.Is(err, syscall.ECONNREFUSED),
+			refused:  dialFailed(err),
 		}
 	}
 	defer resp.Body.Close()
@@ -98,6 +98,13 @@
 	return res
 }
 
+// dialFailed tells that no connection could be made, for a reason that lies
+// with the runner. A refusal proves that no process listens there.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !errors.Is(err, context.Canceled)
+}
+
 // readAnswer accepts an answer only if its length, digest and request identity
 // match.
 func readAnswer(resp *http.Response, id string) result {
--- a/daemon/internal/router/health.go
+++ b/daemon/internal/router/health.go
@@ -100,8 +100,14 @@
 	}
 }
 
-// end notes the end of a request. Refused tells that the port refused the
-// connection. A runner that did not run a request because it is full is
+// cancel forgets a request that never reached the runner.
+func (h *health) cancel(id uint64) {
+	delete(h.flights, id)
+	h.probing = false
+}
+
+// end notes the end of a request. Refused tells that no connection could be
+// made. A runner that did not run a request because it is full is
 // healthy; it gets a smaller limit but is not ejected.
 func (h *health) end(now time.Time, id uint64, o Outcome, refused bool) {
 	f := h.flights[id]
--- a/daemon/internal/router/outcome.go
+++ b/daemon/internal/router/outcome.go
@@ -68,6 +68,6 @@
 	err error
 	// leaving tells that the runner said that it takes no new work.
 	leaving bool
-	// refused tells that the runner's port refused the connection.
+	// refused tells that no connection to the runner could be made.
 	refused bool
 }
--- a/daemon/internal/router/router.go
+++ b/daemon/internal/router/router.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/once"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/sched/admission"
 	"rhubarbstall.example/settings"
@@ -27,6 +28,7 @@
 	joinGrace time.Duration
 	metrics   *metrics
 	policies  policies
+	once      *once.Keeper
 
 	mu        sync.Mutex
 	ctl       *admission.Controller
@@ -49,6 +51,9 @@
 // New returns a router and registers its methods with the peer server. It uses
 // no slot until Run has made this entry VM known to the owners of the zone.
 func New(cfg Config) *Router {
+	if cfg.Self.Incarnation == 0 {
+		cfg.Self.Incarnation = cfg.View.Self().Incarnation
+	}
 	r := &Router{
 		cfg:       cfg,
 		log:       cfg.Logger,
@@ -62,6 +67,10 @@
 	}
 	r.join = newJoinState(r.now())
 	r.metrics = newMetrics(cfg.Meter, r)
+	r.once = once.New(once.Config{
+		Self: cfg.Self, View: cfg.View, VMs: cfg.VMs, Store: cfg.Store, Peers: cfg.Peers, Server: cfg.Server,
+		Retention: r.retention, Logger: cfg.Logger, Meter: cfg.Meter,
+	})
 	peer.Handle(cfg.Server, methodJoin, r.handleJoin)
 	peer.Handle(cfg.Server, methodForward, r.handleForward)
 	return r
@@ -102,6 +111,14 @@
 	}
 }
 
+func (r *Router) retention() time.Duration {
+	doc, _, ok := r.cfg.Settings.Current()
+	if !ok {
+		return defaultKeyRetention
+	}
+	return keyRetention(doc)
+}
+
 func (r *Router) closeUpstreams() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/internal/router/send.go
+++ b/daemon/internal/router/send.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/once"
 	"rhubarbstall.example/sched/admission"
 	"rhubarbstall.example/settings"
 )
@@ -57,7 +58,48 @@
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	c := r.newCall(req, p, deadline)
-	return r.run(ctx, c, doc)
+	if c.noRepeat {
+		return r.sendOnce(ctx, c, req, doc)
+	}
+	return r.run(ctx, ctx, c, doc)
+}
+
+// sendOnce runs a request that must not be repeated under a claim on its key.
+// Once it is sent it runs on without its caller, so that its outcome is known
+// to a second submission.
+func (r *Router) sendOnce(ctx context.Context, c *call, req Request, doc *settings.Document) (Answer, error) {
+	if req.IdempotencyKey == "" {
+		return Answer{}, codes.KeyMissing.With("a request that must not be repeated needs an idempotency key",
+			codes.WithOutcome(codes.OutcomeNotRun))
+	}
+	r.mu.Lock()
+	refusal := r.ctl.Check(r.now(), c.class)
+	r.mu.Unlock()
+	if refusal != nil {
+		// A claim costs the platform two writes, so it is not made in vain.
+		return Answer{}, refusalError(refusal)
+	}
+	claim, recorded, err := r.once.Claim(ctx, req.Department, req.IdempotencyKey, req.Kind, req.Body)
+	if err != nil {
+		return Answer{}, err
+	}
+	if recorded != nil {
+		return Answer{Body: recorded.Body, Upstream: recorded.Upstream, Zone: recorded.Zone, Repeated: true}, nil
+	}
+	c.claim, c.notAfter = claim, claim.NotAfter()
+	deadline, _ := ctx.Deadline()
+	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	answer, err := r.run(ctx, attemptCtx, c, doc)
+	switch {
+	case err == nil:
+		claim.Answered(once.Answer{Body: answer.Body, Upstream: answer.Upstream, Zone: answer.Zone})
+	case codes.OutcomeOf(err) == codes.OutcomeNotRun:
+		claim.Release()
+	default:
+		claim.Unknown()
+	}
+	return answer, err
 }
 
 // requestDeadline returns the time for the whole request: that of the caller,
@@ -99,8 +141,9 @@
 	}
 }
 
-// run tries a request until it has an answer or may not be tried again.
-func (r *Router) run(ctx context.Context, c *call, doc *settings.Document) (Answer, error) {
+// run tries a request until it has an answer or may not be tried again. The
+// waits end with ctx, the attempts with attemptCtx.
+func (r *Router) run(ctx, attemptCtx context.Context, c *call, doc *settings.Document) (Answer, error) {
 	r.mu.Lock()
 	r.budget.Request(r.now())
 	r.mu.Unlock()
@@ -110,7 +153,7 @@
 			return Answer{}, c.end(err)
 		}
 		wait := r.now().Sub(c.arrived)
-		res := r.attempt(ctx, c, g)
+		res := r.attempt(attemptCtx, c, g)
 		o := res.outcome()
 		r.metrics.attempt(ctx, c.class.Kind, g, o)
 		if o == Answered {
@@ -126,7 +169,7 @@
 		c.mayHaveRun = c.mayHaveRun || o == Unknown
 		r.settle(c, g, res)
 		if !r.mayRetry(c, o, res, retryPercent(doc)) || !pause(ctx, c.retries) {
-			return Answer{}, c.end(attemptError(ctx, o, res))
+			return Answer{}, c.end(attemptError(attemptCtx, o, res))
 		}
 	}
 }
@@ -142,15 +185,23 @@
 
 // attempt runs one attempt on the granted slot or peer.
 func (r *Router) attempt(ctx context.Context, c *call, g grant) result {
-	if c.guard != nil {
-		if err := c.guard(); err != nil {
-			return result{err: err}
-		}
-	}
 	if !c.notAfter.IsZero() && r.now().Round(0).After(c.notAfter) {
 		return result{err: codes.WaitedTooLong.With("this entry VM was paused for too long before it sent the request",
 			codes.WithOutcome(codes.OutcomeNotRun))}
 	}
+	if c.claim != nil {
+		if err := c.claim.Dispatch(); err != nil {
+			return result{err: err}
+		}
+	}
+	res := r.dispatch(ctx, c, g)
+	if c.claim != nil && res.outcome() == NotRun && !res.left {
+		c.claim.Retract()
+	}
+	return res
+}
+
+func (r *Router) dispatch(ctx context.Context, c *call, g grant) result {
 	if g.peer != nil {
 		return r.forward(ctx, c, g)
 	}
