router: test forwarding, slot moves, frozen entry VMs and the retry budget

Cause: a race between the heartbeat's update of a peer and a forward that read it was found by the race detector; a grant now carries a copy of the member.

--- a/daemon/internal/router/call.go
+++ b/daemon/internal/router/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rhubarbstall.example/daemon/internal/membership"
 	"rhubarbstall.example/daemon/internal/once"
 	"rhubarbstall.example/sched/admission"
 )
@@ -48,8 +49,9 @@
 	upstream *upstream
 	slot     int
 	flight   uint64
-	// peer is set for a forward.
-	peer *peerState
+	// peer is set for a forward, and member is the peer as it was then.
+	peer   *peerState
+	member membership.Member
 	// queue allows the forward to wait at the peer.
 	queue bool
 	// expired tells that the call waited too long.
--- a/daemon/internal/router/forward.go
+++ b/daemon/internal/router/forward.go
@@ -52,7 +52,7 @@
 
 // forward runs one attempt at another entry VM.
 func (r *Router) forward(ctx context.Context, c *call, g grant) result {
-	m := g.peer.member
+	m := g.member
 	ctx, span := r.cfg.Tracer.Start(ctx, "forward", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("peer.id", m.ID), attribute.String("peer.zone", m.Zone)))
 	defer span.End()
--- /dev/null
+++ b/daemon/internal/router/forward_test.go
@@ -0,0 +1,172 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/membership"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// Guards against more than 8 requests at a time on a runner while several
+// entry VMs share it, and against callers that get another request's answer.
+func TestSlotsAreNeverOverfilled(t *testing.T) {
+	c := newCell(t)
+	slow := func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		echo(w, req)
+	}
+	runners := []*runner{c.runner("r1", "z", slow), c.runner("r2", "z", slow)}
+	nodes := []*node{c.node("a", "z"), c.node("b", "z"), c.node("c", "z")}
+	c.settled()
+	owned := 0
+	for _, n := range nodes {
+		owned += n.FreeSlots()
+	}
+	must.Eq(t, 2*wire.Slots, owned)
+	var wg sync.WaitGroup
+	forwarded := 0
+	var mu sync.Mutex
+	for i := range 300 {
+		// Most callers reach one entry VM, which has to forward.
+		n := nodes[min(i%6, 2)]
+		wg.Go(func() {
+			a, err := n.Send(t.Context(), request("check"))
+			must.NoError(t, err)
+			must.Eq(t, "ran "+a.RequestID, string(a.Body))
+			must.LessEq(t, maxHops, a.Hops)
+			mu.Lock()
+			defer mu.Unlock()
+			forwarded += min(a.Hops, 1)
+		})
+		if i%20 == 0 {
+			c.beat()
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	wg.Wait()
+	must.Positive(t, forwarded)
+	for _, r := range runners {
+		must.LessEq(t, wire.Slots, r.most.Load())
+	}
+}
+
+// Guards against a zone without runners that refuses although another one is free.
+func TestOtherZoneServesWhenOwnCannot(t *testing.T) {
+	c := newCell(t)
+	c.runner("r", "far", echo)
+	a := c.node("a", "near")
+	c.node("b", "far")
+	c.node("b2", "far")
+	c.settled()
+	for range 10 {
+		answer, err := a.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Eq(t, "far", answer.Zone)
+		must.Positive(t, answer.Hops)
+		must.LessEq(t, maxHops, answer.Hops)
+	}
+}
+
+// frozen accepts connections and never answers, as a stopped process does.
+func frozen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// Guards against a request that may be repeated and waits its whole deadline on
+// a frozen entry VM, and against slots that move away from one without proof.
+func TestFrozenPeer(t *testing.T) {
+	c := newCell(t)
+	r := c.runner("r", "z", echo)
+	a, b := c.node("a", "z"), c.node("b", "z")
+	c.settled()
+	free := a.FreeSlots()
+	must.Less(t, wire.Slots, free)
+	// The other entry VM freezes: its port takes calls and answers nothing.
+	b.stop()
+	delete(c.nodes, "b")
+	addr := frozen(t)
+	c.setMember("b", func(m *membership.Member) { m.PeerAddr, m.LastHeard, m.Report.FreeSlots = addr, time.Now(), 8 })
+	a.mu.Lock()
+	a.refresh(time.Now())
+	p := a.pickPeer(false)
+	must.NotNil(t, p)
+	g := grant{peer: p, member: p.member}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	time.AfterFunc(100*time.Millisecond, func() {
+		c.setMember("b", func(m *membership.Member) { m.State = membership.Suspect })
+	})
+	start := time.Now()
+	res := a.forward(ctx, &call{id: "x", class: a.newCall(request("check"), policy{}, time.Second).class}, g)
+	must.Eq(t, Unknown, res.outcome())
+	must.Less(t, 2*time.Second, time.Since(start))
+	time.Sleep(2 * tick)
+	must.Eq(t, free, a.FreeSlots())
+	answer, err := a.Send(t.Context(), request("check"))
+	must.NoError(t, err)
+	must.Eq(t, 0, answer.Hops)
+	c.setMember("b", func(m *membership.Member) { m.State = membership.Dead })
+	c.eventually("slots of the dead entry VM moved", func() bool { return a.FreeSlots() == wire.Slots })
+	must.Positive(t, r.runs.Load())
+}
+
+// Guards against a newcomer that uses a slot on which the old owner still has a
+// request in flight.
+func TestNewcomerWaitsForBusySlots(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
+		<-release
+		echo(w, req)
+	})
+	a := c.node("a", "z")
+	c.settled()
+	var wg sync.WaitGroup
+	for range wire.Slots {
+		wg.Go(func() { _, _ = a.Send(t.Context(), request("check")) })
+	}
+	c.eventually("all slots busy", func() bool { return r.inFlight.Load() == wire.Slots })
+	b := c.node("b", "z")
+	c.eventually("newcomer joined", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.join.joined
+	})
+	time.Sleep(3 * tick)
+	must.Eq(t, 0, b.FreeSlots())
+	close(release)
+	wg.Wait()
+	c.eventually("newcomer got its slots", func() bool { return b.FreeSlots() > 0 && a.FreeSlots()+b.FreeSlots() == wire.Slots })
+}
+
+// Guards against retries that multiply over hops or exceed the budget while
+// every runner fails.
+func TestRetryBudgetHoldsAcrossHops(t *testing.T) {
+	c := newCell(t)
+	deny := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(wire.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r := c.runner("r", "z", deny)
+	nodes := []*node{c.node("a", "z"), c.node("b", "z")}
+	c.settled()
+	const n = 100
+	for i := range n {
+		_, err := nodes[i%2].Send(t.Context(), request("check"))
+		must.Eq(t, codes.OutcomeNotRun, codes.OutcomeOf(err), must.Sprintf("error: %v", err))
+	}
+	// Each entry VM has 10% and a burst of 3.
+	must.LessEq(t, n+n/10+2*3, r.runs.Load())
+}
--- a/daemon/internal/router/pump.go
+++ b/daemon/internal/router/pump.go
@@ -72,18 +72,18 @@
 		return grant{}, false
 	}
 	if p := r.pickPeer(false); p != nil {
-		return grant{peer: p}, true
+		return grant{peer: p, member: p.member}, true
 	}
 	if own > 0 || c.hops > 0 {
 		return grant{}, false
 	}
 	if r.zoneHasRunners() {
 		if p := r.pickQueueing(); p != nil {
-			return grant{peer: p, queue: true}, true
+			return grant{peer: p, member: p.member, queue: true}, true
 		}
 	}
 	if p := r.pickPeer(true); p != nil {
-		return grant{peer: p, queue: true}, true
+		return grant{peer: p, member: p.member, queue: true}, true
 	}
 	return grant{}, false
 }
