--- a/daemon/internal/once/claim.go
+++ b/daemon/internal/once/claim.go
@@ -77,16 +77,11 @@
 	c.finish(phaseUnknown, nil, &outcomeOp{key: c.key, claim: c.id, state: stateUnknown, at: c.keeper.now().UnixMilli()})
 }
 
-// Release removes the claim of a request that was not run, so that the key can
-// be used again. A claim whose request was sent stays and counts as unknown.
+// Release removes the claim of a request that is proved not to have run, so
+// that the key can be used again. That is the case if no byte left, or if the
+// runner said that it did not run the request. The claim cannot be dispatched
+// afterwards.
 func (c *Claim) Release() {
-	c.mu.Lock()
-	sent := c.phase == phaseSent
-	c.mu.Unlock()
-	if sent {
-		c.Unknown()
-		return
-	}
 	c.finish(phaseReleased, nil, &releaseOp{key: c.key, claim: c.id})
 }
 
--- a/daemon/internal/once/keeper_test.go
+++ b/daemon/internal/once/keeper_test.go
@@ -145,8 +145,8 @@
 	must.Eq(t, "done", string(answer.Body))
 }
 
-// Guards against a second dispatch of one claim, and against a claim whose
-// request was sent being released as not run.
+// Guards against a second dispatch of one claim, also after it was released,
+// and against an unknown outcome that a later call turns into not run.
 func TestOneDispatchEver(t *testing.T) {
 	f := newFixture(t)
 	a := f.keeper("a")
@@ -156,10 +156,15 @@
 	must.Error(t, c.Dispatch())
 	c.Retract()
 	must.NoError(t, c.Dispatch())
+	c.Unknown()
 	c.Release()
 	f.drained(a)
 	_, _, err = claim(f, a, "key", "body")
 	must.Eq(t, codes.OutcomeUnknown, codes.Of(err))
+	c, _, err = claim(f, a, "key2", "body")
+	must.NoError(t, err)
+	c.Release()
+	must.Error(t, c.Dispatch())
 }
 
 // Guards against a released key that stays blocked, and against a key that is
