--- /dev/null
+++ b/daemon/internal/router/health_test.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/daemon/internal/membership"
+	wireplatform "rhubarbstall.example/wire/platform"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// send sends n requests, eight at a time, and returns the number of answers.
+func send(n *node, count int) (answers int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	limit := make(chan struct{}, wire.Slots)
+	for range count {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			if _, err := n.Send(n.cell.t.Context(), request("check")); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answers++
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (n *node) upstream(id string) UpstreamStatus {
+	for _, u := range n.Upstreams() {
+		if u.ID == id {
+			return u
+		}
+	}
+	return UpstreamStatus{}
+}
+
+func (r *runner) answer(h http.HandlerFunc) { r.handler.Store(&h) }
+
+// Guards against new work for a runner that is leaving, by each of the three
+// ways in which an entry VM learns of it.
+func TestLeavingRunnerGetsNoNewWork(t *testing.T) {
+	for name, leave := range map[string]func(c *cell, r *runner){
+		"header": func(_ *cell, r *runner) {
+			r.answer(func(w http.ResponseWriter, req *http.Request) {
+				w.Header().Set(wire.HeaderState, wire.StateLeaving)
+				echo(w, req)
+			})
+		},
+		"list": func(c *cell, r *runner) {
+			c.list(wireplatform.VM{ID: "r1", Role: wireplatform.RoleRunner, AvailabilityZone: "z", Addr: r.Listener.Addr().String(), State: wireplatform.VMLeaving})
+		},
+		"refused connection": func(_ *cell, r *runner) { r.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t)
+			r := c.runner("r1", "z", echo)
+			other := c.runner("r2", "z", echo)
+			n := c.node("a", "z")
+			c.settled()
+			leave(c, r)
+			c.eventually("runner is out of use", func() bool {
+				must.Eq(t, 4, send(n, 4))
+				return n.upstream("r1").State != "live"
+			})
+			runs := r.runs.Load()
+			before := other.runs.Load()
+			must.Eq(t, 40, send(n, 40))
+			must.Eq(t, runs, r.runs.Load())
+			must.Eq(t, before+40, other.runs.Load())
+		})
+	}
+}
+
+// Guards against a runner that fails fast and so attracts the work, and against
+// one that never comes back after it recovered.
+func TestFastFailingRunnerIsEjectedAndReturns(t *testing.T) {
+	c := newCell(t)
+	bad := c.runner("bad", "z", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
+	c.runner("good", "z", func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		echo(w, req)
+	})
+	n := c.node("a", "z")
+	c.settled()
+	const count = 200
+	answers := send(n, count)
+	must.Less(t, 30, bad.runs.Load(), must.Sprintf("requests on the failing runner"))
+	must.Greater(t, count-20, answers)
+	must.Eq(t, "ejected", n.upstream("bad").State)
+	bad.answer(echo)
+	c.eventually("runner returned", func() bool {
+		send(n, 4)
+		return n.upstream("bad").State == "live"
+	})
+}
+
+// Guards against a runner that takes requests and answers nothing: it must not
+// collect them, and those that may be repeated must run elsewhere.
+func TestBlackHoleRunnerIsEjected(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	hole := c.runner("hole", "z", echo)
+	c.runner("good", "z", echo)
+	n := c.node("a", "z")
+	c.settled()
+	must.Eq(t, 20, send(n, 20))
+	hole.answer(func(_ http.ResponseWriter, req *http.Request) {
+		select {
+		case <-release:
+		case <-req.Context().Done():
+		}
+	})
+	defer close(release)
+	before := hole.runs.Load()
+	answers := send(n, 200)
+	must.LessEq(t, int64(wire.Slots), hole.runs.Load()-before)
+	must.GreaterEq(t, 200-int(wire.Slots), answers)
+	must.Eq(t, "ejected", n.upstream("hole").State)
+}
+
+// Guards against an in-flight limit that does not follow a full runner down and
+// a recovered one up.
+func TestLimitAdapts(t *testing.T) {
+	h := newHealth()
+	now := time.Now()
+	for i := range uint64(6) {
+		h.begin(now, i, 0)
+		h.end(now, i, NotRun, false)
+	}
+	must.Eq(t, 1, h.room(now, 0))
+	must.False(t, h.ejected())
+	for i := range uint64(60) {
+		h.begin(now, i, 0)
+		h.end(now, i, Answered, false)
+	}
+	must.Eq(t, wire.Slots, h.room(now, 0))
+}
+
+// Guards against more connections to a runner than it accepts from all entry
+// VMs together.
+func TestConnectionsAreShared(t *testing.T) {
+	c := newCell(t)
+	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(time.Millisecond)
+		echo(w, req)
+	})
+	for i := range 6 {
+		c.node(string(rune('a'+i)), "z")
+	}
+	c.settled()
+	var wg sync.WaitGroup
+	for _, n := range c.nodes {
+		n.mu.Lock()
+		must.Eq(t, wire.MaxConnections/6, n.byID["r"].pool.limit.Load())
+		n.mu.Unlock()
+		wg.Go(func() { send(n, 50) })
+	}
+	wg.Wait()
+	must.LessEq(t, int64(wire.MaxConnections), r.conns.Load())
+	must.LessEq(t, int64(wire.Slots), r.most.Load())
+}
+
+// Guards against a shutdown that cuts off requests in progress or takes new ones.
+func TestDrainWaitsForRequests(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
+		<-release
+		echo(w, req)
+	})
+	n := c.node("a", "z")
+	c.settled()
+	answers := make(chan int)
+	go func() { answers <- send(n, 12) }()
+	c.eventually("slots busy", func() bool { return r.inFlight.Load() == wire.Slots })
+	drained := make(chan error)
+	go func() { drained <- n.Drain(t.Context()) }()
+	c.eventually("draining", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.draining
+	})
+	select {
+	case <-drained:
+		t.Fatal("drained with requests in progress")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	must.NoError(t, <-drained)
+	// The eight that were in progress are answered; the four that came later are not.
+	must.Eq(t, wire.Slots, <-answers)
+	must.Eq(t, membership.Alive, n.cfg.Self.State)
+}
--- a/sched/admission/flood_test.go
+++ b/sched/admission/flood_test.go
@@ -115,6 +115,9 @@
 		_, _ = c.Offer(now, checks, time.Time{})
 		if t := c.Next(now, nil); t != nil {
 			c.Done(now.Add(time.Millisecond), t, true)
+			if t.queue.class.Kind == plans.Kind {
+				_, _ = c.Offer(now, t.queue.class, time.Time{})
+			}
 		}
 	}
 }
