Add the operators' client

Cause: operators need one command for settings, jobs, requests, workers and views. Ruled out: a second server after a call that may have been sent, since a request could run twice; a connection counts as sent, so only a failed dial moves a changing call on. After: subcommands over the generated client, exit codes by group of result codes, JSON for programs; scripts run them against an in-process server. Found by the scripts: cobra's own errors for an unknown command and for exclusive flags ended with exit code 1; both now count as mistakes (2). Conclusion: not yet run against a real daemon.

--- a/cli/cmd/rhubarbstall/main.go
+++ b/cli/cmd/rhubarbstall/main.go
@@ -1,4 +1,10 @@
 // Command rhubarbstall is the operators' client.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"rhubarbstall.example/cli/command"
+)
+
+func main() { os.Exit(command.Main()) }
--- /dev/null
+++ b/cli/command/exit.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/codes"
+)
+
+// Exit codes. A numbered result gives its group times ten.
+const (
+	exitOK = 0
+	// exitFailure is any error without a number, for example a file that cannot
+	// be read.
+	exitFailure = 1
+	exitMistake = 2
+	// exitNotSent means that no server could be reached, or a call that only
+	// reads got no answer.
+	exitNotSent = 3
+	// exitUnknown means that a call that changes something got no answer.
+	exitUnknown = 4
+	// exitJobEnded means that a watched job ended otherwise than succeeded.
+	exitJobEnded = 60
+)
+
+const exitCodesText = `Exit codes:
+
+   0  success
+   1  an error without a number, for example a file that cannot be read
+   2  a mistake in the command line; nothing was sent
+   3  no server could be reached, or a call that only reads got no answer
+   4  a call that changes something got no answer and may have been carried out
+  10  results 1xxx: the input is wrong
+  20  results 2xxx: refused by admission or a limit; nothing was run
+  30  results 3xxx: the outcome of the request is not a whole answer
+  40  results 4xxx: the state of the system does not allow it now
+  50  results 5xxx: the settings were refused
+  60  a watched job ended otherwise than succeeded
+  90  results 9xxx: a fault of rhubarbstall itself
+
+docs/result-codes.md lists the results.`
+
+func newExitCodes() *cobra.Command {
+	return &cobra.Command{
+		Use:   "exit-codes",
+		Short: "List the exit codes of this client",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), exitCodesText)
+			return err
+		},
+	}
+}
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var m *mistake
+	var p *problem
+	var n *noAnswer
+	var j *jobEnded
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &m):
+		return exitMistake
+	case errors.As(err, &j):
+		return exitJobEnded
+	case errors.As(err, &p):
+		return exitOf(codes.Code(p.Code))
+	case errors.As(err, &n):
+		if n.sent && n.writes {
+			return exitUnknown
+		}
+		return exitNotSent
+	default:
+		return exitFailure
+	}
+}
+
+func exitOf(code codes.Code) int {
+	group := int(code) / 1000
+	if group < 1 || group > 9 {
+		return exitFailure
+	}
+	return group * 10
+}
--- /dev/null
+++ b/cli/command/jobs_cancel.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+func newJobsCancel(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "cancel JOB",
+		Short: "Cancel a job; nothing of it starts after the answer",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, list []string) error {
+			job, err := call(cmd.Context(), a, writes, func(ctx context.Context, c *oas.Client) (*oas.Job, error) {
+				return c.CancelJob(ctx, oas.CancelJobParams{ID: list[0]})
+			})
+			if err != nil {
+				return err
+			}
+			return a.printJob(job)
+		},
+	}
+}
--- /dev/null
+++ b/cli/command/jobs_list.go
@@ -0,0 +1,73 @@
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+// pageSize is the largest page that the API gives.
+const pageSize = 1000
+
+func newJobsList(a *app) *cobra.Command {
+	var department, state string
+	var limit int
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the jobs of the server's availability zone",
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if limit < 1 {
+				return &mistake{"--limit must be above zero"}
+			}
+			var params oas.ListJobsParams
+			if department != "" {
+				params.Department = oas.NewOptString(department)
+			}
+			if state != "" {
+				params.State = oas.NewOptJobState(oas.JobState(state))
+			}
+			jobs, more, err := a.listJobs(cmd.Context(), params, limit)
+			if err != nil {
+				return err
+			}
+			t := &table{header: jobHeader, empty: "no jobs"}
+			for _, j := range jobs {
+				addJob(t, j)
+			}
+			if err := a.print(jobs, t); err != nil {
+				return err
+			}
+			if more {
+				a.note("there are more jobs; raise --limit")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&department, "department", "", "only jobs of this department")
+	cmd.Flags().StringVar(&state, "state", "", "only jobs in this state")
+	cmd.Flags().IntVar(&limit, "limit", 100, "largest number of jobs")
+	return cmd
+}
+
+// listJobs reads page by page, up to limit jobs. more tells whether there are others.
+func (a *app) listJobs(ctx context.Context, params oas.ListJobsParams, limit int) (jobs []oas.Job, more bool, err error) {
+	jobs = []oas.Job{}
+	for {
+		params.Limit = oas.NewOptInt(min(pageSize, limit-len(jobs)))
+		page, err := call(ctx, a, reads, func(ctx context.Context, c *oas.Client) (*oas.JobPage, error) {
+			return c.ListJobs(ctx, params)
+		})
+		if err != nil {
+			return nil, false, err
+		}
+		jobs = append(jobs, page.Jobs...)
+		next, ok := page.Next.Get()
+		if !ok || next == "" || len(page.Jobs) == 0 || len(jobs) >= limit {
+			return jobs, ok && next != "", nil
+		}
+		params.After = oas.NewOptString(next)
+	}
+}
--- /dev/null
+++ b/cli/command/jobs_watch.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+// maxMissedReads is how many reads in a row may fail while a job is watched, so
+// that the replacement of one entry VM does not end the watch.
+const maxMissedReads = 5
+
+func newJobsWatch(a *app) *cobra.Command {
+	var interval time.Duration
+	cmd := &cobra.Command{
+		Use:   "watch JOB",
+		Short: "Print a line for each change of a job until it ends",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, list []string) error {
+			if interval <= 0 {
+				return &mistake{"--interval must be above zero"}
+			}
+			return a.watchJob(cmd.Context(), list[0], interval)
+		},
+	}
+	cmd.Flags().DurationVar(&interval, "interval", time.Second, "time between two reads")
+	return cmd
+}
+
+func (a *app) watchJob(ctx context.Context, id string, interval time.Duration) error {
+	last, missed := "", 0
+	for {
+		job, err := a.job(ctx, id)
+		var n *noAnswer
+		if errors.As(err, &n) && ctx.Err() == nil && missed < maxMissedReads {
+			missed++
+		} else if err != nil {
+			return err
+		} else {
+			missed = 0
+			if line := a.jobLine(job); line != last {
+				last = line
+				if _, err := fmt.Fprintln(a.env.Stdout, line); err != nil {
+					return err
+				}
+			}
+			if ended, err := endOf(job); ended {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (a *app) jobLine(j *oas.Job) string {
+	if a.output == outputJSON {
+		text, _ := json.Marshal(j)
+		return string(text)
+	}
+	line := fmt.Sprintf("%s %s, tasks %s", j.ID, j.State, taskSummary(*j))
+	if m := j.Message.Or(""); m != "" {
+		line += ": " + m
+	}
+	return line
+}
+
+// endOf tells whether a job has ended, and returns an error unless it succeeded.
+func endOf(j *oas.Job) (bool, error) {
+	switch j.State {
+	case oas.JobStatePending, oas.JobStateRunning:
+		return false, nil
+	case oas.JobStateSucceeded:
+		return true, nil
+	default:
+		return true, &jobEnded{id: j.ID, state: j.State}
+	}
+}
--- /dev/null
+++ b/cli/command/jobs_why.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+func newJobsWhy(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "why JOB",
+		Short: "Say what a job waits for",
+		Args:  args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, list []string) error {
+			why, err := call(cmd.Context(), a, reads, func(ctx context.Context, c *oas.Client) (*oas.Why, error) {
+				return c.ExplainJob(ctx, oas.ExplainJobParams{ID: list[0]})
+			})
+			if err != nil {
+				return err
+			}
+			if a.output == outputJSON {
+				return a.printJSON(why)
+			}
+			if _, err := fmt.Fprintln(a.env.Stdout, why.Sentence); err != nil || len(why.Rejected) == 0 {
+				return err
+			}
+			t := &table{header: []string{"FILTER", "REJECTED WORKERS"}}
+			for _, r := range why.Rejected {
+				t.add(r.Filter, r.Workers)
+			}
+			return a.print(nil, t)
+		},
+	}
+}
--- /dev/null
+++ b/cli/command/list.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+// listing describes a subcommand that prints one list.
+type listing[T any] struct {
+	use, short, empty string
+	header            []string
+	fetch             func(*oas.Client, context.Context) ([]T, error)
+	row               func(*table, T)
+}
+
+func (l listing[T]) command(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   l.use,
+		Short: l.short,
+		Args:  args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			items, err := call(cmd.Context(), a, reads, func(ctx context.Context, c *oas.Client) ([]T, error) {
+				return l.fetch(c, ctx)
+			})
+			if err != nil {
+				return err
+			}
+			t := &table{header: l.header, empty: l.empty}
+			for _, item := range items {
+				l.row(t, item)
+			}
+			return a.print(items, t)
+		},
+	}
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/cli/command/output.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+)
+
+// Values of --output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// table is the form of a result for people.
+type table struct {
+	header []string
+	rows   [][]string
+	// empty is printed instead of a table without rows.
+	empty string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = fmt.Sprint(c)
+	}
+	t.rows = append(t.rows, row)
+}
+
+// print writes value as JSON or t as a table.
+func (a *app) print(value any, t *table) error {
+	if a.output == outputJSON {
+		return a.printJSON(value)
+	}
+	if len(t.rows) == 0 && t.empty != "" {
+		_, err := fmt.Fprintln(a.env.Stdout, t.empty)
+		return err
+	}
+	w := tabwriter.NewWriter(a.env.Stdout, 0, 0, 2, ' ', 0)
+	if len(t.header) > 0 {
+		if _, err := fmt.Fprintln(w, strings.Join(t.header, "\t")); err != nil {
+			return err
+		}
+	}
+	for _, row := range t.rows {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func (a *app) printJSON(value any) error {
+	e := json.NewEncoder(a.env.Stdout)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+// note writes a line for people to the error output; programs do not get it.
+func (a *app) note(format string, args ...any) {
+	if a.output != outputJSON {
+		_, _ = fmt.Fprintf(a.env.Stderr, format+"\n", args...)
+	}
+}
--- /dev/null
+++ b/cli/command/settings_explain.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+func newSettingsExplain(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain DEPARTMENT KIND",
+		Short:   "Show each effective value of a kind in a department and where it comes from",
+		Example: "  rhubarbstall settings explain head_office/regina checks",
+		Args:    args(cobra.ExactArgs(2)),
+		RunE: func(cmd *cobra.Command, list []string) error {
+			values, err := call(cmd.Context(), a, reads, func(ctx context.Context, c *oas.Client) ([]oas.EffectiveValue, error) {
+				return c.ExplainSettings(ctx, oas.ExplainSettingsParams{Department: list[0], Kind: list[1]})
+			})
+			if err != nil {
+				return err
+			}
+			t := &table{header: []string{"FIELD", "VALUE", "SET BY"}}
+			for _, v := range values {
+				t.add(v.Field, v.Value, v.Source)
+			}
+			return a.print(values, t)
+		},
+	}
+}
--- /dev/null
+++ b/cli/command/vms.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"github.com/spf13/cobra"
+
+	"rhubarbstall.example/api/oas"
+)
+
+func newVMs(a *app) *cobra.Command {
+	return listing[oas.VM]{
+		use: "vms", short: "List the entry VMs that the server knows", empty: "no entry VMs",
+		header: []string{"VM", "AVAILABILITY ZONE", "STATE", "SETTINGS", "ROLE"},
+		fetch:  (*oas.Client).ListVMs,
+		row: func(t *table, v oas.VM) {
+			role := "-"
+			if v.ZoneScheduler.Or(false) {
+				role = "zone scheduler"
+			}
+			id := v.ID
+			if v.Self.Or(false) {
+				id += " (this one)"
+			}
+			t.add(id, v.AvailabilityZone, v.State, v.SettingsRevision, role)
+		},
+	}.command(a)
+}
