--- a/daemon/internal/settingsync/syncer_test.go
+++ b/daemon/internal/settingsync/syncer_test.go
@@ -216,6 +216,38 @@
 	must.Eq(t, 40, v.revision())
 }
 
+// Guards against heartbeats that carry a higher revision without effect, also
+// when the first peer that reports it does not answer.
+func TestHeartbeatsAlone(t *testing.T) {
+	c := newCluster(t)
+	vms := []*vm{c.add("vm-0", "a"), c.add("vm-1", "a"), c.add("vm-2", "b"), c.add("vm-3", "b")}
+	c.run(vms[1:]...)
+	c.allAt(0, vms[1:]...)
+	for _, v := range vms {
+		down(v)
+	}
+	for _, id := range []string{"vm-0", "vm-1"} {
+		// A revision that came from a peer of the zone is not sent on.
+		_, err := c.vm(id).offer(encodeRaw(7, string(document(7))), 0, fromZone, "test")
+		must.NoError(t, err)
+	}
+	c.set(func() { c.cut["vm-0"] = true })
+	c.allAt(7, vms...)
+}
+
+// Guards against more than the last 64 change markers, or others than the last.
+func TestHistoryKeepsLastMarkers(t *testing.T) {
+	_, v := single(t)
+	for n := uint64(1); n < 70; n++ {
+		mustApply(t, v, n, int(n)+1)
+	}
+	marks, err := v.History(context.Background())
+	must.NoError(t, err)
+	must.Len(t, maxMarks, marks)
+	must.Eq(t, 70, marks[0].Revision)
+	must.Eq(t, 7, marks[maxMarks-1].Revision)
+}
+
 // Guards against reads of the settings that need the platform.
 func TestReadsWithoutPlatform(t *testing.T) {
 	_, v := single(t)
