--- a/daemon/internal/settingsync/metrics.go
+++ b/daemon/internal/settingsync/metrics.go
@@ -5,6 +5,8 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
 )
 
 // instruments holds the metrics of a Syncer.
@@ -14,22 +16,19 @@
 	errors  metric.Int64Counter
 }
 
-func newInstruments(m metric.Meter, s *Syncer) (*instruments, error) {
-	var in instruments
-	var err error
-	if in.adopted, err = m.Int64Counter("rhubarbstall.settings.adopted",
-		metric.WithDescription("Revisions taken into force, by origin.")); err != nil {
-		return nil, err
+// newInstruments creates the metrics. The meter reports its own errors; an
+// instrument that it could not create does nothing, and the settings work on.
+func newInstruments(m metric.Meter, s *Syncer) *instruments {
+	var fallback noop.Int64Counter
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := m.Int64Counter(name, metric.WithDescription(description))
+		if err != nil {
+			s.log.Warn("[settings] metric is not available", zap.String("metric", name), zap.Error(err))
+			return fallback
+		}
+		return c
 	}
-	if in.refused, err = m.Int64Counter("rhubarbstall.settings.refused",
-		metric.WithDescription("Records kept out, by reason.")); err != nil {
-		return nil, err
-	}
-	if in.errors, err = m.Int64Counter("rhubarbstall.settings.errors",
-		metric.WithDescription("Failed platform and peer calls, by call.")); err != nil {
-		return nil, err
-	}
-	_, err = m.Int64ObservableGauge("rhubarbstall.settings.revision",
+	_, err := m.Int64ObservableGauge("rhubarbstall.settings.revision",
 		metric.WithDescription("Settings revision in force."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			if _, revision, ok := s.Current(); ok {
@@ -37,7 +36,14 @@
 			}
 			return nil
 		}))
-	return &in, err
+	if err != nil {
+		s.log.Warn("[settings] metric is not available", zap.String("metric", "rhubarbstall.settings.revision"), zap.Error(err))
+	}
+	return &instruments{
+		adopted: counter("rhubarbstall.settings.adopted", "Revisions taken into force, by origin."),
+		refused: counter("rhubarbstall.settings.refused", "Records kept out, by reason."),
+		errors:  counter("rhubarbstall.settings.errors", "Failed platform and peer calls, by call."),
+	}
 }
 
 func (in *instruments) countAdopted(o origin) {
--- a/daemon/internal/settingsync/syncer.go
+++ b/daemon/internal/settingsync/syncer.go
@@ -35,7 +35,7 @@
 }
 
 // New returns a Syncer and registers its peer methods. Run starts it.
-func New(cfg Config) (*Syncer, error) {
+func New(cfg Config) *Syncer {
 	s := &Syncer{
 		cfg:      cfg.withDefaults(),
 		refusals: newRefusals(),
@@ -43,12 +43,9 @@
 		applying: make(chan struct{}, 1),
 	}
 	s.log = s.cfg.Logger
-	var err error
-	if s.metrics, err = newInstruments(s.cfg.Meter, s); err != nil {
-		return nil, err
-	}
+	s.metrics = newInstruments(s.cfg.Meter, s)
 	s.register()
-	return s, nil
+	return s
 }
 
 // Run follows the settings until ctx ends.
