--- a/cli/command/jobs_list.go
+++ b/cli/command/jobs_list.go
@@ -49,6 +49,8 @@
 	cmd.Flags().StringVar(&department, "department", "", "only jobs of this department")
 	cmd.Flags().StringVar(&state, "state", "", "only jobs in this state")
 	cmd.Flags().IntVar(&limit, "limit", 100, "largest number of jobs")
+	_ = cmd.RegisterFlagCompletionFunc("state", cobra.FixedCompletions(
+		[]string{"pending", "running", "succeeded", "failed", "cancelled", "parked", "unknown"}, cobra.ShellCompDirectiveNoFileComp))
 	return cmd
 }
 
--- a/cli/command/no_answer.go
+++ b/cli/command/no_answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/url"
 )
 
 // noAnswer is a call without a usable answer.
@@ -17,6 +18,10 @@
 
 func (n *noAnswer) Error() string {
 	reason := n.err.Error()
+	var transport *url.Error
+	if errors.As(n.err, &transport) {
+		reason = transport.Err.Error()
+	}
 	if errors.Is(n.err, context.DeadlineExceeded) {
 		reason = "no answer in time"
 	}
--- a/cli/command/request.go
+++ b/cli/command/request.go
@@ -10,6 +10,10 @@
 	"rhubarbstall.example/api/oas"
 )
 
+// maxRequestTime is above the largest deadline that the API accepts. It applies
+// if neither --deadline nor --timeout says how long to wait.
+const maxRequestTime = 11 * time.Minute
+
 // requestFlags holds the flags of `request`.
 type requestFlags struct {
 	kind, department, body, file, key string
@@ -31,6 +35,9 @@
 			if err := excludeFlags(cmd, "body", "file"); err != nil {
 				return err
 			}
+			if f.deadline == 0 && !cmd.Flags().Changed("timeout") {
+				a.timeout = maxRequestTime
+			}
 			return a.sendRequest(cmd.Context(), f)
 		},
 	}
--- a/cli/command/script_test.go
+++ b/cli/command/script_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"testing"
@@ -29,6 +31,12 @@
 			env.Setenv("FIRST", server.URL)
 			env.Setenv("SECOND", second.URL)
 			env.Setenv("CLOSED", closedAddr())
+			balancer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/html")
+				w.WriteHeader(http.StatusBadGateway)
+			}))
+			env.Defer(balancer.Close)
+			env.Setenv("BALANCER", balancer.URL)
 			env.Values["servers"] = []*fakeServer{f, other}
 			return nil
 		},
