Make the client's scripts independent of reused ports

Cause: the address for a refused connection was a port that was just closed; in 1 of 5 runs another server of the test got it, and the script failed. The check now prints the error.

--- a/cli/command/fake_server_test.go
+++ b/cli/command/fake_server_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -221,13 +220,3 @@
 func (f *fakeServer) ListZones(context.Context) ([]oas.Zone, error) {
 	return []oas.Zone{{Name: "regina", EntryVms: 2, Reachable: true, ZoneScheduler: oas.NewOptString("vm-1"), PlatformReachable: oas.NewOptBool(false)}}, nil
 }
-
-// closedAddr returns an address that refuses connections.
-func closedAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = l.Close() }()
-	return "http://" + l.Addr().String()
-}
--- a/cli/command/script_test.go
+++ b/cli/command/script_test.go
@@ -30,7 +30,11 @@
 			env.Setenv(envUser, "pat")
 			env.Setenv("FIRST", server.URL)
 			env.Setenv("SECOND", second.URL)
-			env.Setenv("CLOSED", closedAddr())
+			// Port 1 refuses connections; a port that was just closed may be given to
+			// another server of the test.
+			env.Setenv("CLOSED", "http://127.0.0.1:1")
+			// A process under the race detector sleeps for 1 s at its end by default.
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
 			balancer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Type", "text/html")
 				w.WriteHeader(http.StatusBadGateway)
@@ -55,7 +59,7 @@
 		got = fmt.Sprint(exitStatus(err))
 	}
 	if got != args[0] {
-		ts.Fatalf("exit code %s, want %s", got, args[0])
+		ts.Fatalf("exit code %s, want %s (%v)", got, args[0], err)
 	}
 }
 
