--- a/daemon/internal/app/app.go
+++ b/daemon/internal/app/app.go
@@ -92,8 +92,7 @@
 		OnPause: a.onPause,
 		Logger:  tel.Logger,
 	})
-	var err error
-	a.settings, err = settingsync.New(settingsync.Config{
+	a.settings = settingsync.New(settingsync.Config{
 		Self:   self.ID,
 		Zone:   self.Zone,
 		View:   a.members,
@@ -103,9 +102,6 @@
 		Logger: tel.Logger,
 		Meter:  meter,
 	})
-	if err != nil {
-		return err
-	}
 	a.router = router.New(router.Config{
 		Self:     self,
 		View:     a.members,
@@ -132,6 +128,7 @@
 		Meter:     meter,
 		Tracer:    tracer,
 	})
+	var err error
 	a.api, err = httpapi.New(httpapi.Services{
 		Requests: a.router,
 		Jobs:     a.jobs,
