--- a/daemon/internal/router/call.go
+++ b/daemon/internal/router/call.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/once"
 	"rhubarbstall.example/sched/admission"
 )
 
@@ -33,9 +35,9 @@
 	// notAfter is the wall clock time after which no attempt of a request that
 	// must not be repeated may start; zero is no bound.
 	notAfter time.Time
-	// guard is called right before the first byte of an attempt may leave. An
-	// error stops the attempt.
-	guard func() error
+	// claim is the right to send a request that must not be repeated. It is set
+	// at the first entry VM only.
+	claim *once.Claim
 
 	ticket *admission.Ticket
 	grant  chan grant
@@ -47,8 +49,9 @@
 	upstream *upstream
 	slot     int
 	flight   uint64
-	// peer is set for a forward.
-	peer *peerState
+	// peer is set for a forward, and member is the peer as it was then.
+	peer   *peerState
+	member membership.Member
 	// queue allows the forward to wait at the peer.
 	queue bool
 	// expired tells that the call waited too long.
