--- /dev/null
+++ b/daemon/internal/jobs/bench_test.go
@@ -0,0 +1,304 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	metricnoop "go.opentelemetry.io/otel/metric/noop"
+	tracenoop "go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/dispatch"
+	"rhubarbstall.example/sched/engine"
+	"rhubarbstall.example/sched/model"
+	"rhubarbstall.example/standin/worker"
+	pwire "rhubarbstall.example/wire/platform"
+	wire "rhubarbstall.example/wire/worker"
+)
+
+// benchWorkers is the number of workers of an average zone at the size to design for.
+const benchWorkers = 824
+
+// report prints the platform calls a second by type since the last reset.
+func (s *sim) report(b *testing.B, phase string, d time.Duration) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	reads, writes := 0, 0
+	for op, n := range s.store.calls {
+		b.ReportMetric(float64(n)/d.Seconds(), fmt.Sprintf("%s_%s/s", phase, op))
+		if op == "get" || op == "list" {
+			reads += n
+		} else {
+			writes += n
+		}
+	}
+	b.ReportMetric(float64(reads)/d.Seconds(), phase+"_reads/s")
+	b.ReportMetric(float64(writes)/d.Seconds(), phase+"_writes/s")
+	b.ReportMetric(float64(s.store.bytes)/d.Seconds()/1024, phase+"_written_KB/s")
+}
+
+func (s *sim) reset() {
+	s.store.mu.Lock()
+	clear(s.store.calls)
+	s.store.bytes = 0
+	s.store.mu.Unlock()
+	s.mu.Lock()
+	clear(s.calls)
+	s.mu.Unlock()
+}
+
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
+
+// BenchmarkZone measures a zone with 824 workers and 3 entry VMs in real time:
+// platform calls idle, at 324 starts a second, and while another entry VM takes
+// over. The processor time includes the stand-ins for workers and platform.
+func BenchmarkZone(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	s := newSim(b, ctx, 1, 0, 0)
+	s.seasoned = true
+	for i := range benchWorkers {
+		s.addWorker(fmt.Sprintf("w%04d", i))
+	}
+	for i := range 3 {
+		s.nodes = append(s.nodes, &simNode{sim: s, id: fmt.Sprintf("e%d", i)})
+	}
+	for _, n := range s.nodes {
+		n.start()
+	}
+	defer func() {
+		cancel()
+		for _, n := range s.nodes {
+			<-n.done
+		}
+	}()
+	s.await(20*time.Second, "no holder", func() bool {
+		n := s.holder()
+		return n != nil && n.svc.term.Load().loop.Recovered()
+	})
+	n := s.holder()
+
+	const idle = 6 * time.Second
+	s.reset()
+	cpu := cpuSeconds()
+	time.Sleep(idle)
+	s.report(b, "idle", idle)
+	b.ReportMetric(float64(s.calledWorkers("sync"))/idle.Seconds()/benchWorkers, "idle_syncs/worker/s")
+	b.ReportMetric((cpuSeconds()-cpu)/idle.Seconds()*100, "idle_cpu_percent_with_stand-ins")
+
+	const peak = 8 * time.Second
+	s.reset()
+	starts := s.calledWorkers("start")
+	cpu = cpuSeconds()
+	for end := time.Now().Add(peak); time.Now().Before(end); time.Sleep(time.Second / 6) {
+		go func() { _, _ = n.svc.Submit(ctx, spec(54, 3*time.Second)) }()
+	}
+	s.report(b, "peak", peak)
+	b.ReportMetric(float64(s.calledWorkers("start")-starts)/peak.Seconds(), "peak_start_calls/s")
+	b.ReportMetric((cpuSeconds()-cpu)/peak.Seconds()*100, "peak_cpu_percent_with_stand-ins")
+
+	s.reset()
+	at := time.Now()
+	n.kill()
+	s.await(30*time.Second, "nobody took over", func() bool {
+		h := s.holder()
+		return h != nil && h.svc.term.Load().loop.Recovered()
+	})
+	took := time.Since(at)
+	b.ReportMetric(took.Seconds(), "recovery_s")
+	b.ReportMetric(float64(s.calledWorkers("sync"))/benchWorkers, "recovery_syncs/worker")
+	s.store.mu.Lock()
+	for op, c := range s.store.calls {
+		b.ReportMetric(float64(c), "recovery_"+op)
+	}
+	s.store.mu.Unlock()
+	n.start()
+}
+
+// BenchmarkSegment measures the stored bytes of jobs.
+func BenchmarkSegment(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		tasks int
+		done  func(i int) bool
+	}{
+		{"one_task_new", 1, func(int) bool { return false }},
+		{"array_of_100_done", 100, func(int) bool { return true }},
+		{"array_of_1000_half_done_in_random_order", 1000, func(i int) bool { return i*7919%1000 < 500 }},
+		{"array_of_20000_every_other_done", 20_000, func(i int) bool { return i%2 == 0 }},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s := &segment{records: map[string]*record{}}
+			const jobs = 100
+			for i := range jobs {
+				r := &record{ID: newID(simZone, "head_office", fmt.Sprint(i)), Spec: spec(c.tasks, time.Minute), Submitted: time.Now().UTC().Truncate(time.Millisecond)}
+				for j := range c.tasks {
+					if c.done(j) {
+						r.Succeeded.add(j)
+					}
+				}
+				s.records[r.ID] = r
+			}
+			var size int
+			for b.Loop() {
+				value, err := s.encode("writer")
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(value)
+			}
+			b.ReportMetric(float64(size)/jobs, "bytes/job")
+		})
+	}
+}
+
+// BenchmarkSyncBytes measures the bodies of one sync with a worker that runs 18
+// tasks, the average at the size to design for.
+func BenchmarkSyncBytes(b *testing.B) {
+	first := true
+	w := worker.New(worker.Options{ID: "w0001", AvailabilityZone: simZone, Rack: "r1", Instance: "0123456789abcdef", Now: func() time.Time {
+		if first {
+			first = false
+			return time.Now().Add(-time.Minute)
+		}
+		return time.Now()
+	}})
+	epoch := uint64(1 << 32)
+	var seq uint64
+	size := func(ack []wire.TaskRef, full bool) (int, int, *wire.SyncResponse) {
+		epoch++
+		req := wire.SyncRequest{Owner: wire.Owner{ID: "entry-1/0123456789abcdef/1", Epoch: epoch}, LeaseMillis: 3000, TaskLeaseMillis: 60_000, Acknowledge: ack, Since: seq}
+		if full {
+			req.Since = 0
+		}
+		resp, refusal, err := w.Sync(req)
+		if err != nil || refusal != nil {
+			b.Fatal(err, refusal)
+		}
+		seq = resp.Sequence
+		up, _ := json.Marshal(req)
+		down, _ := json.Marshal(resp)
+		return len(up), len(down), &resp
+	}
+	size(nil, true)
+	var tasks []wire.Spec
+	for i := range 18 {
+		run := int64(3_600_000)
+		if i == 0 {
+			run = 10
+		}
+		tasks = append(tasks, wire.Spec{Ref: wire.TaskRef{Job: newID(simZone, "", ""), Index: i, Attempt: 1}, Kind: "batch", Size: wire.Size{MilliCPU: 1000, MemoryMB: 1000}, RunMillis: run})
+	}
+	if _, refusal := w.Start(wire.StartRequest{Owner: wire.Owner{ID: "entry-1/0123456789abcdef/1", Epoch: epoch}, Tasks: tasks}); refusal != nil {
+		b.Fatal(refusal)
+	}
+	time.Sleep(600 * time.Millisecond) // Past the lag of the usage reports.
+	_, full, resp := size(nil, true)
+	idleUp, idleDown, _ := size(nil, false)
+	ackUp, _, _ := size([]wire.TaskRef{resp.Outcomes[0].Ref}, false)
+	one, _ := json.Marshal(resp.Outcomes[0])
+	for b.Loop() {
+		size(nil, false)
+	}
+	b.ReportMetric(float64(idleUp+idleDown), "idle_sync_bytes")
+	b.ReportMetric(float64(full), "full_state_bytes")
+	b.ReportMetric(float64(ackUp-idleUp+len(one)), "outcome_with_ack_bytes")
+}
+
+// benchRole holds every vote at all times.
+type benchRole struct{ ids []string }
+
+func (r benchRole) Claim(string) wire.Owner           { return wire.Owner{ID: "o", Epoch: 1} }
+func (r benchRole) MaySend(string) (wire.Owner, bool) { return wire.Owner{ID: "o", Epoch: 1}, true }
+func (r benchRole) Holds() bool                       { return true }
+func (r benchRole) Held() <-chan struct{}             { return nil }
+func (r benchRole) HeldAt() time.Time                 { return time.Unix(1, 0) }
+func (r benchRole) Lease() time.Duration              { return 3 * time.Second }
+func (r benchRole) Granted(string, uint64, time.Time) {}
+func (r benchRole) Refused(string, wire.Refusal)      {}
+func (r benchRole) Workers() []string                 { return r.ids }
+
+// benchTransport answers at once and keeps nothing.
+type benchTransport struct{}
+
+func (benchTransport) Sync(_ context.Context, addr string, _ *wire.SyncRequest) (*wire.SyncResponse, error) {
+	return &wire.SyncResponse{Instance: addr, Full: true, Info: wire.Info{ID: addr, Capacity: wire.Size{MilliCPU: 32_000, MemoryMB: 128_000}}}, nil
+}
+
+func (benchTransport) Start(_ context.Context, _ string, req *wire.StartRequest) (*wire.StartResponse, error) {
+	return &wire.StartResponse{Results: make([]wire.StartResult, len(req.Tasks))}, nil
+}
+
+func (benchTransport) Control(context.Context, string, *wire.ControlRequest) error { return nil }
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkMemory measures the memory of the holder for each worker and each
+// running task, with engine, records and goroutines.
+func BenchmarkMemory(b *testing.B) {
+	const tasks = 15_000
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(b.Context())
+		before := heap()
+		role := benchRole{}
+		var vms []pwire.VM
+		for i := range benchWorkers {
+			id := fmt.Sprintf("w%04d", i)
+			role.ids = append(role.ids, id)
+			vms = append(vms, pwire.VM{ID: id, Role: pwire.RoleWorker, AvailabilityZone: simZone, Addr: id})
+		}
+		g := newTestLedger(newFakeStore(1))
+		lp := dispatch.New(dispatch.Config{
+			Role: role, Book: g, Engine: engine.New(), Transport: benchTransport{}, Zone: simZone,
+			VMs: func() []pwire.VM { return vms }, TaskLease: func() time.Duration { return time.Minute },
+			Policies: func() (model.Policies, uint64) { return simPolicies{}, 1 },
+			Logger:   zap.NewNop(), Meter: metricnoop.NewMeterProvider().Meter(""), Tracer: tracenoop.NewTracerProvider().Tracer(""),
+		})
+		done := make(chan struct{})
+		go func() { defer close(done); lp.Run(ctx) }()
+		for !lp.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		lp.Recover(func(func(string, int) bool) []model.Job { return nil })
+		idle := heap()
+		for i := range tasks / 100 {
+			r := &record{ID: fmt.Sprintf("%s.%024d", simZone, i), Spec: spec(100, time.Hour), Submitted: time.Now(), accepted: true}
+			g.mu.Lock()
+			g.place(r, 300)
+			g.mu.Unlock()
+			if err := lp.AddJob(r.model(1)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		running := func() (n int) {
+			for i := range tasks / 100 {
+				n += lp.Active(fmt.Sprintf("%s.%024d", simZone, i))
+			}
+			return n
+		}
+		for end := time.Now().Add(20 * time.Second); running() < tasks && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		n := running()
+		full := heap()
+		b.ReportMetric((idle-before)/benchWorkers, "bytes/worker")
+		b.ReportMetric((full-idle)/float64(max(n, 1)), "bytes/running_task")
+		b.ReportMetric(float64(n), "running_tasks")
+		cancel()
+		<-done
+	}
+}
--- a/daemon/internal/jobs/sim_test.go
+++ b/daemon/internal/jobs/sim_test.go
@@ -15,6 +15,7 @@
 
 	"rhubarbstall.example/daemon/internal/dispatch"
 	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/sched/engine"
 	"rhubarbstall.example/sched/model"
 	"rhubarbstall.example/settings"
@@ -45,6 +46,8 @@
 	dup     float64
 	late    float64
 	calls   map[string]int
+	// seasoned workers have started long ago, so that they grant leases at once.
+	seasoned bool
 	// flying counts the messages that are still on their way.
 	flying sync.WaitGroup
 }
@@ -65,6 +68,10 @@
 	svc    *Service
 	cancel context.CancelFunc
 	done   chan struct{}
+	// server, peers and addrs are set if the nodes call each other.
+	server *peer.Server
+	peers  *peer.Client
+	addrs  map[string]string
 
 	mu     sync.Mutex
 	dead   bool
@@ -109,9 +116,17 @@
 		s.order = append(s.order, id)
 	}
 	w.starts++
+	started := !s.seasoned
+	now := func() time.Time {
+		if !started {
+			started = true
+			return time.Now().Add(-time.Minute)
+		}
+		return time.Now()
+	}
 	w.Worker = worker.New(worker.Options{
 		ID: id, AvailabilityZone: simZone, Rack: "r" + id[len(id)-1:], Instance: fmt.Sprintf("%s-%d", id, w.starts),
-		Capacity: wire.Size{MilliCPU: 8000, MemoryMB: 16_000}, History: s.hist,
+		Capacity: wire.Size{MilliCPU: 8000, MemoryMB: 16_000}, History: s.hist, Now: now,
 	})
 }
 
@@ -170,7 +185,7 @@
 	n.dead, n.cut, n.resume = false, map[string]bool{}, nil
 	n.mu.Unlock()
 	svc := New(Config{
-		SelfID: n.id, Zone: simZone, View: n, VMs: n.sim, Settings: n.sim, Store: nodeStore{n.sim.store, n},
+		SelfID: n.id, Zone: simZone, View: addressed{n, n.addrs}, Server: n.server, Peers: n.peers, VMs: n.sim, Settings: n.sim, Store: nodeStore{n.sim.store, n},
 		NewEngine: func() model.Engine { return engine.New() }, Transport: n,
 		Policies: func(*settings.Document) model.Policies { return simPolicies{} }, Logger: simLogger(n.id),
 	})
@@ -272,9 +287,6 @@
 	return list
 }
 
-// InZone implements membership.View.
-func (n *simNode) InZone(string) []membership.Member { return n.Members() }
-
 // Get implements membership.View.
 func (n *simNode) Get(string) (membership.Member, bool) { return membership.Member{}, false }
 
