Count restarted workers only with a current roster

Cause: a worker that restarts forgets the epoch of the roster that it acknowledged, so a candidate without the platform and with an old roster could win. Ruled out: the silence of 10 s after a restart alone; a limit on the age of a roster, since then nobody could take over during an outage. Conclusion: the roster holds the instance of each worker, and only a holder with the platform's vote changes it.

--- a/daemon/internal/dispatch/jobs.go
+++ b/daemon/internal/dispatch/jobs.go
@@ -65,6 +65,8 @@
 		for i := range early {
 			lp.finish(now, l, &early[i])
 		}
+		// Attempts that no job needs hold capacity until they are stopped.
+		lp.upsert(now, l)
 		lp.sendControls(l)
 	}
 	lp.cfg.Logger.Info("[dispatch] recovery is complete", zap.Int("jobs", len(jobs)), zap.Int("found_tasks", adopted), zap.Bool("silent_workers", silent))
--- a/daemon/internal/dispatch/role.go
+++ b/daemon/internal/dispatch/role.go
@@ -22,7 +22,7 @@
 	// Lease is the length of the owner lease to ask for.
 	Lease() time.Duration
 	// Granted and Refused record the answer to a claim.
-	Granted(worker string, epoch uint64, sentAt time.Time)
+	Granted(worker, instance string, epoch uint64, sentAt time.Time)
 	Refused(worker string, r wire.Refusal)
 	// Workers returns the workers of the roster.
 	Workers() []string
--- a/daemon/internal/dispatch/sync.go
+++ b/daemon/internal/dispatch/sync.go
@@ -81,7 +81,7 @@
 		lp.wakeUp(l)
 	default:
 		l.heardAt, l.mayHaveReached = now, now
-		lp.cfg.Role.Granted(l.id, req.Owner.Epoch, sentAt)
+		lp.cfg.Role.Granted(l.id, resp.Instance, req.Owner.Epoch, sentAt)
 		lp.wakeUp(l)
 		if confirms && resp.Full {
 			l.confirmed = true
--- a/daemon/internal/jobs/bench_test.go
+++ b/daemon/internal/jobs/bench_test.go
@@ -216,15 +216,16 @@
 // benchRole holds every vote at all times.
 type benchRole struct{ ids []string }
 
-func (r benchRole) Claim(string) wire.Owner           { return wire.Owner{ID: "o", Epoch: 1} }
-func (r benchRole) MaySend(string) (wire.Owner, bool) { return wire.Owner{ID: "o", Epoch: 1}, true }
-func (r benchRole) Holds() bool                       { return true }
-func (r benchRole) Held() <-chan struct{}             { return nil }
-func (r benchRole) HeldAt() time.Time                 { return time.Unix(1, 0) }
-func (r benchRole) Lease() time.Duration              { return 3 * time.Second }
-func (r benchRole) Granted(string, uint64, time.Time) {}
-func (r benchRole) Refused(string, wire.Refusal)      {}
-func (r benchRole) Workers() []string                 { return r.ids }
+func (r benchRole) Claim(string) wire.Owner { return wire.Owner{ID: "o", Epoch: 1} }
+
+func (r benchRole) MaySend(string) (wire.Owner, bool)         { return wire.Owner{ID: "o", Epoch: 1}, true }
+func (r benchRole) Holds() bool                               { return true }
+func (r benchRole) Held() <-chan struct{}                     { return nil }
+func (r benchRole) HeldAt() time.Time                         { return time.Unix(1, 0) }
+func (r benchRole) Lease() time.Duration                      { return 3 * time.Second }
+func (r benchRole) Granted(string, string, uint64, time.Time) {}
+func (r benchRole) Refused(string, wire.Refusal)              {}
+func (r benchRole) Workers() []string                         { return r.ids }
 
 // benchTransport answers at once and keeps nothing.
 type benchTransport struct{}
--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -23,13 +23,15 @@
 	stale bool
 	// answered holds the voters that were reached, whatever they answered.
 	answered map[string]bool
-	held     chan struct{}
+	// instances holds the instances that the workers reported.
+	instances map[string]string
+	held      chan struct{}
 }
 
 func newCampaign(owner string, roster quorum.Roster, term uint32, lease time.Duration) *Campaign {
 	return &Campaign{
 		owner: owner, lease: lease,
-		holder: quorum.New(roster, term), answered: make(map[string]bool), held: make(chan struct{}),
+		holder: quorum.New(roster, term), answered: make(map[string]bool), instances: make(map[string]string), held: make(chan struct{}),
 	}
 }
 
@@ -67,6 +69,7 @@
 
 // holds reports whether the quorum is held. The first loss is final even if the
 // votes come back at once: what waited for the role was told that it is lost.
+// The caller holds the lock.
 func (c *Campaign) holds(now time.Time) bool {
 	if c.dropped || c.heldAt.IsZero() {
 		return false
@@ -84,15 +87,19 @@
 	return c.holds(time.Now())
 }
 
-// Granted records the lease of a voter.
-func (c *Campaign) Granted(voter string, epoch uint64, sentAt time.Time) {
+// Granted records the lease of a voter. The instance is that of the worker, and
+// empty for the platform.
+func (c *Campaign) Granted(voter, instance string, epoch uint64, sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.dropped {
 		return
 	}
 	c.answered[voter] = true
-	c.holder.Granted(voter, quorum.Epoch(epoch), sentAt, c.lease)
+	if instance != "" {
+		c.instances[voter] = instance
+	}
+	c.holder.Granted(time.Now(), voter, instance, quorum.Epoch(epoch), sentAt, c.lease)
 	if c.heldAt.IsZero() && c.holder.Holds(time.Now()) {
 		c.heldAt = time.Now()
 		close(c.held)
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -118,7 +120,7 @@
 		sentAt := time.Now()
 		err := l.cfg.Store.RenewLease(ctx, k.vote.leaseID)
 		if err == nil {
-			c.Granted(quorum.Platform, uint64(epoch), sentAt)
+			c.Granted(quorum.Platform, "", uint64(epoch), sentAt)
 			return
 		}
 		if !errors.Is(err, platform.ErrNotFound) {
@@ -141,7 +143,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.Granted(quorum.Platform, uint64(epoch), vote.sentAt)
+	c.Granted(quorum.Platform, "", uint64(epoch), vote.sentAt)
 }
 
 // step changes the roster by one step towards the platform's list.
@@ -149,12 +151,15 @@
 	l, c := k.lead, k.campaign
 	if k.next == nil {
 		c.mu.Lock()
-		roster, ready := c.holder.Roster(), c.holder.Acknowledged()
+		roster, ready := c.holder.Roster(), c.holder.MayStep(time.Now())
+		next, change := roster.Restarted(c.instances)
 		c.mu.Unlock()
 		if !ready {
 			return
 		}
-		next, change := roster.Next(k.wanted(roster))
+		if !change {
+			next, change = roster.Next(k.wanted(roster))
+		}
 		if !change {
 			return
 		}
@@ -232,13 +237,5 @@
 }
 
 func equal(a, b quorum.Roster) bool {
-	if a.PlatformWeight != b.PlatformWeight || len(a.Workers) != len(b.Workers) {
-		return false
-	}
-	for i := range a.Workers {
-		if a.Workers[i] != b.Workers[i] {
-			return false
-		}
-	}
-	return true
+	return a.PlatformWeight == b.PlatformWeight && slices.Equal(a.Workers, b.Workers) && maps.Equal(a.Instances, b.Instances)
 }
--- a/sched/quorum/holder.go
+++ b/sched/quorum/holder.go
@@ -19,6 +19,8 @@
 	granted Epoch
 	// claim is the epoch of the last claim.
 	claim Epoch
+	// instance is that of the worker when it granted.
+	instance string
 }
 
 // Holder is a candidate for the quorum of a zone and, while it has more than
@@ -27,6 +29,9 @@
 	roster Roster
 	term   uint32
 	votes  map[string]*vote
+	// held tells that the quorum was held, and lost that it was lost since.
+	held bool
+	lost bool
 }
 
 // New returns a candidate without votes.
@@ -60,9 +65,12 @@
 }
 
 // Granted records that a voter granted or renewed its lease. sentAt is the time
-// before the claim was sent.
-func (h *Holder) Granted(voter string, epoch Epoch, sentAt time.Time, lease time.Duration) {
+// before the claim was sent. The instance of the platform is empty.
+func (h *Holder) Granted(now time.Time, voter, instance string, epoch Epoch, sentAt time.Time, lease time.Duration) {
+	// A quorum that has lapsed is not regained by this vote.
+	h.Holds(now)
 	v := h.vote(voter)
+	v.instance = instance
 	v.granted = max(v.granted, epoch)
 	if expires := sentAt.Add(HolderLease(lease)); expires.After(v.expires) {
 		v.expires = expires
@@ -105,20 +113,33 @@
 	return ok && now.Before(v.expires)
 }
 
-// Weight returns the weight of the votes that the candidate has.
+// Weight returns the weight of the votes that the candidate has. Without the
+// platform's vote its roster may be old. Then, until it has had the quorum, it
+// counts only workers that have not restarted since the roster was written: a
+// worker that restarted has forgotten whether it acknowledged a later one.
 func (h *Holder) Weight(now time.Time) int {
 	sum := 0
+	current := h.held || h.HasVote(now, Platform)
 	for id, v := range h.votes {
-		if now.Before(v.expires) {
+		if now.Before(v.expires) && (current || h.roster.Instances[id] == v.instance && v.instance != "") {
 			sum += h.roster.Weight(id)
 		}
 	}
 	return sum
 }
 
-// Holds reports whether the candidate has more than half of the votes.
+// Holds reports whether the candidate has more than half of the votes. The first
+// loss of the quorum is final: another holder may have changed the roster since.
 func (h *Holder) Holds(now time.Time) bool {
-	return h.roster.Majority(h.Weight(now))
+	switch {
+	case h.lost:
+		return false
+	case h.roster.Majority(h.Weight(now)):
+		h.held = true
+		return true
+	}
+	h.lost = h.held
+	return false
 }
 
 // Acknowledged reports whether a quorum of voters acknowledged the roster. Only
@@ -133,7 +154,14 @@
 	return h.roster.Majority(sum)
 }
 
-// Step adopts the next roster. The caller has the quorum and has stored it.
+// MayStep reports whether the next step may be stored. It needs the platform's
+// vote: a candidate that takes that vote reads the roster afterwards, and then at
+// most one write that was sent before can follow.
+func (h *Holder) MayStep(now time.Time) bool {
+	return h.Holds(now) && h.HasVote(now, Platform) && h.Acknowledged()
+}
+
+// Step adopts the next roster. MayStep was true before it was stored.
 func (h *Holder) Step(next Roster) error {
 	if !h.Acknowledged() {
 		return ErrStepPending
@@ -154,7 +182,7 @@
 	return v
 }
 
-// oneStep reports whether two rosters differ by a weight of two.
+// oneStep reports whether two rosters differ by a weight of two or in instances only.
 func oneStep(from, to Roster) bool {
 	if to.Revision != from.Revision+1 || to.Validate() != nil {
 		return false
@@ -170,5 +198,5 @@
 			changed += WorkerWeight
 		}
 	}
-	return changed == WorkerWeight
+	return changed == WorkerWeight || changed == 0
 }
--- a/sched/quorum/quorum_test.go
+++ b/sched/quorum/quorum_test.go
@@ -12,7 +12,7 @@
 // Guards against two holders at one real time, whatever is lost, delayed,
 // duplicated, paused or changed in the roster.
 func TestOneHolderAtATime(t *testing.T) {
-	held, steps := 0, 0
+	held, alone, steps := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		workers := rapid.IntRange(1, 15).Draw(t, "workers")
@@ -21,9 +21,10 @@
 		if v := w.run(time.Minute); v != "" {
 			t.Fatal(v)
 		}
-		held, steps = held+w.held, steps+w.steps
+		held, alone, steps = held+w.held, alone+w.heldAlone, steps+w.steps
 	})
 	must.Positive(t, held)
+	must.Positive(t, alone)
 	must.Positive(t, steps)
 }
 
@@ -37,9 +38,10 @@
 		// the fault, so that the test is short.
 		first uint64
 	}{
-		{"no margin", mutation{noMargin: true}, 35},
-		{"no wait", mutation{noWait: true}, 1020},
-		{"odd platform weight", mutation{oddPlatformWeight: true}, 55},
+		{"no margin", mutation{noMargin: true}, 1170},
+		{"no wait", mutation{noWait: true, calm: true}, 190},
+		{"odd platform weight", mutation{oddPlatformWeight: true, calm: true}, 55},
+		{"forgetful workers count", mutation{forgetful: true}, 515},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := c.first; seed < c.first+500; seed++ {
@@ -98,7 +100,7 @@
 	must.True(t, ok)
 	must.ErrorIs(t, h.Step(next), ErrStepPending)
 	for _, v := range []string{"a", "b", Platform} {
-		h.Granted(v, h.Epoch(), now, testLease)
+		h.Granted(now, v, "", h.Epoch(), now, testLease)
 	}
 	must.ErrorIs(t, h.Step(next.Join("d")), ErrNotAStep)
 	must.NoError(t, h.Step(next))
--- a/sched/quorum/roster.go
+++ b/sched/quorum/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -17,6 +18,9 @@
 	// Workers is sorted.
 	Workers        []string `json:"workers"`
 	PlatformWeight int      `json:"platform_weight"`
+	// Instances holds the last known instance of each worker. A worker with
+	// another instance has restarted and forgotten the epochs that it granted.
+	Instances map[string]string `json:"instances,omitempty"`
 }
 
 // NewRoster returns the first roster of a zone.
@@ -91,10 +95,33 @@
 		return r
 	}
 	r.Workers = slices.Delete(slices.Clone(r.Workers), i, i+1)
+	r.Instances = maps.Clone(r.Instances)
+	delete(r.Instances, worker)
 	r.Revision++
 	return r
 }
 
+// Restarted returns the roster with the given instances, and false if it has
+// them already. The weights stay, so any number may change in one step.
+func (r Roster) Restarted(instances map[string]string) (Roster, bool) {
+	changed := false
+	next := maps.Clone(r.Instances)
+	if next == nil {
+		next = make(map[string]string)
+	}
+	for w, instance := range instances {
+		if r.Has(w) && instance != "" && next[w] != instance {
+			next[w], changed = instance, true
+		}
+	}
+	if !changed {
+		return r, false
+	}
+	r.Instances = next
+	r.Revision++
+	return r, true
+}
+
 // Next returns the roster one step closer to the wanted workers, and false if
 // nothing is left to change. The platform's weight is corrected first, so that
 // it stays close to the weight for the number of workers.
--- a/sched/quorum/schedule_faults_test.go
+++ b/sched/quorum/schedule_faults_test.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// restartSilence is the time in which a restarted worker grants no lease.
+const restartSilence = 10 * time.Second
+
 type event struct {
 	at  time.Duration
 	seq int
@@ -92,3 +95,15 @@
 	w.addVoter(id)
 	w.wanted = append(slices.Clone(w.wanted), id)
 }
+
+// restartSome restarts some workers, which forget their owner and its epoch.
+func (w *world) restartSome() {
+	for _, id := range w.sortedVoters() {
+		if w.intn(4) == 0 {
+			v := w.voters[id]
+			v.owner, v.epoch, v.until = -1, 0, 0
+			v.starts++
+			v.silent = w.now + time.Duration(float64(restartSilence)/v.rate)
+		}
+	}
+}
--- a/sched/quorum/schedule_test.go
+++ b/sched/quorum/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -17,6 +18,10 @@
 	oddPlatformWeight bool
 	noMargin          bool
 	noWait            bool
+	// forgetful counts workers that restarted since the roster was written.
+	forgetful bool
+	// calm workers do not restart.
+	calm bool
 }
 
 // world is a random schedule in virtual time. Real time is a duration; each
@@ -36,6 +41,7 @@
 	joined     int
 	violation  string
 	held       int
+	heldAlone  int
 	steps      int
 }
 
@@ -45,6 +51,9 @@
 	owner int
 	epoch Epoch
 	until time.Duration
+	// silent is the time until which a restarted worker grants no lease.
+	silent time.Duration
+	starts int
 }
 
 type platformState struct {
@@ -60,7 +69,9 @@
 	rate   float64
 	h      *Holder
 	cached Roster
-	paused time.Duration
+	// instances holds what the workers reported.
+	instances map[string]string
+	paused    time.Duration
 	// cut holds the voters that cannot be reached at the moment.
 	cut  map[string]bool
 	term uint32
@@ -80,11 +91,13 @@
 	if mut.oddPlatformWeight {
 		w.platform.roster.PlatformWeight = workers
 	}
+	w.platform.roster.Instances = map[string]string{}
 	for _, id := range ids {
 		w.addVoter(id)
+		w.platform.roster.Instances[id] = "0"
 	}
 	for i := range candidates {
-		w.candidates = append(w.candidates, &candidate{id: i, rate: w.rate(), cached: w.platform.roster, cut: map[string]bool{}})
+		w.candidates = append(w.candidates, &candidate{id: i, rate: w.rate(), cached: w.platform.roster, instances: map[string]string{}, cut: map[string]bool{}})
 	}
 	return w
 }
@@ -144,6 +157,9 @@
 			continue
 		}
 		w.held++
+		if !c.h.HasVote(c.clock(w.now), Platform) {
+			w.heldAlone++
+		}
 		if first >= 0 {
 			w.violation = fmt.Sprintf("at %v candidates %d and %d both hold the quorum", w.now, first, c.id)
 		}
@@ -170,10 +186,17 @@
 		w.split()
 	case 5:
 		w.splitByAge()
+	case 6:
+		if !w.mut.calm {
+			w.restartSome()
+		}
 	case 3:
 		// A detected pause drops everything; the candidacy starts again.
 		c.h = nil
 	}
+	if c.h != nil && c.h.lost {
+		c.h = nil
+	}
 	if c.h == nil {
 		w.campaign(c)
 		return
@@ -205,14 +228,14 @@
 				}
 				c.cached = roster
 				c.h = New(roster, c.term)
-				w.granted(c, c.h, Platform, c.h.Epoch(), sent)
+				w.granted(c, c.h, Platform, "", c.h.Epoch(), sent)
 			})
 		})
 	})
 }
 
 // granted records a vote. Without the margin the whole lease counts.
-func (w *world) granted(c *candidate, h *Holder, voter string, e Epoch, sent time.Time) {
+func (w *world) granted(c *candidate, h *Holder, voter, instance string, e Epoch, sent time.Time) {
 	if c.h != h {
 		return
 	}
@@ -220,7 +243,17 @@
 	if w.mut.noMargin {
 		lease = (testLease + FixedMargin) * marginDivisor / (marginDivisor - 1)
 	}
-	h.Granted(voter, e, sent, lease)
+	if w.mut.forgetful && instance != "" {
+		h.roster.Instances = maps.Clone(h.roster.Instances)
+		if h.roster.Instances == nil {
+			h.roster.Instances = map[string]string{}
+		}
+		h.roster.Instances[voter] = instance
+	}
+	h.Granted(c.clock(w.now), voter, instance, e, sent, lease)
+	if instance != "" {
+		c.instances[voter] = instance
+	}
 }
 
 func (w *world) renew(c *candidate) {
@@ -240,7 +273,7 @@
 		}
 		w.platform.until = w.now + lasts(w.platform.rate)
 		if !w.lost() {
-			w.after(w.delay(), func() { w.granted(c, h, Platform, epoch, sent) })
+			w.after(w.delay(), func() { w.granted(c, h, Platform, "", epoch, sent) })
 		}
 	})
 }
@@ -259,12 +292,13 @@
 			})
 			return
 		}
-		if v.owner != c.id && w.now < v.until {
+		if v.owner != c.id && w.now < v.until || w.now < v.silent {
 			return
 		}
 		v.owner, v.epoch, v.until = c.id, epoch, w.now+lasts(v.rate)
 		if !w.lost() {
-			w.after(w.delay(), func() { w.granted(c, h, id, epoch, sent) })
+			instance := fmt.Sprint(v.starts)
+			w.after(w.delay(), func() { w.granted(c, h, id, instance, epoch, sent) })
 		}
 	}
 	if w.lost() {
@@ -279,10 +313,13 @@
 // step changes the roster by one step.
 func (w *world) step(c *candidate) {
 	h := c.h
-	if c.cut[Platform] || c.stepping || !h.Holds(c.clock(w.now)) || !w.mut.noWait && !h.Acknowledged() {
+	if c.cut[Platform] || c.stepping || !h.Holds(c.clock(w.now)) || !w.mut.noWait && !h.MayStep(c.clock(w.now)) {
 		return
 	}
-	next, ok := h.Roster().Next(w.wanted)
+	next, ok := h.Roster().Restarted(c.instances)
+	if !ok {
+		next, ok = h.Roster().Next(w.wanted)
+	}
 	if w.mut.oddPlatformWeight {
 		next, ok = oddNext(h.Roster(), w.wanted)
 	}
