Report a lost race while the platform is away

Cause: a change on an old revision was refused with platform_unavailable although the revision in force already showed that the race was lost. After: settings_conflict with the differences.

--- a/api/codes/page.go
+++ b/api/codes/page.go
@@ -5,18 +5,18 @@
 	"strings"
 )
 
-// groups names the first digit of a code.
+// groups names the first digit of a code. The exit code of the client is the
+// digit times ten.
 var groups = []struct {
 	digit Code
 	title string
-	exit  int
 }{
-	{1, "Input", 10},
-	{2, "Admission and limits; nothing was run", 20},
-	{3, "Outcome of a request without a whole answer", 30},
-	{4, "State of the system", 40},
-	{5, "Settings", 50},
-	{9, "Internal faults", 90},
+	{1, "Input"},
+	{2, "Admission and limits; nothing was run"},
+	{3, "Outcome of a request without a whole answer"},
+	{4, "State of the system"},
+	{5, "Settings"},
+	{9, "Internal faults"},
 }
 
 // Page returns docs/result-codes.md.
@@ -27,7 +27,7 @@
 	b.WriteString("An error of the API has a number, a stable name for programs, and a message. The first digit is the group.\n")
 	b.WriteString("The client `rhubarbstall` ends with the exit code of the group.\n")
 	for _, g := range groups {
-		fmt.Fprintf(&b, "\n## %dxxx: %s\n\nExit code %d.\n\n", g.digit, g.title, g.exit)
+		fmt.Fprintf(&b, "\n## %dxxx: %s\n\nExit code %d.\n\n", g.digit, g.title, 10*g.digit)
 		b.WriteString("| code | name | HTTP status | meaning | what to do |\n|---|---|---|---|---|\n")
 		for _, c := range All() {
 			if c/1000 == g.digit {
--- a/daemon/internal/settingsync/write.go
+++ b/daemon/internal/settingsync/write.go
@@ -81,6 +81,10 @@
 // the platform's revision for the compare-and-swap.
 func (w *write) prepare(ctx context.Context, try int) (uint64, error) {
 	entry, stored, err := w.readBack(ctx)
+	if base := w.s.current.Load(); err != nil && !w.maybeStored && base.revision() > w.change.ExpectedRevision {
+		// The race is lost whatever the platform would answer.
+		return 0, w.conflict(base)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/settings/diff.go
+++ b/settings/diff.go
@@ -46,7 +46,9 @@
 			return append(lines, fmt.Sprintf("and %d more changes", len(d.changes)-i))
 		}
 		line := c.text
-		if c.below > 0 {
+		if c.below == 1 {
+			line += " (also for 1 department below)"
+		} else if c.below > 1 {
 			line += fmt.Sprintf(" (also for %d departments below)", c.below)
 		}
 		lines = append(lines, line)
