--- a/daemon/internal/settingsync/fake_store_test.go
+++ b/daemon/internal/settingsync/fake_store_test.go
@@ -77,8 +77,10 @@
 	onPut func(value []byte, ifRevision uint64) (uint64, error)
 	// deaf drops watch events; the watch returns without any.
 	deaf bool
-	// lists counts calls of List.
-	lists int
+	// hasty makes watches return at once without events, compacted or not.
+	hasty, compacted bool
+	// lists and watches count calls.
+	lists, watches int
 }
 
 func (s *fakeStore) set(f func(*fakeStore)) {
@@ -141,6 +143,13 @@
 	if s.isDown() {
 		return wire.WatchResponse{}, platform.ErrUnavailable
 	}
+	s.mu.Lock()
+	s.watches++
+	hasty, compacted := s.hasty, s.compacted
+	s.mu.Unlock()
+	if hasty {
+		return wire.WatchResponse{Revision: after, Compacted: compacted}, nil
+	}
 	timeout := time.After(wait)
 	for {
 		s.p.mu.Lock()
--- a/daemon/internal/settingsync/syncer_test.go
+++ b/daemon/internal/settingsync/syncer_test.go
@@ -168,6 +168,19 @@
 	must.Eq(t, 0, other.lists())
 }
 
+// Guards against a flood of calls to a platform whose watches return at once.
+func TestHastyWatchIsBounded(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		c := newCluster(t)
+		v := c.add("vm", "a")
+		v.store.set(func(s *fakeStore) { s.hasty, s.compacted = true, compacted })
+		c.run(v)
+		c.allAt(0, v)
+		time.Sleep(time.Second)
+		v.store.set(func(s *fakeStore) { must.Between(t, 1, s.watches, 8) })
+	}
+}
+
 func (v *vm) lists() (n int) {
 	v.store.set(func(s *fakeStore) { n = s.lists })
 	return n
--- a/daemon/internal/settingsync/watch.go
+++ b/daemon/internal/settingsync/watch.go
@@ -57,7 +57,10 @@
 			}
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxWatchBackoff)
+			continue
 		}
+		// Bounds the calls to a platform that keeps forgetting its history.
+		sleep(ctx, roleInterval)
 	}
 	return nil
 }
@@ -70,6 +73,7 @@
 		return err
 	}
 	for ctx.Err() == nil && s.holdsWatch() {
+		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, platformCallTime)
 		resp, err := s.cfg.Store.Watch(callCtx, Key, after, watchWait)
 		cancel()
@@ -84,6 +88,10 @@
 		if resp.Compacted {
 			return nil
 		}
+		if len(resp.Events) == 0 && time.Since(started) < watchWait/2 {
+			// Bounds the calls to a platform that answers before the wait is over.
+			sleep(ctx, roleInterval)
+		}
 	}
 	return nil
 }
