--- a/daemon/internal/settingsync/write_error.go
+++ b/daemon/internal/settingsync/write_error.go
@@ -25,8 +25,12 @@
 			details = append(details, fmt.Sprintf("revision %d by %q at %s: %s", m.Revision, m.Author, m.At.Format(time.RFC3339), m.Comment))
 		}
 	}
-	details = append(details, "your document on top of the revision in force would change:")
-	details = append(details, settings.Diff(base.document, w.document)...)
+	if changes := settings.Diff(base.document, w.document); len(changes) > 0 {
+		details = append(details, "your document on top of the revision in force would change:")
+		details = append(details, changes...)
+	} else {
+		details = append(details, "your document on top of the revision in force would change no effective value")
+	}
 	return codes.SettingsConflict.With(
 		fmt.Sprintf("revision %d was expected, but revision %d is in force", w.change.ExpectedRevision, base.revision()),
 		codes.WithDetails(details...), codes.WithOutcome(codes.OutcomeNotRun))
--- a/settings/diff.go
+++ b/settings/diff.go
@@ -26,6 +26,22 @@
 	text string
 	// below counts further departments with the same change.
 	below int
+	// whole marks a department that was added or removed with those below it.
+	whole bool
+}
+
+func (c *change) line() string {
+	if c.below == 0 {
+		return c.text
+	}
+	departments := "departments"
+	if c.below == 1 {
+		departments = "department"
+	}
+	if c.whole {
+		return fmt.Sprintf("%s, with %d %s below", c.text, c.below, departments)
+	}
+	return fmt.Sprintf("%s (also for %d %s below)", c.text, c.below, departments)
 }
 
 type differ struct {
@@ -45,13 +61,7 @@
 		if i == maxDiffLines-1 && len(d.changes) > maxDiffLines {
 			return append(lines, fmt.Sprintf("and %d more changes", len(d.changes)-i))
 		}
-		line := c.text
-		if c.below == 1 {
-			line += " (also for 1 department below)"
-		} else if c.below > 1 {
-			line += fmt.Sprintf(" (also for %d departments below)", c.below)
-		}
-		lines = append(lines, line)
+		lines = append(lines, c.line())
 	}
 	return lines
 }
--- a/settings/diff_tree.go
+++ b/settings/diff_tree.go
@@ -16,10 +16,12 @@
 	case from == nil && to == nil:
 		return
 	case from == nil:
-		d.add("%s: department added%s", to.path, to.describe()).below = to.size() - 1
+		c := d.add("%s: department added%s", to.path, to.describe())
+		c.below, c.whole = to.size()-1, true
 		return
 	case to == nil:
-		d.add("%s: department removed", from.path).below = from.size() - 1
+		c := d.add("%s: department removed", from.path)
+		c.below, c.whole = from.size()-1, true
 		return
 	}
 	d.own(from, to)
--- a/settings/resolve_test.go
+++ b/settings/resolve_test.go
@@ -108,6 +108,10 @@
 			`"east": {}`, `"north": {}`,
 			[]string{`head_office/east: department removed`, `head_office/north: department added, weight 1`},
 		},
+		"departments below": {
+			`"west": {`, `"north": {`,
+			[]string{`head_office/north: department added, weight 3, quota milli_cpu 5000, quota accelerators 4, with 1 department below`, `head_office/west: department removed, with 1 department below`},
+		},
 		"zones": {`"saskatoon"`, `"winnipeg"`, []string{`availability_zones: [regina, saskatoon] -> [regina, winnipeg]`}},
 	}
 	for name, tc := range tests {
