--- a/daemon/internal/settingsync/syncer_test.go
+++ b/daemon/internal/settingsync/syncer_test.go
@@ -47,6 +47,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t)
 			v := c.add("vm", "a")
 			must.False(t, v.Ready())
@@ -170,14 +171,17 @@
 
 // Guards against a flood of calls to a platform whose watches return at once.
 func TestHastyWatchIsBounded(t *testing.T) {
-	for _, compacted := range []bool{false, true} {
-		c := newCluster(t)
-		v := c.add("vm", "a")
-		v.store.set(func(s *fakeStore) { s.hasty, s.compacted = true, compacted })
-		c.run(v)
-		c.allAt(0, v)
-		time.Sleep(time.Second)
-		v.store.set(func(s *fakeStore) { must.Between(t, 1, s.watches, 8) })
+	for name, compacted := range map[string]bool{"no events": false, "compacted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			v := c.add("vm", "a")
+			v.store.set(func(s *fakeStore) { s.hasty, s.compacted = true, compacted })
+			c.run(v)
+			c.allAt(0, v)
+			time.Sleep(time.Second)
+			v.store.set(func(s *fakeStore) { must.Between(t, 1, s.watches, 8) })
+		})
 	}
 }
 
