Take the place of a scenario within its own test

With the place taken in the parent test, blocked parents could use up the parallel tests of package testing and the running scripts never went on: one run ended by its time limit of 600 s.

--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -49,9 +49,15 @@
 // runDaemon runs one script against the daemon.
 func runDaemon(t *testing.T, script string) {
 	t.Parallel()
-	concurrent <- struct{}{}
-	t.Cleanup(func() { <-concurrent })
 	p := Params(bin, "")
+	setup := p.Setup
+	// The place is taken within the script's own test, since a test that waits for
+	// its subtests keeps no place among the parallel tests of package testing.
+	p.Setup = func(env *testscript.Env) error {
+		concurrent <- struct{}{}
+		env.Defer(func() { <-concurrent })
+		return setup(env)
+	}
 	p.Files = []string{filepath.Join("testdata", "daemon", script+".txtar")}
 	testscript.Run(t, p)
 }
