admission: keep reserves on own slots and find the next class by heap

Cause: free slots that peers reported counted as capacity, so a patient flood could fill every own slot while the reserve was only held on paper; and a start scanned every waiting department. Conclusion: own capacity alone carries reserves and floors; forwards take what is left, and each receiver applies its own reserve.

--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -31,7 +31,7 @@
 		return r.wait(ctx, c)
 	}
 	startBy := c.startBy
-	if r.ctl.Capacity() == 0 && startBy.After(now.Add(noUpstreamPatience)) {
+	if r.noTarget(now) && startBy.After(now.Add(noUpstreamPatience)) {
 		startBy = now.Add(noUpstreamPatience)
 	}
 	t, refusal := r.ctl.Offer(now, c.class, startBy)
@@ -68,10 +68,16 @@
 	return grant{}, waitError(ctx)
 }
 
+// noTarget tells that neither a runner nor another entry VM takes a request.
+func (r *Router) noTarget(now time.Time) bool {
+	own, _ := r.ownCapacity(now)
+	return own == 0 && r.remoteFree(own) == 0
+}
+
 func (r *Router) granted(ctx context.Context, g grant) (grant, error) {
 	if g.expired {
 		r.mu.Lock()
-		none := r.ctl.Capacity() == 0
+		none := r.noTarget(r.now())
 		r.mu.Unlock()
 		if none {
 			return grant{}, codes.NoUpstream.With("no upstream can take the request",
@@ -149,7 +155,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	g.peer.credit = 0
+	g.peer.refused = max(g.peer.refused, c.class.Urgency)
 	g.peer.inFlight--
 	c.rejected++
 	c.requeued = true
--- a/daemon/internal/router/forward_test.go
+++ b/daemon/internal/router/forward_test.go
@@ -99,7 +99,7 @@
 	c.setMember("b", func(m *membership.Member) { m.PeerAddr, m.LastHeard, m.Report.FreeSlots = addr, time.Now(), 8 })
 	a.mu.Lock()
 	a.refresh(time.Now())
-	p := a.pickPeer(false)
+	p := a.pickPeer(a.newCall(request("check"), policy{}, time.Second), false)
 	must.NotNil(t, p)
 	g := grant{peer: p, member: p.member}
 	a.mu.Unlock()
--- a/daemon/internal/router/peers.go
+++ b/daemon/internal/router/peers.go
@@ -22,6 +22,9 @@
 	// credit is the number of free slots that the peer reported, less the
 	// forwards since then.
 	credit int
+	// refused is the highest urgency that the peer refused since its report; its
+	// free slots may be a reserve for more urgent kinds.
+	refused int
 	// inFlight is the number of forwards in progress.
 	inFlight int
 }
@@ -47,7 +50,7 @@
 			r.peers[m.ID] = p
 		}
 		if !ok || !m.LastHeard.Equal(p.member.LastHeard) || m.Incarnation != p.member.Incarnation {
-			p.credit = m.Report.FreeSlots
+			p.credit, p.refused = m.Report.FreeSlots, -1
 			if m.Zone != r.cfg.Self.Zone {
 				// A zone's report comes from one of its entry VMs, which may
 				// forward once more within its zone.
@@ -102,10 +105,10 @@
 
 // pickPeer takes one credit of the better of two random peers of the own zone
 // or, with far, of another zone. It returns nil if no peer has a free slot.
-func (r *Router) pickPeer(far bool) *peerState {
+func (r *Router) pickPeer(c *call, far bool) *peerState {
 	candidates := make([]*peerState, 0, len(r.peers))
 	for _, p := range r.peers {
-		if (p.member.Zone != r.cfg.Self.Zone) == far && p.credit > 0 {
+		if (p.member.Zone != r.cfg.Self.Zone) == far && p.credit > 0 && c.class.Urgency > p.refused {
 			candidates = append(candidates, p)
 		}
 	}
--- a/daemon/internal/router/pump.go
+++ b/daemon/internal/router/pump.go
@@ -18,13 +18,30 @@
 const maxRejected = 3
 
 // pump starts every call that is due and has a target. The lock is held.
+//
+// Only the slots of this entry VM count as capacity, so that its reserves hold
+// whatever the peers report. What is left goes to peers with free slots.
 func (r *Router) pump(now time.Time) {
-	var aside []*admission.Ticket
+	aside := r.pumpOwn(now)
+	aside = r.pumpRemote(now, aside)
+	for _, t := range slices.Backward(aside) {
+		r.ctl.Requeue(now, t)
+	}
+	r.setCapacity(now)
+	r.notifyIdle()
+}
+
+func (r *Router) setCapacity(now time.Time) (free, remote int) {
+	own, free := r.ownCapacity(now)
+	remote = r.remoteFree(own)
+	r.ctl.SetCapacity(now, r.ctl.Running()+free)
+	r.ctl.SetRemote(remote)
+	return free, remote
+}
+
+func (r *Router) pumpOwn(now time.Time) (aside []*admission.Ticket) {
 	for len(aside) < maxAside {
-		own, free := r.ownCapacity(now)
-		remote := r.remoteFree(own)
-		r.ctl.SetCapacity(now, r.ctl.Running()+free+remote)
-		if free+remote == 0 {
+		if free, _ := r.setCapacity(now); free == 0 {
 			break
 		}
 		t := r.ctl.Next(now, r.expire)
@@ -32,19 +49,34 @@
 			break
 		}
 		c := t.Value.(*call)
-		g, ok := r.target(now, c, own)
+		if u := r.pickUpstream(now, c); u != nil {
+			c.grant <- r.take(now, u, c)
+			continue
+		}
+		aside = append(aside, t)
+	}
+	return aside
+}
+
+func (r *Router) pumpRemote(now time.Time, aside []*admission.Ticket) []*admission.Ticket {
+	for len(aside) < maxAside {
+		own, _ := r.ownCapacity(now)
+		if r.remoteFree(own) == 0 {
+			break
+		}
+		t := r.ctl.NextRemote(now, r.expire)
+		if t == nil {
+			break
+		}
+		c := t.Value.(*call)
+		g, ok := r.target(c, own)
 		if !ok {
 			aside = append(aside, t)
 			continue
 		}
 		c.grant <- g
 	}
-	for _, t := range slices.Backward(aside) {
-		r.ctl.Requeue(now, t)
-	}
-	own, free := r.ownCapacity(now)
-	r.ctl.SetCapacity(now, r.ctl.Running()+free+r.remoteFree(own))
-	r.notifyIdle()
+	return aside
 }
 
 func (r *Router) expire(t *admission.Ticket) {
@@ -62,16 +94,13 @@
 	return own, free
 }
 
-// target chooses where a call starts: a slot of this entry VM, else a peer with
-// free slots, else another zone if this one has no runner.
-func (r *Router) target(now time.Time, c *call, own int) (grant, bool) {
-	if u := r.pickUpstream(now, c); u != nil {
-		return r.take(now, u, c), true
-	}
+// target chooses the entry VM that a call is forwarded to: a peer of the zone
+// with free slots, or another zone if this one has no runner.
+func (r *Router) target(c *call, own int) (grant, bool) {
 	if c.hops >= maxHops || c.rejected >= maxRejected {
 		return grant{}, false
 	}
-	if p := r.pickPeer(false); p != nil {
+	if p := r.pickPeer(c, false); p != nil {
 		return grant{peer: p, member: p.member}, true
 	}
 	if own > 0 || c.hops > 0 {
@@ -82,7 +111,7 @@
 			return grant{peer: p, member: p.member, queue: true}, true
 		}
 	}
-	if p := r.pickPeer(true); p != nil {
+	if p := r.pickPeer(c, true); p != nil {
 		return grant{peer: p, member: p.member, queue: true}, true
 	}
 	return grant{}, false
--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"container/heap"
 	"container/list"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,15 +25,20 @@
 type Controller struct {
 	cfg      Config
 	capacity int
-	running  int
-	waiting  int
-	queues   map[classKey]*queue
-	kinds    map[string]*kind
-	// order lists the queues in order of creation, so that decisions do not
+	// remote is the number of requests that other entry VMs may take.
+	remote  int
+	running int
+	waiting int
+	queues  map[classKey]*queue
+	kinds   map[string]*kind
+	// order and kindOrder list the queues and kinds in order of creation, so that decisions do not
 	// depend on the order of a map.
-	order []*queue
+	order     []*queue
+	kindOrder []*kind
 	// active holds the queues with waiting requests.
 	active []*queue
+	// expired is the time of the last search for requests past their start.
+	expired time.Time
 	// virtual is the virtual time of the last start.
 	virtual float64
 }
@@ -58,6 +65,11 @@
 	c.capacity = max(0, n)
 }
 
+// SetRemote sets the number of requests that other entry VMs may take. It only
+// counts for the expected service rate; reserves and floors hold for the own
+// capacity, since each entry VM keeps its own.
+func (c *Controller) SetRemote(n int) { c.remote = max(0, n) }
+
 // Capacity returns the number of requests that may run at a time.
 func (c *Controller) Capacity() int { return c.capacity }
 
@@ -111,7 +123,7 @@
 		return
 	}
 	c.stop(now, t)
-	t.queue.virtual -= t.estimate.Seconds() / t.queue.class.weight()
+	t.queue.use(-t.estimate.Seconds())
 	t.queue.kind.starts = max(0, t.queue.kind.starts-1)
 	c.pushFront(now, t)
 }
@@ -153,7 +165,7 @@
 	c.stop(now, t)
 	t.state = ticketClosed
 	actual := now.Sub(t.started)
-	t.queue.virtual += (actual - t.estimate).Seconds() / t.queue.class.weight()
+	t.queue.use((actual - t.estimate).Seconds())
 	if served {
 		t.queue.kind.served(actual)
 	}
@@ -161,6 +173,10 @@
 
 func (c *Controller) stop(now time.Time, t *Ticket) {
 	t.queue.kind.observe(now)
+	if t.remote {
+		t.queue.away--
+		return
+	}
 	t.queue.kind.running--
 	t.queue.running--
 	c.running--
@@ -176,11 +192,13 @@
 		q.kind.weights += q.activeWeight
 		q.index = len(c.active)
 		c.active = append(c.active, q)
+		heap.Push(&q.kind.ready, q)
 	case delta < 0 && n == 0:
 		q.kind.weights -= q.activeWeight
 		last := c.active[len(c.active)-1]
 		c.active[q.index], last.index = last, q.index
 		c.active = c.active[:len(c.active)-1]
+		heap.Remove(&q.kind.ready, q.place)
 	}
 }
 
@@ -192,9 +210,10 @@
 		if !ok {
 			k = &kind{updated: now}
 			c.kinds[class.Kind] = k
+			c.kindOrder = append(c.kindOrder, k)
 		}
 		k.classes++
-		q = &queue{kind: k, waiting: list.New()}
+		q = &queue{kind: k, waiting: list.New(), place: -1}
 		c.queues[class.key()] = q
 		c.order = append(c.order, q)
 	}
@@ -203,6 +222,7 @@
 		q.virtual = max(q.virtual, c.virtual)
 	}
 	q.class = class
+	q.reorder()
 	q.kind.observe(now)
 	q.kind.urgency = class.Urgency
 	q.kind.floor = float64(min(100, max(0, class.FloorPercent))) / 100
@@ -220,6 +240,7 @@
 		delete(c.queues, q.class.key())
 		if q.kind.classes--; q.kind.classes == 0 {
 			delete(c.kinds, q.class.Kind)
+			c.kindOrder = slices.DeleteFunc(c.kindOrder, func(k *kind) bool { return k == q.kind })
 		}
 		return true
 	}
@@ -234,7 +255,7 @@
 	if ahead == 0 {
 		return 0
 	}
-	rate := q.kind.rate(c.capacity) * q.activeWeight / q.kind.weights
+	rate := q.kind.rate(c.capacity+c.remote) * q.activeWeight / q.kind.weights
 	if rate <= 0 {
 		return math.MaxInt64
 	}
@@ -243,9 +264,9 @@
 
 func (c *Controller) drainTime() time.Duration {
 	rate := 0.0
-	for _, k := range c.kinds {
+	for _, k := range c.kindOrder {
 		if k.waiting > 0 {
-			rate += k.rate(c.capacity)
+			rate += k.rate(c.capacity + c.remote)
 		}
 	}
 	if rate <= 0 {
--- /dev/null
+++ b/sched/admission/heap.go
@@ -0,0 +1,35 @@
+package admission
+
+// queueHeap orders the waiting queues of a kind by urgency and then by the slot
+// time that they used, so that the next one is found without a scan of all
+// departments.
+type queueHeap []*queue
+
+// Len implements heap.Interface.
+func (h queueHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h queueHeap) Less(i, j int) bool { return before(h[i], false, h[j], false) }
+
+// Swap implements heap.Interface.
+func (h queueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+
+// Push implements heap.Interface.
+func (h *queueHeap) Push(x any) {
+	q := x.(*queue)
+	q.place = len(*h)
+	*h = append(*h, q)
+}
+
+// Pop implements heap.Interface.
+func (h *queueHeap) Pop() any {
+	old := *h
+	q := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	q.place = -1
+	return q
+}
--- a/sched/admission/kind.go
+++ b/sched/admission/kind.go
@@ -29,6 +29,8 @@
 	running int
 	waiting int
 	classes int
+	// ready holds the classes that wait.
+	ready queueHeap
 	// weights is the sum of the weights of the classes that wait.
 	weights float64
 	// usage is the decayed integral of the slots in use, in slot seconds.
--- a/sched/admission/next.go
+++ b/sched/admission/next.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// expiryPeriod is the time between two searches of every queue for requests
+// past their latest start. A request that is due is always checked.
+const expiryPeriod = 10 * time.Millisecond
+
 // floorMargin is aimed at above the floor: without it the gaps between an end
 // and the next start left 19.9% of a floor of 20% in the simulated flood.
 const floorMargin = 1.05
@@ -19,21 +23,50 @@
 	if c.running >= c.capacity {
 		return nil
 	}
+	return c.next(now, expired, false)
+}
+
+// NextRemote starts the most urgent waiting request for a run at another entry
+// VM, which applies its own reserves and floors.
+func (c *Controller) NextRemote(now time.Time, expired func(*Ticket)) *Ticket {
+	return c.next(now, expired, true)
+}
+
+func (c *Controller) next(now time.Time, expired func(*Ticket), remote bool) *Ticket {
+	for {
+		q := c.due(now, remote)
+		if q == nil {
+			return nil
+		}
+		t := q.head()
+		if !now.After(t.startBy) {
+			return c.start(now, q, remote)
+		}
+		c.Cancel(now, t)
+		if expired != nil {
+			expired(t)
+		}
+	}
+}
+
+// due returns the class that may start next, or nil.
+func (c *Controller) due(now time.Time, remote bool) *queue {
 	var best *queue
 	bestFloor := false
-	for _, q := range c.active {
-		if !c.allowed(q) {
+	for _, k := range c.kindOrder {
+		if len(k.ready) == 0 {
+			continue
+		}
+		q := k.ready[0]
+		if !remote && !c.allowed(q) {
 			continue
 		}
-		floor := c.belowFloor(now, q.kind)
+		floor := !remote && c.belowFloor(now, k)
 		if best == nil || before(q, floor, best, bestFloor) {
 			best, bestFloor = q, floor
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return c.start(now, best)
+	return best
 }
 
 func before(a *queue, aFloor bool, b *queue, bFloor bool) bool {
@@ -46,23 +79,31 @@
 	return a.virtual < b.virtual
 }
 
-func (c *Controller) start(now time.Time, q *queue) *Ticket {
+func (c *Controller) start(now time.Time, q *queue, remote bool) *Ticket {
 	t := q.head()
 	q.waiting.Remove(t.element)
 	c.noteWaiting(now, q, -1)
 	t.state = ticketStarted
 	t.started = now
 	t.estimate = q.kind.serviceTime()
-	q.running++
-	q.kind.running++
 	q.kind.starts++
-	c.running++
+	if t.remote = remote; remote {
+		q.away++
+	} else {
+		q.running++
+		q.kind.running++
+		c.running++
+	}
 	c.virtual = max(c.virtual, q.virtual)
-	q.virtual += t.estimate.Seconds() / q.class.weight()
+	q.use(t.estimate.Seconds())
 	return t
 }
 
 func (c *Controller) expire(now time.Time, expired func(*Ticket)) {
+	if now.Sub(c.expired) < expiryPeriod {
+		return
+	}
+	c.expired = now
 	// A queue that becomes empty leaves the list, so it is walked from the end.
 	for _, q := range slices.Backward(c.active) {
 		for t := q.head(); t != nil && now.After(t.startBy); t = q.head() {
@@ -79,7 +120,7 @@
 // capacity still serves patient kinds.
 func (c *Controller) allowed(q *queue) bool {
 	held := 0
-	for _, k := range c.kinds {
+	for _, k := range c.kindOrder {
 		if k.urgency > q.class.Urgency && k.reserve > 0 {
 			held += max(0, int(math.Ceil(k.reserve*float64(c.capacity)))-k.running)
 		}
--- a/sched/admission/status.go
+++ b/sched/admission/status.go
@@ -28,7 +28,7 @@
 			Waiting:    q.waiting.Len(),
 			Running:    q.running,
 			OldestWait: q.oldestWait(now),
-			Limit:      min(c.cfg.MaxQueued, int(q.kind.rate(c.capacity)*q.class.Patience.Seconds())),
+			Limit:      min(c.cfg.MaxQueued, int(q.kind.rate(c.capacity+c.remote)*q.class.Patience.Seconds())),
 			Refused:    q.refused,
 		})
 	}
--- a/sched/admission/ticket.go
+++ b/sched/admission/ticket.go
@@ -25,6 +25,8 @@
 	startBy  time.Time
 	started  time.Time
 	estimate time.Duration
+	// remote tells that the request runs at another entry VM.
+	remote bool
 }
 
 // Wait returns the time between admission and start; zero before the start.
