router: hold reserves before the first urgent request and beside free peers

Cause: a reserve was known only after the first request of its kind, so a patient flood could fill every slot before. Head office's kinds are now declared with each settings revision.

--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -151,10 +151,13 @@
 
 // rejected puts a call back to the head of its queue after a peer refused the
 // forward, and trusts that peer's report no longer.
-func (r *Router) rejected(c *call, g grant) {
+func (r *Router) rejected(c *call, g grant, notSent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	if notSent {
+		g.peer.credit = 0
+	}
 	g.peer.refused = max(g.peer.refused, c.class.Urgency)
 	g.peer.inFlight--
 	c.rejected++
--- a/daemon/internal/router/forward_test.go
+++ b/daemon/internal/router/forward_test.go
@@ -170,3 +170,42 @@
 	// Each entry VM has 10% and a burst of 3.
 	must.LessEq(t, n+n/10+2*3, r.runs.Load())
 }
+
+// Guards against a patient flood that takes the reserved slots of urgent kinds
+// because peers report free slots, and against urgent requests that wait then.
+func TestReserveHoldsBesideFreePeers(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	hold := func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(wire.HeaderKind) == "plan" {
+			<-release
+		}
+		echo(w, req)
+	}
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		c.runner(id, "z", hold)
+	}
+	a, b := c.node("a", "z"), c.node("b", "z")
+	c.settled()
+	for _, n := range []*node{a, b} {
+		_, err := n.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 3 * 4 * wire.Slots {
+		wg.Go(func() { _, _ = a.Send(ctx, request("plan")) })
+	}
+	c.beat()
+	time.Sleep(3 * tick)
+	must.Positive(t, a.FreeSlots())
+	must.Positive(t, b.FreeSlots())
+	for range 20 {
+		answer, err := a.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Less(t, 100*time.Millisecond, answer.Wait)
+	}
+	cancel()
+	close(release)
+	wg.Wait()
+}
--- a/daemon/internal/router/ownership.go
+++ b/daemon/internal/router/ownership.go
@@ -17,6 +17,7 @@
 
 // refresh takes the platform's list and the owners over. The lock is held.
 func (r *Router) refresh(now time.Time) {
+	r.declare(now)
 	owners := r.owners()
 	slices.Sort(owners)
 	vms, at := r.cfg.VMs.VMs()
--- a/daemon/internal/router/policies.go
+++ b/daemon/internal/router/policies.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/sched/admission"
 	"rhubarbstall.example/settings"
 )
 
@@ -85,6 +88,33 @@
 	return weight, true
 }
 
+// maxDeclared bounds the kinds whose reserve is held before their first request.
+const maxDeclared = 256
+
+// declare makes the kinds of head office known to the admission, so that the
+// reserve of an urgent kind is held before its first request. The lock is held.
+func (r *Router) declare(now time.Time) {
+	doc, revision, ok := r.cfg.Settings.Current()
+	if !ok || (r.declared && revision == r.revision) {
+		return
+	}
+	r.declared, r.revision = true, revision
+	names := slices.Sorted(maps.Keys(doc.Root.Kinds))
+	for _, name := range names[:min(len(names), maxDeclared)] {
+		if p, err := r.policies.resolve(doc, revision, settings.RootPath, name); err == nil {
+			r.ctl.Declare(now, p.class(settings.RootPath, name))
+		}
+	}
+}
+
+// class returns the admission class of requests under the policy.
+func (p policy) class(department, kind string) admission.Class {
+	return admission.Class{
+		Department: department, Kind: kind, Urgency: p.Urgency, Weight: p.weight,
+		ReservePercent: p.ReservePercent, FloorPercent: p.FloorPercent, Patience: p.Patience,
+	}
+}
+
 func retryPercent(doc *settings.Document) int {
 	if doc.Limits.RetryPercent > 0 {
 		return doc.Limits.RetryPercent
--- a/daemon/internal/router/pump.go
+++ b/daemon/internal/router/pump.go
@@ -13,6 +13,10 @@
 // probation is free.
 const maxAside = 32
 
+// maxAsideRemote does the same for forwards. They go out by urgency, and a peer
+// that refused one urgency refuses lower ones too.
+const maxAsideRemote = 4
+
 // maxRejected is the number of refused forwards after which a call waits for a
 // slot of this entry VM, so that stale reports do not keep it travelling.
 const maxRejected = 3
@@ -59,7 +63,7 @@
 }
 
 func (r *Router) pumpRemote(now time.Time, aside []*admission.Ticket) []*admission.Ticket {
-	for len(aside) < maxAside {
+	for passed := 0; passed < maxAsideRemote; {
 		own, _ := r.ownCapacity(now)
 		if r.remoteFree(own) == 0 {
 			break
@@ -72,6 +76,7 @@
 		g, ok := r.target(c, own)
 		if !ok {
 			aside = append(aside, t)
+			passed++
 			continue
 		}
 		c.grant <- g
--- a/daemon/internal/router/router.go
+++ b/daemon/internal/router/router.go
@@ -42,6 +42,9 @@
 	// usual holds the usual time of each kind on a runner.
 	usual   map[string]time.Duration
 	flights uint64
+	// declared and revision tell for which settings the kinds were declared.
+	declared bool
+	revision uint64
 	// active counts the requests in progress, forwarded ones included.
 	active   int
 	draining bool
--- a/daemon/internal/router/send.go
+++ b/daemon/internal/router/send.go
@@ -11,7 +11,6 @@
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/once"
-	"rhubarbstall.example/sched/admission"
 	"rhubarbstall.example/settings"
 )
 
@@ -126,11 +125,8 @@
 func (r *Router) newCall(req Request, p policy, deadline time.Duration) *call {
 	now := r.now()
 	return &call{
-		id: req.ID,
-		class: admission.Class{
-			Department: req.Department, Kind: req.Kind, Urgency: p.Urgency, Weight: p.weight,
-			ReservePercent: p.ReservePercent, FloorPercent: p.FloorPercent, Patience: p.Patience,
-		},
+		id:       req.ID,
+		class:    p.class(req.Department, req.Kind),
 		body:     req.Body,
 		noRepeat: req.NoRepeat || p.NoRepeat,
 		arrived:  now,
@@ -163,7 +159,7 @@
 			return res.answer, nil
 		}
 		if o == NotRun && g.peer != nil && !res.left && ctx.Err() == nil {
-			r.rejected(c, g)
+			r.rejected(c, g, !res.denied)
 			continue
 		}
 		c.mayHaveRun = c.mayHaveRun || o == Unknown
--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -70,6 +70,14 @@
 // capacity, since each entry VM keeps its own.
 func (c *Controller) SetRemote(n int) { c.remote = max(0, n) }
 
+// Declare makes a kind known before its first request, so that its reserve is
+// held from the start.
+func (c *Controller) Declare(now time.Time, class Class) {
+	k := c.kind(now, class)
+	k.declared = true
+	k.take(now, class)
+}
+
 // Capacity returns the number of requests that may run at a time.
 func (c *Controller) Capacity() int { return c.capacity }
 
@@ -206,12 +214,7 @@
 func (c *Controller) queue(now time.Time, class Class) *queue {
 	q, ok := c.queues[class.key()]
 	if !ok {
-		k, ok := c.kinds[class.Kind]
-		if !ok {
-			k = &kind{updated: now}
-			c.kinds[class.Kind] = k
-			c.kindOrder = append(c.kindOrder, k)
-		}
+		k := c.kind(now, class)
 		k.classes++
 		q = &queue{kind: k, waiting: list.New(), place: -1}
 		c.queues[class.key()] = q
@@ -223,13 +226,20 @@
 	}
 	q.class = class
 	q.reorder()
-	q.kind.observe(now)
-	q.kind.urgency = class.Urgency
-	q.kind.floor = float64(min(100, max(0, class.FloorPercent))) / 100
-	q.kind.reserve = float64(min(100, max(0, class.ReservePercent))) / 100
+	q.kind.take(now, class)
 	return q
 }
 
+func (c *Controller) kind(now time.Time, class Class) *kind {
+	k, ok := c.kinds[class.Kind]
+	if !ok {
+		k = &kind{updated: now}
+		c.kinds[class.Kind] = k
+		c.kindOrder = append(c.kindOrder, k)
+	}
+	return k
+}
+
 // evict forgets the oldest idle class.
 func (c *Controller) evict() bool {
 	for i, q := range c.order {
@@ -238,7 +248,7 @@
 		}
 		c.order = append(c.order[:i], c.order[i+1:]...)
 		delete(c.queues, q.class.key())
-		if q.kind.classes--; q.kind.classes == 0 {
+		if q.kind.classes--; q.kind.classes == 0 && !q.kind.declared {
 			delete(c.kinds, q.class.Kind)
 			c.kindOrder = slices.DeleteFunc(c.kindOrder, func(k *kind) bool { return k == q.kind })
 		}
--- a/sched/admission/kind.go
+++ b/sched/admission/kind.go
@@ -31,6 +31,8 @@
 	classes int
 	// ready holds the classes that wait.
 	ready queueHeap
+	// declared kinds are kept without classes.
+	declared bool
 	// weights is the sum of the weights of the classes that wait.
 	weights float64
 	// usage is the decayed integral of the slots in use, in slot seconds.
@@ -58,6 +60,14 @@
 	}
 }
 
+// take takes the policy of a class over.
+func (k *kind) take(now time.Time, class Class) {
+	k.observe(now)
+	k.urgency = class.Urgency
+	k.floor = float64(min(100, max(0, class.FloorPercent))) / 100
+	k.reserve = float64(min(100, max(0, class.ReservePercent))) / 100
+}
+
 // share returns the part of the capacity that the kind used in the window.
 func (k *kind) share(capacity int) float64 {
 	if capacity == 0 {
