router: seal a connection before its request counts as not sent

Cause: net/http writes a request in its own goroutine. Looking at the count of writes and sealing the connection is now one step. Also: a request that must not be repeated may probe an ejected runner if nothing else came, so that a runner returns when all traffic is of that kind.

--- a/daemon/internal/router/conn.go
+++ b/daemon/internal/router/conn.go
@@ -14,22 +14,50 @@
 // errConnLimit means that this entry VM's share of the runner's connections is in use.
 var errConnLimit = errors.New("share of the runner's connections is in use")
 
-// countedConn notes whether anything was handed to the kernel for sending.
+// countedConn notes whether anything was handed to the kernel for sending, and
+// can refuse to send from then on.
 type countedConn struct {
 	net.Conn
+	mu sync.Mutex
 	// writes counts calls of Write, also failed ones, since a failed write may
 	// have sent a part.
-	writes  atomic.Int64
+	writes  int64
+	sealed  bool
 	closed  sync.Once
 	onClose func()
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	c.writes.Add(1)
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writes++
+	c.mu.Unlock()
 	return c.Conn.Write(b)
 }
 
+func (c *countedConn) written() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal tells whether anything was written after the mark. If not, it makes sure
+// that nothing will be: net/http writes in another goroutine, which may come to
+// the write only after the round trip was given up.
+func (c *countedConn) seal(mark int64) (used bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes != mark {
+		return true
+	}
+	c.sealed = true
+	return false
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.closed.Do(c.onClose)
@@ -42,6 +70,8 @@
 	open  atomic.Int64
 }
 
+func (p *connPool) full() bool { return p.open.Load() >= p.limit.Load() }
+
 func (p *connPool) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if p.open.Add(1) > p.limit.Load() {
 		p.open.Add(-1)
--- a/daemon/internal/router/dispatch_test.go
+++ b/daemon/internal/router/dispatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -92,3 +94,20 @@
 	_, err = n.Send(t.Context(), Request{Department: "elsewhere", Kind: "check"})
 	must.Eq(t, codes.UnknownDepartment, codes.Of(err))
 }
+
+// Guards against a byte that leaves after the request was reported as not run:
+// net/http may write after it gave the round trip up.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c := &countedConn{Conn: near, onClose: func() {}}
+	defer c.Close()
+	_, err := c.Write([]byte("first request"))
+	must.NoError(t, err)
+	must.True(t, c.seal(0))
+	must.False(t, c.seal(1))
+	n, err := c.Write([]byte("second request"))
+	must.Error(t, err)
+	must.Eq(t, 0, n)
+}
--- a/daemon/internal/router/exchange.go
+++ b/daemon/internal/router/exchange.go
@@ -41,20 +41,20 @@
 func (s *sendTrace) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*countedConn); ok {
 		s.mu.Lock()
-		s.conns[c] = c.writes.Load()
+		s.conns[c] = c.written()
 		s.mu.Unlock()
 	}
 }
 
+// left tells whether a byte may have left. If none has, none will.
 func (s *sendTrace) left() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, before := range s.conns {
-		if c.writes.Load() != before {
-			return true
-		}
+	left := false
+	for c, mark := range s.conns {
+		left = c.seal(mark) || left
 	}
-	return false
+	return left
 }
 
 // exchange sends a request to a runner once and checks the answer. A request
@@ -78,6 +78,10 @@
 	transport := u.reused
 	if c.noRepeat {
 		transport = u.fresh
+		if u.pool.full() {
+			// Unused connections must not stand in the way of a new one.
+			u.reused.CloseIdleConnections()
+		}
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/daemon/internal/router/fakes_test.go
+++ b/daemon/internal/router/fakes_test.go
@@ -29,7 +29,7 @@
 
 // cell is a deployment in this process: runners, entry VMs, one shared list.
 type cell struct {
-	t       *testing.T
+	t       testing.TB
 	mu      sync.Mutex
 	vms     []wireplatform.VM
 	listAt  time.Time
@@ -54,7 +54,7 @@
 	self string
 }
 
-func newCell(t *testing.T) *cell {
+func newCell(t testing.TB) *cell {
 	return &cell{
 		t: t, nodes: map[string]*node{}, runners: map[string]*runner{}, listAt: time.Now(),
 		store: &memoryStore{values: map[string]wireplatform.Entry{}},
@@ -216,6 +216,14 @@
 	answerWhole(w, id, "ran "+id)
 }
 
+// busyRunner takes 20 ms for a plan.
+func busyRunner(w http.ResponseWriter, req *http.Request) {
+	if req.Header.Get(wire.HeaderKind) == "plan" {
+		time.Sleep(20 * time.Millisecond)
+	}
+	echo(w, req)
+}
+
 func (c *cell) runner(id, zone string, h http.HandlerFunc) *runner {
 	r := &runner{id: id}
 	r.handler.Store(&h)
--- a/daemon/internal/router/health.go
+++ b/daemon/internal/router/health.go
@@ -58,8 +58,11 @@
 	ejectedUntil time.Time
 	ejectFor     time.Duration
 	probing      bool
-	lastSuccess  time.Time
-	flights      map[uint64]flight
+	// unreachable tells that the ejection was for a connection that could not be
+	// made. A probe of such a runner either reaches it or is proved not sent.
+	unreachable bool
+	lastSuccess time.Time
+	flights     map[uint64]flight
 }
 
 func newHealth() health {
@@ -82,6 +85,13 @@
 	return max(0, int(h.limit)-inFlight)
 }
 
+// mayProbe tells whether a request may be sent as a probe. One that must not be
+// repeated is sent only if a failure is likely to be a proved one, or if no
+// other request came for as long as the ejection lasted.
+func (h *health) mayProbe(now time.Time, noRepeat bool) bool {
+	return !noRepeat || h.unreachable || now.Sub(h.ejectedUntil) > h.ejectFor
+}
+
 // stalled tells that a request in flight takes far longer than its kind usually
 // does and that the runner answered nothing since it was sent.
 func (h *health) stalled(now time.Time) bool {
@@ -115,7 +125,10 @@
 	switch {
 	case o == Answered:
 		h.success(now, now.Sub(f.at), f.usual)
-	case refused, o == Unknown && f.stalled(now):
+	case refused:
+		h.eject(now)
+		h.unreachable = true
+	case o == Unknown && f.stalled(now):
 		h.eject(now)
 	case o == Unknown:
 		h.failure(now)
@@ -169,7 +182,7 @@
 	if h.ejected() && !h.probing {
 		return
 	}
-	h.probing = false
+	h.probing, h.unreachable = false, false
 	h.ejectFor = min(max(ejectMinimum, 2*h.ejectFor), ejectMaximum)
 	h.ejectedUntil = now.Add(h.ejectFor/2 + rand.N(h.ejectFor/2))
 }
--- a/daemon/internal/router/ownership.go
+++ b/daemon/internal/router/ownership.go
@@ -83,8 +83,13 @@
 func (r *Router) assign() {
 	share := max(1, wire.MaxConnections/max(1, len(r.ownerIDs)))
 	for _, u := range r.upstreams {
+		some := false
 		for i := range u.mine {
 			u.mine[i] = r.ownerOf(u.id, i) == r.cfg.Self.ID
+			some = some || u.mine[i]
+		}
+		if !some {
+			u.close()
 		}
 		u.pool.limit.Store(int64(share))
 	}
--- a/daemon/internal/router/pump.go
+++ b/daemon/internal/router/pump.go
@@ -132,7 +132,7 @@
 		switch {
 		case u.usable(now) == 0:
 		case u.health.ejected():
-			if !c.noRepeat && !c.tried[u.id] {
+			if !c.tried[u.id] && u.health.mayProbe(now, c.noRepeat) {
 				probe = u
 			}
 		case c.tried[u.id]:
