router: send overflow to another zone and take restarted runners back

Cause: a request that the own zone could not start in time was refused although another zone was free; a runner that said that it leaves stayed out of use after a restart under its old address, if the list missed the gap. Ruled out: probing a leaving runner with a request, since it must get no work. Also: a reserve now holds against other kinds of equal urgency, kinds that leave the settings lose their reserve, and a second submission at the claimant is answered without a platform read.

--- a/daemon/internal/once/claim.go
+++ b/daemon/internal/once/claim.go
@@ -24,6 +24,8 @@
 	keeper *Keeper
 	id     string
 	key    string
+	// hash identifies the request, to detect the reuse of the key.
+	hash   string
 	bucket int
 	at     time.Time
 	// expires is the time after which the request is no longer sent, both by the
@@ -101,3 +103,9 @@
 	defer c.mu.Unlock()
 	return c.phase, c.answer
 }
+
+// entry returns the record of the claim without its outcome.
+func (c *Claim) entry() *entry {
+	self := c.keeper.cfg.Self
+	return &entry{Claim: c.id, VM: self.ID, Incarnation: self.Incarnation, Request: c.hash, State: stateClaimed}
+}
--- a/daemon/internal/once/keeper.go
+++ b/daemon/internal/once/keeper.go
@@ -54,14 +54,16 @@
 	releases chan struct{}
 
 	mu sync.Mutex
-	// live holds the claims whose outcome is not stored yet.
+	// live holds the claims whose outcome is not stored yet, and sent those of
+	// them that are this entry VM's for certain, by key.
 	live map[string]*Claim
+	sent map[string]*Claim
 	idle []chan struct{}
 }
 
 // New returns a keeper and registers its method with the peer server.
 func New(cfg Config) *Keeper {
-	k := &Keeper{cfg: cfg, log: cfg.Logger, now: time.Now, releases: make(chan struct{}, 64), live: map[string]*Claim{}}
+	k := &Keeper{cfg: cfg, log: cfg.Logger, now: time.Now, releases: make(chan struct{}, 64), live: map[string]*Claim{}, sent: map[string]*Claim{}}
 	k.metrics = newMetrics(cfg.Meter, k)
 	for i := range k.committers {
 		k.committers[i] = &committer{store: cfg.Store, key: bucketKey(i), prune: k.prune}
@@ -75,6 +77,12 @@
 func (k *Keeper) Claim(ctx context.Context, department, key, kind string, body []byte) (*Claim, *Answer, error) {
 	id, index := keyOf(department, key)
 	hash := requestHash(kind, body)
+	if c := k.own(id); c != nil {
+		// The answer is known here, so the platform is not asked.
+		if answer, givenUp, err := k.resolve(ctx, c.entry(), hash); !givenUp {
+			return nil, answer, err
+		}
+	}
 	replaces := ""
 	for range maxReplaced {
 		c, found, err := k.tryClaim(ctx, id, index, hash, replaces)
@@ -97,7 +105,7 @@
 	retention := k.cfg.Retention()
 	// The age of a claim counts from before its write.
 	now := k.now()
-	c := &Claim{keeper: k, id: rand.Text(), key: id, bucket: index, at: now, expires: retention / 2}
+	c := &Claim{keeper: k, id: rand.Text(), key: id, hash: hash, bucket: index, at: now, expires: retention / 2}
 	op := &claimOp{key: id, replaces: replaces, entry: entry{
 		Claim: c.id, VM: k.cfg.Self.ID, Incarnation: k.cfg.Self.Incarnation, Request: hash,
 		State: stateClaimed, AtMillis: now.UnixMilli(),
@@ -108,6 +116,9 @@
 	err := k.committers[index].commit(ctx, op)
 	switch {
 	case err == nil:
+		k.mu.Lock()
+		k.sent[id] = c
+		k.mu.Unlock()
 		return c, nil, nil
 	case errors.Is(err, errFound):
 		k.forget(c)
@@ -135,6 +146,22 @@
 		codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(platformRetry))
 }
 
+// own returns the claim of this entry VM on a key, if its outcome is not stored.
+func (k *Keeper) own(key string) *Claim {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.sent[key]
+}
+
+// drop forgets a claim that is settled. The lock is held.
+func (k *Keeper) drop(c *Claim) {
+	delete(k.live, c.id)
+	if k.sent[c.key] == c {
+		delete(k.sent, c.key)
+	}
+	k.notifyIdle()
+}
+
 func (k *Keeper) forget(c *Claim) {
 	c.mu.Lock()
 	if c.phase == phaseHeld {
@@ -143,8 +170,7 @@
 	c.mu.Unlock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.live, c.id)
-	k.notifyIdle()
+	k.drop(c)
 }
 
 func (k *Keeper) notifyIdle() {
--- a/daemon/internal/once/store.go
+++ b/daemon/internal/once/store.go
@@ -32,8 +32,7 @@
 		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		delete(k.live, c.id)
-		k.notifyIdle()
+		k.drop(c)
 	}()
 }
 
--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -36,7 +36,11 @@
 	}
 	t, refusal := r.ctl.Offer(now, c.class, startBy)
 	if refusal != nil {
+		p := r.overflow(c, refusal)
 		r.mu.Unlock()
+		if p != nil {
+			return grant{peer: p, member: p.member, direct: true, queue: true}, nil
+		}
 		r.metrics.refused(ctx, c.class.Kind)
 		return grant{}, refusalError(refusal)
 	}
@@ -68,6 +72,19 @@
 	return grant{}, waitError(ctx)
 }
 
+// overflow returns an entry VM of another zone for a call that the own zone
+// cannot serve in time, or nil. Each call tries one.
+func (r *Router) overflow(c *call, refusal *admission.Refusal) *peerState {
+	if c.hops > 0 || c.refusal != nil {
+		return nil
+	}
+	p := r.pickPeer(c, true)
+	if p != nil {
+		c.refusal = refusal
+	}
+	return p
+}
+
 // noTarget tells that neither a runner nor another entry VM takes a request.
 func (r *Router) noTarget(now time.Time) bool {
 	own, _ := r.ownCapacity(now)
@@ -110,7 +127,9 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	o := res.outcome()
-	r.ctl.Done(now, c.ticket, o == Answered)
+	if !g.direct {
+		r.ctl.Done(now, c.ticket, o == Answered)
+	}
 	if g.peer != nil {
 		g.peer.inFlight--
 	} else {
@@ -124,18 +143,31 @@
 	if f, ok := u.health.flights[g.flight]; ok && o == Answered {
 		r.learn(c.class.Kind, now.Sub(f.at))
 	}
+	ejected := u.health.ejected()
 	if o == NotRun && !res.left && !res.refused {
 		u.health.cancel(g.flight)
 	} else {
 		u.health.end(now, g.flight, o, res.refused)
 	}
+	if ejected != u.health.ejected() {
+		r.logEjection(u, ejected, res.err)
+	}
 	u.release(now, g.slot, o)
-	if res.leaving && !u.leaving {
-		u.leaving = true
+	if res.leaving && !u.leaving.said {
+		u.leaving.note(now)
 		r.log.Info("[router] runner says that it is leaving; it gets no new requests", zap.String("runner", u.id))
 	}
 }
 
+func (r *Router) logEjection(u *upstream, was bool, err error) {
+	if was {
+		r.log.Info("[router] runner answers again; it gets new requests", zap.String("runner", u.id))
+		return
+	}
+	r.log.Warn("[router] runner fails and gets no new requests until a probe is answered",
+		zap.String("runner", u.id), zap.Error(err))
+}
+
 // learn updates the usual time of a kind on a runner.
 func (r *Router) learn(kind string, took time.Duration) {
 	known, ok := r.usual[kind]
@@ -161,7 +193,9 @@
 	g.peer.refused = max(g.peer.refused, c.class.Urgency)
 	g.peer.inFlight--
 	c.rejected++
-	c.requeued = true
-	r.ctl.Requeue(now, c.ticket)
+	if !g.direct {
+		c.requeued = true
+		r.ctl.Requeue(now, c.ticket)
+	}
 	r.pump(now)
 }
--- a/daemon/internal/router/call.go
+++ b/daemon/internal/router/call.go
@@ -27,6 +27,8 @@
 	rejected int
 	// retries counts the attempts after the first.
 	retries int
+	// refusal is why admission refused the call before it went to another zone.
+	refusal *admission.Refusal
 	// requeued tells that the ticket waits again after a refused forward.
 	requeued bool
 	// mayHaveRun tells that an attempt ended with an unknown outcome. The call
@@ -52,6 +54,9 @@
 	// peer is set for a forward, and member is the peer as it was then.
 	peer   *peerState
 	member membership.Member
+	// direct is set for a forward to another zone instead of a refusal; the call
+	// has no ticket then.
+	direct bool
 	// queue allows the forward to wait at the peer.
 	queue bool
 	// expired tells that the call waited too long.
--- a/daemon/internal/router/forward.go
+++ b/daemon/internal/router/forward.go
@@ -63,10 +63,8 @@
 	if remaining <= 0 {
 		return result{err: errors.New("no time is left for a forward")}
 	}
-	if !c.noRepeat {
-		stop := r.watchPeer(m, cancel)
-		defer stop()
-	}
+	stop := r.watchPeer(m, c.noRepeat, cancel)
+	defer stop()
 	req := &forwardRequest{
 		ID: c.id, Class: c.class, Body: c.body, NoRepeat: c.noRepeat, Hops: c.hops + 1,
 		RemainingMillis: max(1, remaining.Milliseconds()), Queue: g.queue,
@@ -106,12 +104,14 @@
 	}
 }
 
-// watchPeer cancels a forward whose receiver became suspect. The request may be
-// repeated, so the sender need not wait for a frozen entry VM.
-func (r *Router) watchPeer(m membership.Member, cancel context.CancelFunc) (stop func()) {
+// watchPeer cancels a forward whose receiver is proved gone, or that is suspect
+// and holds a request that may be repeated: the sender need not wait for a
+// frozen entry VM then.
+func (r *Router) watchPeer(m membership.Member, noRepeat bool, cancel context.CancelFunc) (stop func()) {
 	return every(suspectCheck, func() bool {
 		now, ok := r.cfg.View.Get(m.ID)
-		if ok && now.Incarnation == m.Incarnation && (now.State == membership.Alive || now.State == membership.Left) {
+		known := ok && now.Incarnation == m.Incarnation
+		if known && (now.State == membership.Alive || now.State == membership.Left || (noRepeat && now.State == membership.Suspect)) {
 			return true
 		}
 		cancel()
--- a/daemon/internal/router/forward_test.go
+++ b/daemon/internal/router/forward_test.go
@@ -12,6 +12,7 @@
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/sched/admission"
 	wire "rhubarbstall.example/wire/runner"
 )
 
@@ -209,3 +210,36 @@
 	close(release)
 	wg.Wait()
 }
+
+// Guards against a refusal while the own zone is overloaded and another zone is free.
+func TestOverflowGoesToOtherZone(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	c.runner("r", "near", func(w http.ResponseWriter, req *http.Request) {
+		<-release
+		echo(w, req)
+	})
+	c.runner("r2", "far", echo)
+	a := c.node("a", "near")
+	c.node("b", "far")
+	c.settled()
+	a.mu.Lock()
+	a.ctl = admission.New(admission.Config{MaxQueued: 1})
+	a.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range wire.Slots + 1 {
+		wg.Go(func() { _, _ = a.Send(ctx, request("check")) })
+	}
+	c.eventually("zone overloaded", func() bool { return a.FreeSlots() == 0 && a.Queued() == 1 })
+	for range 5 {
+		c.beat()
+		answer, err := a.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Eq(t, "far", answer.Zone)
+		time.Sleep(2 * tick)
+	}
+	cancel()
+	close(release)
+	wg.Wait()
+}
--- a/daemon/internal/router/health_test.go
+++ b/daemon/internal/router/health_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -79,6 +81,39 @@
 	}
 }
 
+// Guards against a runner that stays out of use after it was restarted under its
+// old address, which the lagging list need not show.
+func TestRestartedRunnerReturns(t *testing.T) {
+	c := newCell(t)
+	r := c.runner("r1", "z", func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(wire.HeaderState, wire.StateLeaving)
+		echo(w, req)
+	})
+	c.runner("r2", "z", echo)
+	n := c.node("a", "z")
+	c.settled()
+	c.eventually("runner said that it leaves", func() bool {
+		send(n, 1)
+		return n.upstream("r1").State == wire.StateLeaving
+	})
+	r.Close()
+	c.eventually("closed port seen", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.byID["r1"].leaving.closed
+	})
+	l, err := net.Listen("tcp", r.Listener.Addr().String())
+	must.NoError(t, err)
+	again := httptest.NewUnstartedServer(http.HandlerFunc(echo))
+	again.Listener = l
+	again.Start()
+	defer again.Close()
+	c.eventually("runner returned", func() bool {
+		send(n, 2)
+		return n.upstream("r1").State == "live"
+	})
+}
+
 // Guards against a runner that fails fast and so attracts the work, and against
 // one that never comes back after it recovered.
 func TestFastFailingRunnerIsEjectedAndReturns(t *testing.T) {
--- a/daemon/internal/router/ownership.go
+++ b/daemon/internal/router/ownership.go
@@ -55,9 +55,8 @@
 			r.byID[vm.ID] = u
 			r.upstreams = append(r.upstreams, u)
 		}
-		if vm.State == wireplatform.VMLeaving {
-			u.leaving = true
-		}
+		u.gone = false
+		u.leaving.listed = vm.State == wireplatform.VMLeaving
 	}
 	r.upstreams = slices.DeleteFunc(r.upstreams, func(u *upstream) bool {
 		u.gone = u.gone || !listed[u.id]
--- a/daemon/internal/router/peers.go
+++ b/daemon/internal/router/peers.go
@@ -96,7 +96,7 @@
 // zoneHasRunners tells whether a runner of the own zone takes work.
 func (r *Router) zoneHasRunners() bool {
 	for _, u := range r.upstreams {
-		if !u.leaving && !u.gone && !u.health.ejected() {
+		if !u.leaving.now() && !u.gone && !u.health.ejected() {
 			return true
 		}
 	}
--- a/daemon/internal/router/policies.go
+++ b/daemon/internal/router/policies.go
@@ -100,11 +100,13 @@
 	}
 	r.declared, r.revision = true, revision
 	names := slices.Sorted(maps.Keys(doc.Root.Kinds))
+	classes := []admission.Class{}
 	for _, name := range names[:min(len(names), maxDeclared)] {
 		if p, err := r.policies.resolve(doc, revision, settings.RootPath, name); err == nil {
-			r.ctl.Declare(now, p.class(settings.RootPath, name))
+			classes = append(classes, p.class(settings.RootPath, name))
 		}
 	}
+	r.ctl.Declare(now, classes)
 }
 
 // class returns the admission class of requests under the policy.
--- a/daemon/internal/router/router.go
+++ b/daemon/internal/router/router.go
@@ -96,6 +96,7 @@
 		r.settleJoin(r.now())
 		r.block()
 		r.pump(r.now())
+		r.checkLeaving(ctx, r.now(), &wg)
 		r.mu.Unlock()
 		select {
 		case joins <- struct{}{}:
--- a/daemon/internal/router/send.go
+++ b/daemon/internal/router/send.go
@@ -160,6 +160,9 @@
 		}
 		if o == NotRun && g.peer != nil && !res.left && ctx.Err() == nil {
 			r.rejected(c, g, !res.denied)
+			if g.direct {
+				return Answer{}, c.end(refusalError(c.refusal))
+			}
 			continue
 		}
 		c.mayHaveRun = c.mayHaveRun || o == Unknown
--- a/daemon/internal/router/status.go
+++ b/daemon/internal/router/status.go
@@ -60,7 +60,7 @@
 			}
 		}
 		switch {
-		case u.leaving || u.gone:
+		case u.leaving.now() || u.gone:
 			s.State = wire.StateLeaving
 		case u.health.ejected():
 			s.State = "ejected"
--- a/daemon/internal/router/upstream.go
+++ b/daemon/internal/router/upstream.go
@@ -24,12 +24,11 @@
 	// mine, owned, busy and held are indexed by slot. Mine is the result of the
 	// rendezvous; owned slots may also be used now. A busy slot may be no longer
 	// owned. A held slot stays busy until that time after its request ended.
-	mine  [wire.Slots]bool
-	owned [wire.Slots]bool
-	busy  [wire.Slots]bool
-	held  [wire.Slots]time.Time
-	// leaving tells that the list or the runner said that it takes no new work.
-	leaving bool
+	mine    [wire.Slots]bool
+	owned   [wire.Slots]bool
+	busy    [wire.Slots]bool
+	held    [wire.Slots]time.Time
+	leaving leaving
 	// gone tells that the list dropped the runner.
 	gone   bool
 	health health
@@ -100,7 +99,7 @@
 
 // usable returns how many more requests the runner may get now.
 func (u *upstream) usable(now time.Time) int {
-	if u.leaving || u.gone {
+	if u.leaving.now() || u.gone {
 		return 0
 	}
 	free := 0
--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -70,12 +70,19 @@
 // capacity, since each entry VM keeps its own.
 func (c *Controller) SetRemote(n int) { c.remote = max(0, n) }
 
-// Declare makes a kind known before its first request, so that its reserve is
-// held from the start.
-func (c *Controller) Declare(now time.Time, class Class) {
-	k := c.kind(now, class)
-	k.declared = true
-	k.take(now, class)
+// Declare makes kinds known before their first request, so that their reserves
+// are held from the start. It replaces the kinds that were declared before.
+func (c *Controller) Declare(now time.Time, classes []Class) {
+	for _, k := range c.kindOrder {
+		if k.declared {
+			k.declared, k.reserve, k.floor = false, 0, 0
+		}
+	}
+	for _, class := range classes {
+		k := c.kind(now, class)
+		k.declared = true
+		k.take(now, class)
+	}
 }
 
 // Capacity returns the number of requests that may run at a time.
--- a/sched/admission/next.go
+++ b/sched/admission/next.go
@@ -116,12 +116,12 @@
 }
 
 // allowed tells whether a start of the class leaves the unused reserves of the
-// more urgent kinds free. At least one slot is never reserved, so that a small
+// other kinds of at least its urgency free. At least one slot is never reserved, so that a small
 // capacity still serves patient kinds.
 func (c *Controller) allowed(q *queue) bool {
 	held := 0
 	for _, k := range c.kindOrder {
-		if k.urgency > q.class.Urgency && k.reserve > 0 {
+		if k != q.kind && k.urgency >= q.class.Urgency && k.reserve > 0 {
 			held += max(0, int(math.Ceil(k.reserve*float64(c.capacity)))-k.running)
 		}
 	}
