router: keep runners in use when most of them fail

Cause: a kind whose requests always fail ejected every runner, and other kinds waited for a probe: without the change a check waits up to the ejection time in TestFailingKindDoesNotEjectAllRunners. Holding the slot for 500 ms after every failure also used up all eight slots of a runner that fails fast; a slot is now held only if no answer began. Also: a starting entry VM counts a refused join as the proof that no process uses a slot there, and the claims in progress are bounded at 4096.

--- a/daemon/internal/once/committer.go
+++ b/daemon/internal/once/committer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 
 // pendingOp is an operation that waits for its group.
 type pendingOp struct {
+	ctx  context.Context
 	op   operation
 	done chan error
 }
@@ -53,7 +55,7 @@
 // wraps errPlatform means that the state of the record is not known; the
 // operation may still take effect.
 func (c *committer) commit(ctx context.Context, op operation) error {
-	p := &pendingOp{op: op, done: make(chan error, 1)}
+	p := &pendingOp{ctx: ctx, op: op, done: make(chan error, 1)}
 	c.mu.Lock()
 	c.waiting = append(c.waiting, p)
 	if !c.running {
@@ -72,7 +74,8 @@
 func (c *committer) run() {
 	for {
 		c.mu.Lock()
-		group := c.waiting
+		// An operation whose caller has left was not applied yet, so it is dropped.
+		group := slices.DeleteFunc(c.waiting, func(p *pendingOp) bool { return p.ctx.Err() != nil })
 		c.waiting = nil
 		if len(group) == 0 {
 			c.running = false
--- a/daemon/internal/once/keeper.go
+++ b/daemon/internal/once/keeper.go
@@ -26,6 +26,9 @@
 	// maxReplaced bounds how often one submission takes over claims that were
 	// given up; more means that other submissions of the key compete with it.
 	maxReplaced = 3
+	// maxLive bounds the claims without a stored outcome. With a slow platform
+	// they would otherwise pile up with the bodies of their requests.
+	maxLive = 4096
 )
 
 // Config holds what a keeper needs. Every field is required.
@@ -111,6 +114,11 @@
 		State: stateClaimed, AtMillis: now.UnixMilli(),
 	}}
 	k.mu.Lock()
+	if len(k.live) >= maxLive {
+		k.mu.Unlock()
+		return nil, nil, codes.TooManyRequests.With("too many requests that must not be repeated are in progress",
+			codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(platformRetry))
+	}
 	k.live[c.id] = c
 	k.mu.Unlock()
 	err := k.committers[index].commit(ctx, op)
--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -152,7 +152,7 @@
 	if ejected != u.health.ejected() {
 		r.logEjection(u, ejected, res.err)
 	}
-	u.release(now, g.slot, o)
+	u.release(now, g.slot, res.open)
 	if res.leaving && !u.leaving.said {
 		u.leaving.note(now)
 		r.log.Info("[router] runner says that it is leaving; it gets no new requests", zap.String("runner", u.id))
--- a/daemon/internal/router/exchange.go
+++ b/daemon/internal/router/exchange.go
@@ -85,9 +85,11 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		left := trace.left()
 		return result{
-			evidence: evidence{left: trace.left()},
+			evidence: evidence{left: left},
 			err:      fmt.Errorf("runner %s: %w", u.id, err),
+			open:     left,
 			refused:  dialFailed(err),
 		}
 	}
--- a/daemon/internal/router/health.go
+++ b/daemon/internal/router/health.go
@@ -61,6 +61,9 @@
 	// unreachable tells that the ejection was for a connection that could not be
 	// made. A probe of such a runner either reaches it or is proved not sent.
 	unreachable bool
+	// lenient keeps an ejected runner in use with one request at a time, because
+	// most runners are ejected and the cause is likely to be the requests.
+	lenient     bool
 	lastSuccess time.Time
 	flights     map[uint64]flight
 }
@@ -71,9 +74,13 @@
 
 func (h *health) ejected() bool { return !h.ejectedUntil.IsZero() }
 
-// room returns how many more requests the runner may get.
-func (h *health) room(now time.Time, inFlight int) int {
+// room returns how many more requests the runner may get. A slot that is held
+// after an unknown outcome is no request in flight; the slots bound it.
+func (h *health) room(now time.Time) int {
 	if h.ejected() {
+		if h.lenient && !h.unreachable {
+			return max(0, 1-len(h.flights))
+		}
 		if h.probing || now.Before(h.ejectedUntil) {
 			return 0
 		}
@@ -82,14 +89,14 @@
 	if h.stalled(now) {
 		return 0
 	}
-	return max(0, int(h.limit)-inFlight)
+	return max(0, int(h.limit)-len(h.flights))
 }
 
 // mayProbe tells whether a request may be sent as a probe. One that must not be
 // repeated is sent only if a failure is likely to be a proved one, or if no
 // other request came for as long as the ejection lasted.
 func (h *health) mayProbe(now time.Time, noRepeat bool) bool {
-	return !noRepeat || h.unreachable || now.Sub(h.ejectedUntil) > h.ejectFor
+	return !noRepeat || h.unreachable || h.lenient || now.Sub(h.ejectedUntil) > h.ejectFor
 }
 
 // stalled tells that a request in flight takes far longer than its kind usually
--- a/daemon/internal/router/health_test.go
+++ b/daemon/internal/router/health_test.go
@@ -161,6 +161,31 @@
 	must.Eq(t, "ejected", n.upstream("hole").State)
 }
 
+// Guards against one kind whose requests always fail and so takes every runner
+// away from the other kinds.
+func TestFailingKindDoesNotEjectAllRunners(t *testing.T) {
+	c := newCell(t)
+	h := func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(wire.HeaderKind) == "plan" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		echo(w, req)
+	}
+	c.runner("r1", "z", h)
+	c.runner("r2", "z", h)
+	n := c.node("a", "z")
+	c.settled()
+	// A probe alone would let a check through after the ejection time only.
+	for range 10 {
+		_, err := n.Send(t.Context(), request("plan"))
+		must.Error(t, err)
+		answer, err := n.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Less(t, ejectMinimum/2, answer.Wait)
+	}
+}
+
 // Guards against an in-flight limit that does not follow a full runner down and
 // a recovered one up.
 func TestLimitAdapts(t *testing.T) {
@@ -170,13 +195,13 @@
 		h.begin(now, i, 0)
 		h.end(now, i, NotRun, false)
 	}
-	must.Eq(t, 1, h.room(now, 0))
+	must.Eq(t, 1, h.room(now))
 	must.False(t, h.ejected())
 	for i := range uint64(60) {
 		h.begin(now, i, 0)
 		h.end(now, i, Answered, false)
 	}
-	must.Eq(t, wire.Slots, h.room(now, 0))
+	must.Eq(t, wire.Slots, h.room(now))
 }
 
 // Guards against more connections to a runner than it accepts from all entry
--- a/daemon/internal/router/join.go
+++ b/daemon/internal/router/join.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +20,8 @@
 	// each reachable seed was heard by then.
 	joinGrace   = 2 * time.Second
 	joinTimeout = 500 * time.Millisecond
+	// hearsay stands for the incarnation of an owner that only a reply named.
+	hearsay = 0
 )
 
 // slotRef names a slot of a runner.
@@ -58,12 +62,18 @@
 	confirmed map[string]uint64
 	// asked holds the entry VMs that asked this one, and those named in replies.
 	asked map[string]uint64
+	// refused holds the owners whose port refused the connection: no process is
+	// there that could use a slot.
+	refused map[string]bool
 	// blocked holds the slots that an owner still uses.
 	blocked map[string][]slotRef
 }
 
 func newJoinState(now time.Time) *joinState {
-	return &joinState{since: now, confirmed: map[string]uint64{}, asked: map[string]uint64{}, blocked: map[string][]slotRef{}}
+	return &joinState{
+		since: now, confirmed: map[string]uint64{}, asked: map[string]uint64{},
+		refused: map[string]bool{}, blocked: map[string][]slotRef{},
+	}
 }
 
 // counts tells whether a member is an owner: a silent one is, since it may be
@@ -93,8 +103,8 @@
 			continue
 		}
 		// A member that the view knows and does not list above is proved gone,
-		// unless it asked with a newer incarnation.
-		if m, ok := r.cfg.View.Get(id); ok && !counts(m) && m.Incarnation == incarnation {
+		// unless it asked with another incarnation.
+		if m, ok := r.cfg.View.Get(id); ok && !counts(m) && (m.Incarnation == incarnation || incarnation == hearsay) {
 			delete(r.join.asked, id)
 			continue
 		}
@@ -153,10 +163,13 @@
 			defer cancel()
 			reply, err := peer.Call[joinRequest, joinReply](ctx, r.cfg.Peers, m.PeerAddr, methodJoin,
 				&joinRequest{ID: r.cfg.Self.ID, Zone: r.cfg.Self.Zone, Incarnation: r.cfg.Self.Incarnation})
-			if err != nil {
+			if err == nil {
+				r.confirm(m.ID, reply)
 				return
 			}
-			r.confirm(m.ID, reply)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.join.refused[m.ID] = errors.Is(err, peer.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)
 		}()
 	}
 	for range ask {
@@ -174,13 +187,13 @@
 	defer r.mu.Unlock()
 	r.join.confirmed[id] = reply.Incarnation
 	r.join.blocked[id] = reply.Busy
+	delete(r.join.refused, id)
 	for _, other := range reply.Members {
 		if other == r.cfg.Self.ID {
 			continue
 		}
 		if _, ok := r.join.asked[other]; !ok {
-			m, _ := r.cfg.View.Get(other)
-			r.join.asked[other] = m.Incarnation
+			r.join.asked[other] = hearsay
 		}
 	}
 }
@@ -193,7 +206,7 @@
 			return
 		}
 		for _, id := range owners {
-			if id == r.cfg.Self.ID {
+			if id == r.cfg.Self.ID || r.join.refused[id] {
 				continue
 			}
 			m, ok := r.cfg.View.Get(id)
--- a/daemon/internal/router/outcome.go
+++ b/daemon/internal/router/outcome.go
@@ -68,6 +68,9 @@
 	err error
 	// leaving tells that the runner said that it takes no new work.
 	leaving bool
+	// open tells that the runner may still run the request: it was sent and no
+	// answer began.
+	open bool
 	// refused tells that no connection to the runner could be made.
 	refused bool
 }
--- a/daemon/internal/router/ownership.go
+++ b/daemon/internal/router/ownership.go
@@ -33,8 +33,15 @@
 	}
 	r.block()
 	r.updatePeers(now)
+	failing := 0
 	for _, u := range r.upstreams {
 		u.endHold(now)
+		if u.health.ejected() && !u.health.unreachable {
+			failing++
+		}
+	}
+	for _, u := range r.upstreams {
+		u.health.lenient = 2*failing > len(r.upstreams)
 	}
 }
 
--- a/daemon/internal/router/upstream.go
+++ b/daemon/internal/router/upstream.go
@@ -7,9 +7,9 @@
 	wire "rhubarbstall.example/wire/runner"
 )
 
-// holdTime is how long a slot stays busy after an attempt with an unknown
-// outcome. The runner may still run the request until it notices that the
-// connection is closed.
+// holdTime is how long a slot stays busy after a request to which no answer
+// began. The runner may still run it until it notices that the connection is
+// closed.
 const holdTime = 500 * time.Millisecond
 
 // idleConnTime is how long an unused connection to a runner stays open.
@@ -108,12 +108,12 @@
 			free++
 		}
 	}
-	return min(free, u.health.room(now, u.inFlight()))
+	return min(free, u.health.room(now))
 }
 
 // release frees a slot, after the hold time if the runner may still use it.
-func (u *upstream) release(now time.Time, slot int, o Outcome) {
-	if o == Unknown {
+func (u *upstream) release(now time.Time, slot int, open bool) {
+	if open {
 		u.held[slot] = now.Add(holdTime)
 		return
 	}
