router: make the test of a failing kind eject every runner first

Cause: the former test passed without the change that it guards, since single requests seldom ejected both runners.

--- a/daemon/internal/router/health_test.go
+++ b/daemon/internal/router/health_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -177,9 +178,17 @@
 	n := c.node("a", "z")
 	c.settled()
 	// A probe alone would let a check through after the ejection time only.
-	for range 10 {
-		_, err := n.Send(t.Context(), request("plan"))
-		must.Error(t, err)
+	for range 5 {
+		var wg sync.WaitGroup
+		for range 2 * wire.Slots {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				_, err := n.Send(ctx, request("plan"))
+				must.Error(t, err)
+			})
+		}
+		wg.Wait()
 		answer, err := n.Send(t.Context(), request("check"))
 		must.NoError(t, err)
 		must.Less(t, ejectMinimum/2, answer.Wait)
