admission: keep virtual time by urgency

Cause: one virtual time for all urgencies let the slot time of urgent work count against a patient department that came back, so another one that had kept a backlog got 366 of 400 starts instead of 200 (TestPauseGivesNoCreditAndNoDebt).

--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -2,9 +2,7 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -39,8 +37,9 @@
 	active []*queue
 	// expired is the time of the last search for requests past their start.
 	expired time.Time
-	// virtual is the virtual time of the last start.
-	virtual float64
+	// virtual is the virtual time of the last start by urgency. Classes of
+	// different urgency do not share, so their virtual times are unrelated.
+	virtual map[int]float64
 }
 
 // New returns a controller without capacity.
@@ -51,7 +50,7 @@
 	if cfg.MaxClasses <= 0 {
 		cfg.MaxClasses = 4096
 	}
-	return &Controller{cfg: cfg, queues: map[classKey]*queue{}, kinds: map[string]*kind{}}
+	return &Controller{cfg: cfg, queues: map[classKey]*queue{}, kinds: map[string]*kind{}, virtual: map[int]float64{}}
 }
 
 // SetCapacity sets the number of requests that may run at a time.
@@ -217,53 +216,6 @@
 	}
 }
 
-// queue returns the queue of a class with the policy brought up to date.
-func (c *Controller) queue(now time.Time, class Class) *queue {
-	q, ok := c.queues[class.key()]
-	if !ok {
-		k := c.kind(now, class)
-		k.classes++
-		q = &queue{kind: k, waiting: list.New(), place: -1}
-		c.queues[class.key()] = q
-		c.order = append(c.order, q)
-	}
-	if q.idle() {
-		// A class that was idle gets no credit for the time that it did not use.
-		q.virtual = max(q.virtual, c.virtual)
-	}
-	q.class = class
-	q.reorder()
-	q.kind.take(now, class)
-	return q
-}
-
-func (c *Controller) kind(now time.Time, class Class) *kind {
-	k, ok := c.kinds[class.Kind]
-	if !ok {
-		k = &kind{updated: now}
-		c.kinds[class.Kind] = k
-		c.kindOrder = append(c.kindOrder, k)
-	}
-	return k
-}
-
-// evict forgets the oldest idle class.
-func (c *Controller) evict() bool {
-	for i, q := range c.order {
-		if !q.idle() {
-			continue
-		}
-		c.order = append(c.order[:i], c.order[i+1:]...)
-		delete(c.queues, q.class.key())
-		if q.kind.classes--; q.kind.classes == 0 && !q.kind.declared {
-			delete(c.kinds, q.class.Kind)
-			c.kindOrder = slices.DeleteFunc(c.kindOrder, func(k *kind) bool { return k == q.kind })
-		}
-		return true
-	}
-	return false
-}
-
 // expectedWait returns how long the next request of the class would wait for
 // the requests ahead of it, at the measured service rate of its kind and the
 // share of its class among the classes of the kind that wait.
--- a/sched/admission/controller_test.go
+++ b/sched/admission/controller_test.go
@@ -57,6 +57,37 @@
 	must.Between(t, 2.7, ratio, 3.3)
 }
 
+// Guards against a patient department that starves after a pause because urgent
+// work used many slots meanwhile, and against credit for the pause.
+func TestPauseGivesNoCreditAndNoDebt(t *testing.T) {
+	c := New(Config{})
+	c.SetCapacity(epoch, 1)
+	now := epoch
+	run := func(classes ...Class) (starts map[string]int) {
+		starts = map[string]int{}
+		for range 400 {
+			for _, class := range classes {
+				_, _ = c.Offer(now, class, time.Time{})
+			}
+			tk := c.Next(now, nil)
+			now = now.Add(50 * time.Millisecond)
+			if tk != nil {
+				starts[tk.queue.class.Department]++
+				c.Done(now, tk, true)
+			}
+		}
+		return starts
+	}
+	a := Class{Department: "a", Kind: "patient", FloorPercent: 20, Patience: time.Second}
+	b := Class{Department: "b", Kind: "patient", FloorPercent: 20, Patience: time.Second}
+	urgent := Class{Department: "u", Kind: "urgent", Urgency: 90, Patience: time.Second}
+	run(a)
+	run(a, urgent)
+	both := run(a, b)
+	must.Between(t, 180, both["a"], 220)
+	must.Between(t, 180, both["b"], 220)
+}
+
 // Guards against a flood of names that makes the memory grow, and against
 // accounts that drift from the requests over random calls.
 func TestBoundsHoldOverRandomCalls(t *testing.T) {
--- a/sched/admission/next.go
+++ b/sched/admission/next.go
@@ -94,7 +94,7 @@
 		q.kind.running++
 		c.running++
 	}
-	c.virtual = max(c.virtual, q.virtual)
+	c.virtual[q.class.Urgency] = q.virtual
 	q.use(t.estimate.Seconds())
 	return t
 }
