once: test at most one dispatch under random faults

Cause: single failures were tested one by one; this mixes lost and late writes, failed calls, competing submissions and crashes of claimants.

--- /dev/null
+++ b/daemon/internal/once/random_test.go
@@ -0,0 +1,118 @@
+package once
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/platform"
+)
+
+// faulty makes the store fail at random: calls without effect, lost answers of
+// writes that took effect, and writes that take effect later or never.
+func (s *fakeStore) faulty(rng *rand.Rand, late *sync.WaitGroup) {
+	s.set(func() {
+		s.onGet = func() error {
+			if rng.IntN(10) == 0 {
+				return platform.ErrUnavailable
+			}
+			return nil
+		}
+		s.onPut = func() error {
+			switch rng.IntN(12) {
+			case 0:
+				return platform.ErrUnavailable
+			case 1:
+				return platform.ErrAmbiguous
+			case 2:
+				s.loseAnswer = 1
+			case 3:
+				s.delay = func(l func()) {
+					late.Add(1)
+					time.AfterFunc(rand.N(30*time.Millisecond), func() { defer late.Done(); l() })
+				}
+			}
+			return nil
+		}
+	})
+}
+
+// Guards against a second dispatch of a key under any mix of lost and late
+// writes, failed calls, competing submissions and crashed claimants.
+func TestAtMostOneDispatchUnderRandomFaults(t *testing.T) {
+	const seed = 11
+	f := newFixture(t)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	var late sync.WaitGroup
+	ids := []string{"a", "b", "c"}
+	var mu sync.Mutex
+	keepers := map[string]*Keeper{}
+	dead := map[*Keeper]bool{}
+	for _, id := range ids {
+		keepers[id] = f.keeper(id)
+	}
+	// open counts the dispatches of a key that were not proved not run.
+	open := map[string]int{}
+	f.store.faulty(rng, &late)
+	var wg sync.WaitGroup
+	for worker := range 9 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(worker)))
+			for range 40 {
+				id, key := ids[r.IntN(3)], fmt.Sprint(r.IntN(60))
+				mu.Lock()
+				k := keepers[id]
+				mu.Unlock()
+				c, _, err := claim(f, k, key, "body")
+				if err != nil || c == nil {
+					continue
+				}
+				mu.Lock()
+				if dead[k] || c.Dispatch() != nil {
+					mu.Unlock()
+					continue
+				}
+				open[key]++
+				count := open[key]
+				crash := r.IntN(20) == 0
+				notRun := !crash && r.IntN(3) == 0
+				if notRun {
+					open[key]--
+				}
+				mu.Unlock()
+				must.Eq(t, 1, count, must.Sprintf("dispatches of key %s", key))
+				switch {
+				case crash:
+					f.state(id, membership.Dead)
+					mu.Lock()
+					if keepers[id] == k {
+						dead[k] = true
+						f.servers[id]()
+						keepers[id] = f.keeper(id)
+					}
+					mu.Unlock()
+				case notRun:
+					c.Release()
+				case r.IntN(2) == 0:
+					c.Unknown()
+				default:
+					c.Answered(Answer{Body: []byte(key)})
+				}
+			}
+		})
+	}
+	wg.Wait()
+	late.Wait()
+	f.store.set(func() { f.store.onGet, f.store.onPut = nil, nil })
+	mu.Lock()
+	defer mu.Unlock()
+	for _, k := range keepers {
+		f.drained(k)
+	}
+	must.Positive(t, len(open))
+}
