--- /dev/null
+++ b/daemon/internal/router/rolling_test.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/membership"
+	wire "rhubarbstall.example/wire/runner"
+)
+
+// Guards against requests that are cut off and slots that are used twice while
+// entry VMs join and leave under load.
+func TestRollingReplacementUnderLoad(t *testing.T) {
+	c := newCell(t)
+	h := func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(3 * time.Millisecond)
+		echo(w, req)
+	}
+	runners := []*runner{c.runner("r1", "z", h), c.runner("r2", "z", h), c.runner("r3", "z", h)}
+	nodes := []*node{c.node("a", "z"), c.node("b", "z")}
+	c.settled()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	var answers, refused atomic.Int64
+	load := func(n *node) {
+		for range 12 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_, err := n.Send(context.WithoutCancel(ctx), request("check"))
+					switch {
+					case err == nil:
+						answers.Add(1)
+					case codes.Of(err) == codes.ShuttingDown:
+						refused.Add(1)
+						return
+					default:
+						must.NoError(t, err)
+					}
+				}
+			})
+		}
+	}
+	for _, n := range nodes {
+		load(n)
+	}
+	for i := range 3 {
+		time.Sleep(100 * time.Millisecond)
+		joining := c.node(string(rune('c'+i)), "z")
+		c.eventually("newcomer has slots", func() bool {
+			joining.mu.Lock()
+			defer joining.mu.Unlock()
+			own, _ := joining.ownCapacity(time.Now())
+			return own > 0
+		})
+		load(joining)
+		c.beat()
+		leaving := nodes[0]
+		nodes = append(nodes[1:], joining)
+		must.NoError(t, leaving.Drain(t.Context()))
+		c.setMember(leaving.id, func(m *membership.Member) { m.State = membership.Left })
+		leaving.stop()
+		delete(c.nodes, leaving.id)
+	}
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	wg.Wait()
+	must.Greater(t, 100, answers.Load())
+	must.Positive(t, refused.Load())
+	for _, r := range runners {
+		must.LessEq(t, int64(wire.Slots), r.most.Load())
+		must.LessEq(t, int64(wire.MaxConnections), r.conns.Load())
+	}
+}
