--- a/daemon/internal/router/forward_test.go
+++ b/daemon/internal/router/forward_test.go
@@ -128,6 +128,8 @@
 func TestNewcomerWaitsForBusySlots(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
 		<-release
 		echo(w, req)
@@ -147,7 +149,7 @@
 	})
 	time.Sleep(3 * tick)
 	must.Eq(t, 0, b.FreeSlots())
-	close(release)
+	open()
 	wg.Wait()
 	c.eventually("newcomer got its slots", func() bool { return b.FreeSlots() > 0 && a.FreeSlots()+b.FreeSlots() == wire.Slots })
 }
@@ -177,6 +179,8 @@
 func TestReserveHoldsBesideFreePeers(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	hold := func(w http.ResponseWriter, req *http.Request) {
 		if req.Header.Get(wire.HeaderKind) == "plan" {
 			<-release
@@ -207,7 +211,7 @@
 		must.Less(t, 100*time.Millisecond, answer.Wait)
 	}
 	cancel()
-	close(release)
+	open()
 	wg.Wait()
 }
 
@@ -215,6 +219,8 @@
 func TestOverflowGoesToOtherZone(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	c.runner("r", "near", func(w http.ResponseWriter, req *http.Request) {
 		<-release
 		echo(w, req)
@@ -240,6 +246,6 @@
 		time.Sleep(2 * tick)
 	}
 	cancel()
-	close(release)
+	open()
 	wg.Wait()
 }
--- a/daemon/internal/router/health_test.go
+++ b/daemon/internal/router/health_test.go
@@ -143,6 +143,8 @@
 func TestBlackHoleRunnerIsEjected(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	hole := c.runner("hole", "z", echo)
 	c.runner("good", "z", echo)
 	n := c.node("a", "z")
@@ -154,7 +156,6 @@
 		case <-req.Context().Done():
 		}
 	})
-	defer close(release)
 	before := hole.runs.Load()
 	answers := send(n, 200)
 	must.LessEq(t, int64(wire.Slots), hole.runs.Load()-before)
@@ -241,6 +242,8 @@
 func TestDrainWaitsForRequests(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
 		<-release
 		echo(w, req)
@@ -262,7 +265,7 @@
 		t.Fatal("drained with requests in progress")
 	case <-time.After(50 * time.Millisecond):
 	}
-	close(release)
+	open()
 	must.NoError(t, <-drained)
 	// The eight that were in progress are answered; the four that came later are not.
 	must.Eq(t, wire.Slots, <-answers)
