--- a/daemon/internal/dispatch/apply.go
+++ b/daemon/internal/dispatch/apply.go
@@ -14,7 +14,7 @@
 // sync was claimed under a higher epoch than they, so a doubted attempt that the
 // worker does not report will never start.
 func (lp *Loop) apply(now time.Time, l *link, resp *wire.SyncResponse, known map[*attempt]bool, doubted []*attempt) {
-	if l.heard() && l.instance != resp.Instance {
+	if l.instance != "" && l.instance != resp.Instance {
 		lp.cfg.Logger.Info("[dispatch] worker restarted and lost its tasks", zap.String("worker", l.id), zap.Int("attempts", len(l.attempts)))
 		restarted := make(map[*attempt]bool)
 		for a := range known {
@@ -153,9 +153,8 @@
 	}
 	lp.metrics.outcome(string(o.Result))
 	if verdict == model.VerdictIgnored {
-		delete(l.unstored, ref)
-		l.acks[ref] = true
-		return
+		lp.cfg.Logger.Debug("[dispatch] outcome of an attempt that no task needs", zap.String("worker", l.id),
+			zap.String("job", ref.Job), zap.Int("index", ref.Index), zap.Int("attempt", ref.Attempt), zap.String("result", string(o.Result)))
 	}
 	lp.cfg.Book.Ended(ref, verdict, o, func() {
 		lp.mu.Lock()
--- a/daemon/internal/jobs/faults_test.go
+++ b/daemon/internal/jobs/faults_test.go
@@ -18,112 +18,6 @@
 	wire "rhubarbstall.example/wire/worker"
 )
 
-// clients submit, resubmit and cancel jobs and keep what was acknowledged.
-type clients struct {
-	s  *sim
-	mu sync.Mutex
-	wg sync.WaitGroup
-	// acked holds the acknowledged specs by identity, cancelled the time of an
-	// acknowledged cancellation, and keys the identity that a key gave.
-	acked     map[string]Spec
-	cancelled map[string]time.Time
-	keys      map[string]string
-	refused   int
-}
-
-func (c *clients) pick(n int) int { return int(c.s.random(time.Duration(n))) }
-
-func (c *clients) node() *simNode {
-	for range 10 {
-		n := c.s.nodes[c.pick(len(c.s.nodes))]
-		if n.reachable() {
-			return n
-		}
-	}
-	return c.s.nodes[0]
-}
-
-func (c *clients) service() *Service {
-	n := c.node()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.svc
-}
-
-// submit tries one job for a while, with the same key each time.
-func (c *clients) submit(ctx context.Context, i int) {
-	defer c.wg.Done()
-	sp := spec(1+c.pick(6), time.Duration(200+c.pick(8000))*time.Millisecond)
-	sp.NoRepeat = c.pick(3) == 0
-	if c.pick(3) > 0 {
-		sp.IdempotencyKey = fmt.Sprint("key", i)
-	}
-	if c.pick(6) == 0 {
-		sp.Payload = []byte(`{"fail":true}`)
-	}
-	for range 30 {
-		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
-		job, err := c.service().Submit(callCtx, sp)
-		cancel()
-		if err == nil {
-			c.ack(job, sp)
-			// A second submission with the key must find the first.
-			if sp.IdempotencyKey == "" || c.pick(3) > 0 {
-				return
-			}
-		} else if sp.IdempotencyKey == "" {
-			return
-		}
-		if !sleep(ctx, c.s.random(3*time.Second)) {
-			return
-		}
-	}
-}
-
-func (c *clients) ack(job Job, sp Spec) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if sp.IdempotencyKey != "" {
-		if id := c.keys[sp.IdempotencyKey]; id != "" && id != job.ID {
-			c.s.t.Errorf("key %s gave jobs %s and %s", sp.IdempotencyKey, id, job.ID)
-		}
-		c.keys[sp.IdempotencyKey] = job.ID
-	}
-	if _, ok := c.acked[job.ID]; ok {
-		return
-	}
-	c.acked[job.ID] = sp
-	c.s.hist.Write(history.Event{Type: history.JobAcked, Job: job.ID, Tasks: sp.Tasks, NoRepeat: sp.NoRepeat})
-}
-
-func (c *clients) cancel(ctx context.Context) {
-	defer c.wg.Done()
-	c.mu.Lock()
-	id := ""
-	for k := range c.acked {
-		if id == "" || k < id && c.cancelled[k].IsZero() {
-			id = k
-		}
-	}
-	c.mu.Unlock()
-	for range 6 {
-		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
-		job, err := c.service().Cancel(callCtx, id)
-		cancel()
-		if err == nil {
-			c.mu.Lock()
-			if job.State == Cancelled && c.cancelled[id].IsZero() {
-				c.cancelled[id] = time.Now()
-			}
-			c.mu.Unlock()
-			return
-		}
-		if !sleep(ctx, c.s.random(2*time.Second)) {
-			return
-		}
-	}
-}
-
 // fault applies one random fault; it is healed after a while in the background.
 func (s *sim) fault(ctx context.Context, wg *sync.WaitGroup) {
 	n := s.nodes[s.random(time.Duration(len(s.nodes)))]
@@ -229,7 +123,12 @@
 }
 
 func randomFaults(t *testing.T, s *sim, seed uint64) {
-	s.loss, s.dup, s.late, s.store.loseAnswer = 0.02, 0.02, 0.02, 0.05
+	s.mu.Lock()
+	s.loss, s.dup, s.late = 0.02, 0.02, 0.02
+	s.mu.Unlock()
+	s.store.mu.Lock()
+	s.store.loseAnswer = 0.05
+	s.store.mu.Unlock()
 	c := &clients{s: s, acked: map[string]Spec{}, cancelled: map[string]time.Time{}, keys: map[string]string{}}
 	var healing sync.WaitGroup
 	for i := range 60 {
@@ -302,6 +201,11 @@
 		len(c.cancelled), report.Events[history.TaskStarted], report.Events[history.TaskRefused], lapsed(events))
 	if !report.OK() {
 		t.Errorf("seed %d:\n%s", seed, report)
+		for _, e := range events {
+			if e.Ref != nil && strings.Contains(report.String(), fmt.Sprintf("%s/%d ", e.Ref.Job, e.Ref.Index)) {
+				t.Logf("%s %s %s %+v %s", e.At.Format("04:05.000"), e.Type, e.Instance, *e.Ref, e.Result)
+			}
+		}
 	}
 }
 
