--- a/sched/cache/node.go
+++ b/sched/cache/node.go
@@ -16,6 +16,10 @@
 	Quarantined bool
 	// Probing lets a quarantined worker take one task.
 	Probing bool
+	// Ordinary is reserved by tasks that are not urgent, and Kept is the part of
+	// the capacity that they may not use.
+	Ordinary model.Resources
+	Kept     model.Resources
 	// Hold keeps the room for one job; nil if it is free for all.
 	Hold *Hold
 	rack *Rack
--- a/sched/engine/bench_test.go
+++ b/sched/engine/bench_test.go
@@ -18,9 +18,9 @@
 	benchDepartments = 1100
 )
 
-func benchPolicies() fakePolicies {
+func benchPolicies(departments int) fakePolicies {
 	p := fakePolicies{kinds: testPolicies.kinds}
-	for i := range benchDepartments {
+	for i := range departments {
 		p.departments = append(p.departments, model.Department{Path: fmt.Sprintf("d%02d/t%04d", i%40, i), Weight: 1 + i%3})
 	}
 	return p
@@ -49,7 +49,7 @@
 	kind := [...]string{"urgent", "patient", "patient", "drop"}[b.rng.IntN(4)]
 	err := b.engine.AddJob(b.now, model.Job{
 		ID: fmt.Sprintf("j%07d", b.serial), Kind: kind, Type: model.Batch, Tasks: tasks,
-		Department: b.policies.departments[b.rng.IntN(benchDepartments)].Path,
+		Department: b.policies.departments[b.rng.IntN(len(b.policies.departments))].Path,
 		Size:       model.Resources{MilliCPU: 500 + 250*b.rng.Int64N(8), MemoryMB: 1000 + 500*b.rng.Int64N(10)},
 		RunTime:    time.Duration(1+b.rng.IntN(3600)) * time.Second, Submitted: b.now,
 	})
@@ -84,7 +84,8 @@
 	before := heapBytes()
 	x := &bench{
 		engine: make(), rng: rand.New(rand.NewPCG(1, 2)), now: start,
-		latency: hdrhistogram.New(1, int64(time.Minute), 3), policies: benchPolicies(),
+		latency:  hdrhistogram.New(1, int64(time.Minute), 3), // A zone of 50 workers serves few departments.
+		policies: benchPolicies(min(benchDepartments, max(12, workers/12))),
 	}
 	x.engine.SetPolicies(x.now, x.policies)
 	for i := range workers {
--- a/sched/engine/decide.go
+++ b/sched/engine/decide.go
@@ -16,11 +16,13 @@
 func (e *Engine) Decide(now time.Time, limit int) model.Decisions {
 	now = e.clock(now)
 	e.tree.SetTotal(e.cache.Total())
+	e.headroom.Update(now)
 	wake := earlier(e.queue.Wake(now), e.probe(now))
 	wake = earlier(wake, e.refreshHolds(now))
 	d := model.Decisions{Starts: e.takeOutbox(now, limit)}
 	if len(d.Starts) < limit {
 		r := &round{now: now, left: limit - len(d.Starts)}
+		e.renewReservation(r)
 		e.run(r)
 		d.Starts = append(d.Starts, r.starts...)
 		d.Starts = append(d.Starts, e.takeOutbox(now, limit-len(d.Starts))...)
@@ -60,8 +62,12 @@
 	left   int
 	starts []model.Start
 	failed failures
-	// preemptions counts the attempts to make room.
-	preemptions int
+	// task is the one being placed; it is here because rules get a pointer.
+	task framework.Task
+	// noRoom holds tasks for which preemption found no victims.
+	noRoom failures
+	// preemptions, plans and misses count against the limits of a round.
+	preemptions, plans, misses int
 }
 
 func (e *Engine) run(r *round) {
@@ -74,11 +80,14 @@
 		if entry, _ := l.Next(0, r.now); entry == nil {
 			continue
 		}
+		if l.settled(e.roomVersion, r.now) {
+			continue
+		}
 		l.position, l.skips, l.key = 0, 0, e.key(l, r.now)
 		h = append(h, l)
 	}
 	heap.Init(&h)
-	for len(h) > 0 && r.left > len(r.starts) {
+	for len(h) > 0 && r.left > len(r.starts) && r.misses < maxMisses {
 		l := h[0]
 		// The starts of this round only lower the rank of a lane, so a lane whose
 		// rank is current and still on top is the first.
@@ -91,6 +100,7 @@
 			heap.Fix(&h, 0)
 		} else {
 			heap.Pop(&h)
+			l.settle(e.roomVersion, r.now)
 		}
 	}
 }
@@ -108,17 +118,18 @@
 	if entry.Job.Type == model.Gang {
 		ok = e.serveGang(r, entry)
 	} else {
-		t := e.nextTask(entry.Job)
-		if _, allowed := e.profile.Permit(&t); !allowed {
+		r.task = e.nextTask(entry.Job)
+		if _, allowed := e.profile.Permit(&r.task); !allowed {
 			return false
 		}
-		ok = e.serveTask(r, l, entry, &t, first)
+		ok = e.serveTask(r, l, entry, &r.task, first)
 	}
 	if ok {
 		return true
 	}
 	l.position++
 	l.skips++
+	r.misses++
 	return l.skips < maxSkips
 }
 
--- a/sched/engine/engine.go
+++ b/sched/engine/engine.go
@@ -26,6 +26,7 @@
 	estimates *estimate.Kinds
 	health    *health.Tracker
 	profile   *framework.Profile
+	headroom  *plugins.Headroom
 	outbox    ledger.Outbox
 	controls  []model.Control
 	stopping  []stopped
@@ -34,8 +35,12 @@
 	rooms []*room
 	// reserved is the gang that has the reservation of the zone.
 	reserved *ledger.Job
-	rotor    int
-	last     time.Time
+	// roomVersion changes when room may have become free; plannedRoom is its value
+	// at the last plan of the reservation.
+	roomVersion uint64
+	plannedRoom uint64
+	rotor       int
+	last        time.Time
 }
 
 var _ model.Engine = (*Engine)(nil)
@@ -43,6 +48,7 @@
 // New returns an engine without workers, jobs and policies.
 func New() *Engine {
 	c := cache.New()
+	headroom := plugins.NewHeadroom(c)
 	return &Engine{
 		book:      ledger.NewBook(),
 		cache:     c,
@@ -51,10 +57,11 @@
 		kinds:     map[string]*kindUse{},
 		estimates: estimate.New(),
 		health:    health.New(),
+		headroom:  headroom,
 		profile: framework.NewProfile(
-			plugins.NewHeadroom(c),
 			plugins.Fit{},
 			plugins.Health{},
+			headroom,
 			plugins.Hold{},
 			plugins.BestFit{},
 			plugins.RackSpread{},
@@ -100,6 +107,7 @@
 // UpsertWorker adds or changes a worker.
 func (e *Engine) UpsertWorker(now time.Time, w model.Worker) {
 	e.clock(now)
+	e.roomVersion++
 	e.cache.Upsert(w)
 }
 
--- a/sched/engine/gangs.go
+++ b/sched/engine/gangs.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"rhubarbstall.example/sched/cache"
 	"rhubarbstall.example/sched/framework"
 	"rhubarbstall.example/sched/gang"
@@ -16,17 +18,11 @@
 		return false
 	}
 	t := e.nextTask(j)
-	nodes := e.findGang(&t, len(tasks))
-	if nodes == nil {
-		e.reserveGang(r, &t, len(tasks))
+	if _, ok := e.profile.Permit(&t); !ok {
 		return false
 	}
-	// One permit covers the gang: its size is that of all tasks together.
-	all := t
-	all.Size = t.Size.Scale(int64(len(tasks)))
-	// A gang with the reservation has waited for its room, also for the part that
-	// is otherwise kept for urgent work.
-	if _, ok := e.profile.Permit(&all); !ok && e.reserved != j {
+	nodes := e.findGang(&t, len(tasks))
+	if nodes == nil {
 		e.reserveGang(r, &t, len(tasks))
 		return false
 	}
@@ -66,19 +62,17 @@
 }
 
 // reserveGang plans the start of a gang if no other gang has the reservation of
-// the zone. A plan whose start has passed is made again.
+// the zone. The plan is renewed as attempts end earlier or later than estimated.
 func (e *Engine) reserveGang(r *round, t *framework.Task, tasks int) {
 	st := stateOf(t.Job)
 	if e.reserved != nil && e.reserved != t.Job || r.now.Sub(st.plannedAt) < planEvery {
 		return
 	}
-	if e.reserved == t.Job && len(st.holds) > 0 && st.holds[0].Hold.Start.After(r.now) {
-		return
-	}
+	begun := e.reserved == t.Job
 	e.dropHolds(t.Job)
 	st.plannedAt = r.now
-	p, ok := gang.Make(r.now, e.planNodes(t), t.Size, tasks, e.end)
-	if !ok {
+	p, ok := e.plan(t, tasks)
+	if !ok || !begun && !e.worthwhile(r, t, tasks, p) {
 		return
 	}
 	e.reserved = t.Job
@@ -86,3 +80,44 @@
 		e.hold(s.Node, &cache.Hold{Job: t.Job, Need: t.Size.Scale(int64(s.Tasks)), Start: p.Start})
 	}
 }
+
+// worthwhile reports whether a reservation may begin. One that has begun goes
+// on: the room that it has gathered would be lost. It may begin if the room that would stay
+// idle is a small part of what the gang uses, or the gang is due.
+func (e *Engine) worthwhile(r *round, t *framework.Task, tasks int, p gang.Plan) bool {
+	if t.Urgent || r.now.Sub(t.Job.Submitted) > t.Policy.Patience/gangDue {
+		return true
+	}
+	return t.RunTime > 0 && p.Idle*idleShare <= t.RunTime*time.Duration(tasks)
+}
+
+// renewReservation plans a begun reservation again after room became free, so
+// that the gang takes it where it can start earlier than planned.
+func (e *Engine) renewReservation(r *round) {
+	j := e.reserved
+	if j == nil || e.plannedRoom == e.roomVersion || r.now.Sub(stateOf(j).plannedAt) < e.renewEvery() {
+		return
+	}
+	tasks := 0
+	for i := range j.State {
+		if j.State[i].Phase == ledger.Waiting {
+			tasks++
+		}
+	}
+	if tasks == 0 {
+		e.dropHolds(j)
+		return
+	}
+	t := e.nextTask(j)
+	stateOf(j).plannedAt = time.Time{}
+	e.reserveGang(r, &t, tasks)
+	e.plannedRoom = e.roomVersion
+}
+
+// renewEvery keeps the cost of plans small where many attempts end each second.
+func (e *Engine) renewEvery() time.Duration {
+	if e.cache.Known() <= planNodes {
+		return 0
+	}
+	return time.Second
+}
--- a/sched/engine/holds.go
+++ b/sched/engine/holds.go
@@ -26,6 +26,7 @@
 	st.holds = slices.DeleteFunc(st.holds, same)
 	e.held = slices.DeleteFunc(e.held, same)
 	n.Hold = nil
+	e.roomVersion++
 }
 
 // dropHolds ends every hold of a job and its reservation.
@@ -89,25 +90,39 @@
 // reserve holds the worker that can take a single task first. Without it, small
 // tasks would take each bit of room and a large task would never start.
 func (e *Engine) reserve(r *round, l *lane, t *framework.Task) {
+	if r.plans >= maxPlans || len(e.held) >= min(max(1, e.cache.Known()/holdShare), maxHolds) {
+		return
+	}
 	st := stateOf(t.Job)
 	late := r.now.Sub(t.Job.Submitted) > l.Policy.Patience/2
-	if !late && !t.BelowFloor && !t.Urgent || len(st.holds) > 0 || len(e.held) >= max(1, e.cache.Known()/holdShare) {
+	if !late && !t.BelowFloor && !t.Urgent || len(st.holds) > 0 {
 		return
 	}
 	if r.now.Sub(st.plannedAt) < planEvery {
 		return
 	}
 	st.plannedAt = r.now
-	p, ok := gang.Make(r.now, e.planNodes(t), t.Size, 1, e.end)
+	r.plans++
+	p, ok := e.plan(t, 1)
 	if !ok {
 		return
 	}
 	e.hold(p.Shares[0].Node, &cache.Hold{Job: t.Job, Need: t.Size, Start: p.Start})
 }
 
+// plan finds the earliest start, on workers kept for urgent work only if no
+// others can ever take the tasks.
+func (e *Engine) plan(t *framework.Task, tasks int) (gang.Plan, bool) {
+	p, ok := gang.Make(e.last, e.planNodes(t, false), t.Size, tasks, e.end)
+	if !ok {
+		p, ok = gang.Make(e.last, e.planNodes(t, true), t.Size, tasks, e.end)
+	}
+	return p, ok
+}
+
 // planNodes returns workers without holds that can take the task when empty,
 // beginning at a different one each time.
-func (e *Engine) planNodes(t *framework.Task) []*cache.Node {
+func (e *Engine) planNodes(t *framework.Task, kept bool) []*cache.Node {
 	all := e.cache.Nodes()
 	if len(all) == 0 {
 		return nil
@@ -120,7 +135,7 @@
 	var out []*cache.Node
 	for i := range all {
 		n := all[(from+i)%len(all)]
-		if n.Usable() && n.Hold == nil && t.Size.Fits(n.Capacity) {
+		if n.Usable() && n.Hold == nil && (kept || n.Kept.IsZero()) && t.Size.Fits(n.Capacity) {
 			if out = append(out, n); len(out) == planNodes {
 				break
 			}
--- a/sched/engine/jobs.go
+++ b/sched/engine/jobs.go
@@ -72,6 +72,7 @@
 func (e *Engine) freeJob(j *ledger.Job, unsent []*ledger.Run) {
 	for _, r := range unsent {
 		e.detach(r)
+		e.roomVersion++
 	}
 	e.dropHolds(j)
 }
--- a/sched/engine/jobstate.go
+++ b/sched/engine/jobstate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbstall.example/sched/cache"
+	"rhubarbstall.example/sched/estimate"
 	"rhubarbstall.example/sched/ledger"
 	"rhubarbstall.example/sched/model"
 	"rhubarbstall.example/sched/queue"
@@ -15,6 +16,7 @@
 	lane  *lane
 	// peak is the largest use seen of a task of the job.
 	peak  model.Resources
+	times estimate.JobTimes
 	racks map[*cache.Rack]int
 	holds []*cache.Node
 	// probe lets one task of a parked job start.
--- a/sched/engine/key.go
+++ b/sched/engine/key.go
@@ -7,12 +7,15 @@
 )
 
 // key is the rank of a lane: kinds below their floor first, the emptiest ahead;
-// then departments within their quota; then urgency; then fairness.
+// then departments within their quota; then urgency; then fairness; then the
+// rank of the first job.
 type key struct {
 	// floor is the part of the floor that is in use, 1 when it is reached.
 	floor   float64
 	over    bool
 	urgency int
+	// rank is that of the first job.
+	rank int64
 }
 
 func (e *Engine) key(l *lane, now time.Time) key {
@@ -22,6 +25,7 @@
 	}
 	if entry, _ := l.Next(0, now); entry != nil {
 		k.over = l.Node.Over(entry.Job.Size)
+		k.rank = entry.Rank()
 	}
 	return k
 }
@@ -40,6 +44,9 @@
 	if c := quota.Compare(a.Node, b.Node); c != 0 {
 		return c < 0
 	}
+	if x.rank != y.rank {
+		return x.rank < y.rank
+	}
 	return a.Order < b.Order
 }
 
--- a/sched/engine/lane.go
+++ b/sched/engine/lane.go
@@ -20,6 +20,21 @@
 	position int
 	skips    int
 	key      key
+	// settledAt, settledRoom and settledJobs tell when and in what state of the
+	// workers and the queue the lane last had nothing more to start.
+	settledAt   time.Time
+	settledRoom uint64
+	settledJobs uint64
+}
+
+// settle notes that the lane has nothing more to start until room becomes free,
+// a task arrives, or time passes.
+func (l *lane) settle(room uint64, now time.Time) {
+	l.settledAt, l.settledRoom, l.settledJobs = now, room, l.Version
+}
+
+func (l *lane) settled(room uint64, now time.Time) bool {
+	return l.settledRoom == room && l.settledJobs == l.Version && !l.settledAt.IsZero() && now.Sub(l.settledAt) < recheckEvery
 }
 
 func (l *lane) urgent() bool { return l.Policy.Urgency >= urgentFrom }
--- a/sched/engine/limits.go
+++ b/sched/engine/limits.go
@@ -14,8 +14,12 @@
 	// maxSkips bounds the jobs of a lane that are tried in a round after the
 	// first one did not fit.
 	maxSkips = 64
+	// maxMisses bounds the tasks of a round that do not fit.
+	maxMisses = 1024
+	// maxPlans bounds the reservations that are planned in a round.
+	maxPlans = 2
 	// maxPreemptions and maxVictimNodes bound the cost of making room in a round.
-	maxPreemptions = 32
+	maxPreemptions = 16
 	maxVictimNodes = 48
 	// roomTimeout ends the claim on room that preemption should have made.
 	roomTimeout = 20 * time.Second
@@ -23,8 +27,14 @@
 	// time between two plans for the same job.
 	planNodes = 256
 	planEvery = 5 * time.Second
-	// holdShare is the part of the workers that single tasks may hold: 1/8.
+	// A gang that has waited less than a part of its patience reserves its start
+	// only if the idle time is at most a part of its run time: 1/gangDue, 1/idleShare.
+	gangDue   = 4
+	idleShare = 10
+	// holdShare is the part of the workers that may be held when a single task
+	// adds a hold: 1/8, up to maxHolds.
 	holdShare = 8
+	maxHolds  = 64
 	// patienceUnset stands in for a policy without patience.
 	patienceUnset = 10 * time.Minute
 	// recheckEvery is the time between rounds while work waits.
--- a/sched/engine/preempt.go
+++ b/sched/engine/preempt.go
@@ -28,8 +28,12 @@
 			return
 		}
 	}
-	if r.preemptions < maxPreemptions && e.preempt(r, l, t) {
-		return
+	if r.preemptions < maxPreemptions && !r.noRoom.covers(t) {
+		r.preemptions++
+		if e.preempt(r, l, t) {
+			return
+		}
+		r.noRoom.add(t)
 	}
 	e.reserve(r, l, t)
 }
@@ -60,7 +64,6 @@
 	if best == nil {
 		return false
 	}
-	r.preemptions++
 	free := best.node.Free()
 	for _, v := range best.victims {
 		free = free.Add(v.Size)
--- a/sched/engine/property_test.go
+++ b/sched/engine/property_test.go
@@ -32,7 +32,8 @@
 	},
 	departments: []model.Department{
 		{Path: "a", Weight: 1, Quota: model.Resources{MilliCPU: 8000}},
-		{Path: "a/x", Weight: 2}, {Path: "b", Weight: 1},
+		{Path: "a/x", Weight: 2},
+		{Path: "b", Weight: 1},
 	},
 }
 
--- a/sched/engine/settle.go
+++ b/sched/engine/settle.go
@@ -59,6 +59,7 @@
 
 func (e *Engine) settle(now time.Time, run *ledger.Run, again bool) {
 	e.detach(run)
+	e.roomVersion++
 	if again {
 		e.queue.Requeue(now, stateOf(run.Job).entry, int(run.Index))
 	} else if run.Job.Waiting == 0 {
@@ -77,6 +78,7 @@
 	if o.Result == model.Succeeded {
 		kind.ObserveSize(run.Job.Size, o.PeakUsed)
 		kind.ObserveRunTime(run.Job.RunTime, o.RunTime)
+		st.times.Add(o.RunTime)
 	}
 }
 
@@ -90,6 +92,7 @@
 		if workerBack && n != nil {
 			n.Quarantined, n.Probing = false, false
 			e.cache.Refresh(n)
+			e.roomVersion++
 		}
 		if jobBack {
 			e.resume(run.Job)
@@ -132,6 +135,7 @@
 		if n := e.cache.Get(id); n != nil {
 			n.Probing = true
 			e.cache.Refresh(n)
+			e.roomVersion++
 		}
 	}
 	for _, id := range jobs {
--- a/sched/engine/task.go
+++ b/sched/engine/task.go
@@ -63,11 +63,15 @@
 	if j.Type == model.Service && j.RunTime == 0 {
 		return 0, 0
 	}
+	if usual, long, ok := stateOf(j).times.RunTime(); ok {
+		return usual, long
+	}
 	return e.estimates.Kind(j.Kind).RunTime(j.RunTime)
 }
 
-// end estimates the end of an attempt. An attempt that is overdue is expected to
-// last a tenth of its age longer.
+// end estimates the end of an attempt. Tasks of a job differ a little, so an
+// attempt may be a quarter late; one that is later than that is expected to last
+// half its age longer, because its declared time was probably wrong by a factor.
 func (e *Engine) end(r *ledger.Run) (time.Time, bool) {
 	if r.Stopping {
 		return e.last.Add(time.Second), true
@@ -76,9 +80,10 @@
 	if usual <= 0 {
 		return time.Time{}, false
 	}
-	at := r.StartedAt.Add(usual)
-	if !at.After(e.last) {
-		at = e.last.Add(time.Second + e.last.Sub(r.StartedAt)/10)
+	for _, at := range [...]time.Time{r.StartedAt.Add(usual), r.StartedAt.Add(usual + usual/4)} {
+		if at.After(e.last) {
+			return at, true
+		}
 	}
-	return at, true
+	return e.last.Add(time.Second + e.last.Sub(r.StartedAt)/2), true
 }
--- a/sched/framework/profile.go
+++ b/sched/framework/profile.go
@@ -8,6 +8,7 @@
 	filters  []Filter
 	scores   []Score
 	reserves []Reserve
+	extras   []Candidates
 }
 
 // NewProfile sorts rules by the steps that they implement, in the given order.
@@ -23,6 +24,9 @@
 		if x, ok := r.(Score); ok {
 			p.scores = append(p.scores, x)
 		}
+		if x, ok := r.(Candidates); ok {
+			p.extras = append(p.extras, x)
+		}
 		if x, ok := r.(Reserve); ok {
 			p.reserves = append(p.reserves, x)
 		}
--- a/sched/framework/select.go
+++ b/sched/framework/select.go
@@ -9,6 +9,8 @@
 	cellsPerRow  = 3
 	// racksPerSearch bounds the racks that a spread task looks at.
 	racksPerSearch = 32
+	// extraCandidates bounds the workers that a rule may add to a search.
+	extraCandidates = 32
 )
 
 // Select returns the best node for a task, nil if there is none.
@@ -26,6 +28,12 @@
 	if t.Racks != nil {
 		spreadCandidates(t, c, visit)
 	}
+	for _, x := range p.extras {
+		extra := x.Candidates(t)
+		for _, n := range extra[:min(len(extra), extraCandidates)] {
+			visit(n)
+		}
+	}
 	c.Search(t.Size, nodesPerCell, cellsPerRow, visit)
 	if best != nil {
 		return best
--- a/sched/framework/step.go
+++ b/sched/framework/step.go
@@ -15,6 +15,11 @@
 	Allow(t *Task, n *cache.Node) bool
 }
 
+// Candidates names workers that a task looks at beside those of the index.
+type Candidates interface {
+	Candidates(t *Task) []*cache.Node
+}
+
 // Score rates workers; the highest sum wins.
 type Score interface {
 	Score(t *Task, n *cache.Node) float64
--- a/sched/gang/plan.go
+++ b/sched/gang/plan.go
@@ -20,6 +20,9 @@
 type Plan struct {
 	Start  time.Time
 	Shares []Share
+	// Idle is the sum over the tasks of the time that their room waits for the
+	// start.
+	Idle time.Duration
 }
 
 // End estimates the end of an attempt; false if it has none.
@@ -44,6 +47,7 @@
 	p := Plan{Start: slots[tasks-1].at}
 	count := make([]int, len(nodes))
 	for _, s := range slots[:tasks] {
+		p.Idle += p.Start.Sub(s.at)
 		count[s.node]++
 	}
 	for i, k := range count {
--- a/sched/plugins/headroom.go
+++ b/sched/plugins/headroom.go
@@ -11,72 +11,121 @@
 
 const (
 	// headroomHalfLife forgets a peak of urgent work.
-	headroomHalfLife = 10 * time.Minute
-	// headroomMargin is kept above the remembered peak, in percent.
-	headroomMargin = 25
-	// headroomCap bounds the share of the capacity kept for urgent work, in percent.
-	headroomCap = 50
+	headroomHalfLife = 15 * time.Minute
+	// headroomMargin is kept above the remembered peak.
+	headroomMargin = 1.1
+	// headroomCold is the part kept while nothing is known, for coldTime.
+	headroomCold = 0.02
+	coldTime     = 15 * time.Minute
+	// headroomCap bounds the part of the workers kept for urgent work.
+	headroomCap = 0.5
 )
 
 // Headroom keeps as much room for urgent work as it used at its recent peak, so
-// that urgent tasks start without waiting for patient ones to end. A kind below
-// its floor is exempt.
+// that urgent tasks start without waiting for patient ones to end. The room is
+// on few workers: the same amount spread over all of them would be in pieces too
+// small for a task.
 type Headroom struct {
 	cache *cache.Cache
 	inUse model.Resources
 	peak  model.Resources
 	at    time.Time
+	began time.Time
+	kept  []*cache.Node
 }
 
 // NewHeadroom returns the rule for the workers of c.
 func NewHeadroom(c *cache.Cache) *Headroom { return &Headroom{cache: c} }
 
-// Permit implements framework.Permit.
-func (h *Headroom) Permit(t *framework.Task) (string, bool) {
-	if t.Urgent || t.BelowFloor {
-		return "", true
+// Name implements framework.Filter.
+func (h *Headroom) Name() string { return "urgent_headroom" }
+
+// Allow implements framework.Filter.
+func (h *Headroom) Allow(t *framework.Task, n *cache.Node) bool {
+	if t.Urgent || n.Kept.IsZero() || n.Hold != nil && n.Hold.Job == t.Job {
+		return true
 	}
-	h.decay(t.Now)
-	total := h.cache.Total()
-	keep := scale(h.peak, 100+headroomMargin, 100)
-	limit := scale(total, headroomCap, 100)
-	keep.MilliCPU = max(min(keep.MilliCPU, limit.MilliCPU)-h.inUse.MilliCPU, 0)
-	keep.MemoryMB = max(min(keep.MemoryMB, limit.MemoryMB)-h.inUse.MemoryMB, 0)
-	free := total.Sub(h.cache.Used())
-	if t.Size.MilliCPU+keep.MilliCPU > free.MilliCPU || t.Size.MemoryMB+keep.MemoryMB > free.MemoryMB {
-		return "urgent_headroom", false
+	return n.Ordinary.Add(t.Size).Fits(n.Capacity.Sub(n.Kept))
+}
+
+// Score implements framework.Score. Urgent work takes the kept room first,
+// because no other work can use it.
+func (h *Headroom) Score(t *framework.Task, n *cache.Node) float64 {
+	if t.Urgent && !n.Kept.IsZero() {
+		return 5
 	}
-	return "", true
+	return 0
 }
 
-func (h *Headroom) decay(now time.Time) {
-	// A step of a second keeps the cost of the exponential off each decision.
+// Candidates implements framework.Candidates.
+func (h *Headroom) Candidates(t *framework.Task) []*cache.Node {
+	if !t.Urgent {
+		return nil
+	}
+	return h.kept
+}
+
+// Update forgets old peaks and chooses the workers anew, at most once a second.
+func (h *Headroom) Update(now time.Time) {
 	dt := now.Sub(h.at)
 	if dt < time.Second {
 		return
 	}
+	h.at = now
 	f := math.Exp2(-float64(dt) / float64(headroomHalfLife))
 	h.peak.MilliCPU = int64(float64(h.peak.MilliCPU) * f)
 	h.peak.MemoryMB = int64(float64(h.peak.MemoryMB) * f)
 	h.peak = h.peak.Max(h.inUse)
-	h.at = now
+	for _, n := range h.kept {
+		n.Kept = model.Resources{}
+	}
+	h.kept = h.kept[:0]
+	total := h.cache.Total()
+	// Accelerators are not kept: urgent work that needs them preempts.
+	total.Accelerators = 0
+	part := min(headroomMargin*h.peak.DominantShare(total), headroomCap)
+	if h.began.IsZero() {
+		h.began = now
+	}
+	if now.Sub(h.began) < coldTime {
+		part = max(part, headroomCold)
+	}
+	h.choose(part * float64(h.cache.Known()))
 }
 
-// Reserved implements framework.Reserve.
-func (h *Headroom) Reserved(t *framework.Task, _ *cache.Node) {
-	if t.Urgent {
-		h.inUse = h.inUse.Add(t.Size)
-		h.peak = h.peak.Max(h.inUse)
+// choose keeps the capacity of the given number of workers, the last one in part.
+func (h *Headroom) choose(workers float64) {
+	nodes := h.cache.Nodes()
+	for i := len(nodes) - 1; i >= 0 && workers > 0; i-- {
+		n := nodes[i]
+		if !n.Usable() || n.Capacity.Accelerators > 0 {
+			continue
+		}
+		f := min(workers, 1)
+		n.Kept = model.Resources{
+			MilliCPU: int64(f * float64(n.Capacity.MilliCPU)),
+			MemoryMB: int64(f * float64(n.Capacity.MemoryMB)),
+		}
+		h.kept = append(h.kept, n)
+		workers--
 	}
 }
 
-// Released implements framework.Reserve.
-func (h *Headroom) Released(t *framework.Task, _ *cache.Node) {
-	if t.Urgent {
-		h.inUse = h.inUse.Sub(t.Size)
+// Reserved implements framework.Reserve.
+func (h *Headroom) Reserved(t *framework.Task, n *cache.Node) {
+	if !t.Urgent {
+		n.Ordinary = n.Ordinary.Add(t.Size)
+		return
 	}
+	h.inUse = h.inUse.Add(t.Size)
+	h.peak = h.peak.Max(h.inUse)
 }
 
-func scale(r model.Resources, num, den int64) model.Resources {
-	return model.Resources{MilliCPU: r.MilliCPU * num / den, MemoryMB: r.MemoryMB * num / den, Accelerators: r.Accelerators * num / den}
+// Released implements framework.Reserve.
+func (h *Headroom) Released(t *framework.Task, n *cache.Node) {
+	if !t.Urgent {
+		n.Ordinary = n.Ordinary.Sub(t.Size)
+		return
+	}
+	h.inUse = h.inUse.Sub(t.Size)
 }
--- a/sched/plugins/hold.go
+++ b/sched/plugins/hold.go
@@ -1,10 +1,15 @@
 package plugins
 
 import (
+	"time"
+
 	"rhubarbstall.example/sched/cache"
 	"rhubarbstall.example/sched/framework"
 )
 
+// urgentDelay bounds the run time of urgent work that may use held room.
+const urgentDelay = time.Minute
+
 // Hold rejects workers whose room is kept for another job, unless the task ends
 // before that job starts or fits beside it (backfill).
 type Hold struct{}
@@ -18,6 +23,10 @@
 	if h == nil || h.Job == t.Job {
 		return true
 	}
+	// Urgent work is short and may delay a reserved start of work that is not.
+	if t.Urgent && t.LongRunTime > 0 && t.LongRunTime < urgentDelay && h.Expires.IsZero() {
+		return true
+	}
 	if t.LongRunTime > 0 && !t.Now.Add(t.LongRunTime).After(h.Start) {
 		return true
 	}
--- a/sched/queue/entry.go
+++ b/sched/queue/entry.go
@@ -17,6 +17,21 @@
 	// delayed counts the tasks that wait out a backoff.
 	delayed int
 	queued  bool
+	rank    int64
+}
+
+// Rank orders the jobs of a lane, the lowest first.
+func (e *Entry) Rank() int64 { return e.rank }
+
+// lead is how many run times a longer job may overtake shorter ones by. Long
+// tasks that start last leave the fleet idle at the end of a backlog.
+const lead = 8
+
+// rank is the submission time less a lead for long run times, in nanoseconds.
+// The lead is at most a quarter of the patience, so no job waits much longer for
+// it, and it does not change, so later jobs cannot starve earlier ones.
+func rank(j *ledger.Job, patience time.Duration) int64 {
+	return j.Submitted.UnixNano() - int64(min(lead*j.RunTime, patience/4))
 }
 
 // Peek returns the index of the next task, or -1 if none is ready.
--- a/sched/queue/lane.go
+++ b/sched/queue/lane.go
@@ -17,22 +17,30 @@
 	Policy     model.Policy
 	// Order is the order of creation, the last tie-break between lanes.
 	Order int
+	// Version changes when an entry is queued.
+	Version uint64
 	// Runs holds the attempts in progress.
 	Runs []*ledger.Run
-	// entries holds jobs in order of arrival, from head on; nil is a gap.
+	// entries holds jobs in order of rank, from head on; nil is a gap.
 	entries []*Entry
 	head    int
 	gaps    int
 }
 
-// push appends an entry; pushFront puts one before all others.
+// push adds an entry in order of rank; pushFront puts one before all others.
 func (l *Lane) push(e *Entry) {
 	e.queued = true
-	l.entries = append(l.entries, e)
+	l.Version++
+	at := len(l.entries)
+	for at > l.head && (l.entries[at-1] == nil || l.entries[at-1].rank > e.rank) {
+		at--
+	}
+	l.entries = slices.Insert(l.entries, at, e)
 }
 
 func (l *Lane) pushFront(e *Entry) {
 	e.queued = true
+	l.Version++
 	if l.head > 0 {
 		l.head--
 		l.entries[l.head] = e
--- a/sched/queue/queue.go
+++ b/sched/queue/queue.go
@@ -33,9 +33,9 @@
 	return l, true
 }
 
-// Add queues a job at the end of a lane.
+// Add queues a job in a lane, in order of rank.
 func (q *Queue) Add(l *Lane, j *ledger.Job) *Entry {
-	e := &Entry{Job: j, Lane: l}
+	e := &Entry{Job: j, Lane: l, rank: rank(j, l.Policy.Patience)}
 	l.push(e)
 	return e
 }
@@ -51,6 +51,7 @@
 		return
 	}
 	e.front = append(e.front, int32(index))
+	e.Lane.Version++
 	if !e.queued {
 		e.Lane.pushFront(e)
 	}
