Read the roster again while it is missing or outdated

The other entry VM had read the roster once at its start, before it existed, and would read it again after a minute; without a roster it cannot become a candidate while the platform is away. Ruled out: too few votes (5 of 5 workers answered, 10 of 16 by weight). Conclusion: kept; a zone without workers is still read once a minute only.

--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -25,6 +25,9 @@
 	// rosterRefresh is how often an entry VM that is no candidate reads the
 	// roster, for the case that it becomes one while the platform is down.
 	rosterRefresh = time.Minute
+	// rosterRetry is the same while the roster is missing or a heartbeat told of
+	// a later one: with an old roster this entry VM could not become a candidate.
+	rosterRetry = time.Second
 	// claimTimeout bounds the platform calls of one claim.
 	claimTimeout = 2500 * time.Millisecond
 )
@@ -154,7 +157,8 @@
 func (l *Lead) cachedRoster() (quorum.Roster, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.roster == nil || l.roster.Revision < l.seenRevision {
+	missing := l.roster == nil && len(l.listedWorkers()) > 0
+	if missing || (l.roster != nil && l.roster.Revision < l.seenRevision) {
 		return quorum.Roster{}, false
 	}
 	return *l.roster, true
@@ -163,7 +167,12 @@
 // refreshRoster reads the roster now and then in the background.
 func (l *Lead) refreshRoster(ctx context.Context) {
 	l.mu.Lock()
-	due := time.Since(l.rosterReadAt) > rosterRefresh
+	interval := rosterRefresh
+	missing := l.roster == nil && len(l.listedWorkers()) > 0
+	if missing || (l.roster != nil && l.roster.Revision < l.seenRevision) {
+		interval = rosterRetry
+	}
+	due := time.Since(l.rosterReadAt) > interval
 	l.mu.Unlock()
 	if !due || !l.refreshing.CompareAndSwap(false, true) {
 		return
