--- a/daemon/internal/telemetry/telemetry.go
+++ b/daemon/internal/telemetry/telemetry.go
@@ -81,17 +81,29 @@
 func (t *Telemetry) setupMetrics(res *resource.Resource) error {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	exporter, err := otelprom.New(otelprom.WithRegisterer(reg))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo())
 	if err != nil {
 		return err
 	}
-	provider := metric.NewMeterProvider(metric.WithReader(exporter), metric.WithResource(res))
+	provider := metric.NewMeterProvider(metric.WithReader(exporter), metric.WithResource(res), metric.WithView(durationView()))
 	otel.SetMeterProvider(provider)
 	t.Metrics = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 	t.shutdown = append(t.shutdown, provider.Shutdown)
 	return nil
 }
 
+// durationView gives durations in seconds buckets from 100 us to 60 s. The
+// default buckets are meant for milliseconds and would put all of them into one.
+func durationView() metric.View {
+	return metric.NewView(
+		metric.Instrument{Kind: metric.InstrumentKindHistogram, Unit: "s"},
+		metric.Stream{Aggregation: metric.AggregationExplicitBucketHistogram{
+			Boundaries: []float64{0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.1, 5, 10, 60},
+			NoMinMax:   true,
+		}},
+	)
+}
+
 func (t *Telemetry) setupTraces(cfg config.Trace, res *resource.Resource) error {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
 	if cfg.File == "" {
--- a/sched/replay/exp_test.go
+++ b/sched/replay/exp_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
-"os"
 	"testing"
 )
 
