--- a/daemon/internal/router/health_test.go
+++ b/daemon/internal/router/health_test.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -79,6 +82,39 @@
 	}
 }
 
+// Guards against a runner that stays out of use after it was restarted under its
+// old address, which the lagging list need not show.
+func TestRestartedRunnerReturns(t *testing.T) {
+	c := newCell(t)
+	r := c.runner("r1", "z", func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(wire.HeaderState, wire.StateLeaving)
+		echo(w, req)
+	})
+	c.runner("r2", "z", echo)
+	n := c.node("a", "z")
+	c.settled()
+	c.eventually("runner said that it leaves", func() bool {
+		send(n, 1)
+		return n.upstream("r1").State == wire.StateLeaving
+	})
+	r.Close()
+	c.eventually("closed port seen", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.byID["r1"].leaving.closed
+	})
+	l, err := net.Listen("tcp", r.Listener.Addr().String())
+	must.NoError(t, err)
+	again := httptest.NewUnstartedServer(http.HandlerFunc(echo))
+	again.Listener = l
+	again.Start()
+	defer again.Close()
+	c.eventually("runner returned", func() bool {
+		send(n, 2)
+		return n.upstream("r1").State == "live"
+	})
+}
+
 // Guards against a runner that fails fast and so attracts the work, and against
 // one that never comes back after it recovered.
 func TestFastFailingRunnerIsEjectedAndReturns(t *testing.T) {
@@ -107,6 +143,8 @@
 func TestBlackHoleRunnerIsEjected(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	hole := c.runner("hole", "z", echo)
 	c.runner("good", "z", echo)
 	n := c.node("a", "z")
@@ -118,7 +156,6 @@
 		case <-req.Context().Done():
 		}
 	})
-	defer close(release)
 	before := hole.runs.Load()
 	answers := send(n, 200)
 	must.LessEq(t, int64(wire.Slots), hole.runs.Load()-before)
@@ -126,6 +163,39 @@
 	must.Eq(t, "ejected", n.upstream("hole").State)
 }
 
+// Guards against one kind whose requests always fail and so takes every runner
+// away from the other kinds.
+func TestFailingKindDoesNotEjectAllRunners(t *testing.T) {
+	c := newCell(t)
+	h := func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(wire.HeaderKind) == "plan" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		echo(w, req)
+	}
+	c.runner("r1", "z", h)
+	c.runner("r2", "z", h)
+	n := c.node("a", "z")
+	c.settled()
+	// A probe alone would let a check through after the ejection time only.
+	for range 5 {
+		var wg sync.WaitGroup
+		for range 2 * wire.Slots {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				_, err := n.Send(ctx, request("plan"))
+				must.Error(t, err)
+			})
+		}
+		wg.Wait()
+		answer, err := n.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Less(t, ejectMinimum/2, answer.Wait)
+	}
+}
+
 // Guards against an in-flight limit that does not follow a full runner down and
 // a recovered one up.
 func TestLimitAdapts(t *testing.T) {
@@ -135,13 +205,13 @@
 		h.begin(now, i, 0)
 		h.end(now, i, NotRun, false)
 	}
-	must.Eq(t, 1, h.room(now, 0))
+	must.Eq(t, 1, h.room(now))
 	must.False(t, h.ejected())
 	for i := range uint64(60) {
 		h.begin(now, i, 0)
 		h.end(now, i, Answered, false)
 	}
-	must.Eq(t, wire.Slots, h.room(now, 0))
+	must.Eq(t, wire.Slots, h.room(now))
 }
 
 // Guards against more connections to a runner than it accepts from all entry
@@ -172,6 +242,8 @@
 func TestDrainWaitsForRequests(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
 		<-release
 		echo(w, req)
@@ -193,7 +265,7 @@
 		t.Fatal("drained with requests in progress")
 	case <-time.After(50 * time.Millisecond):
 	}
-	close(release)
+	open()
 	must.NoError(t, <-drained)
 	// The eight that were in progress are answered; the four that came later are not.
 	must.Eq(t, wire.Slots, <-answers)
--- a/daemon/internal/router/ownership.go
+++ b/daemon/internal/router/ownership.go
@@ -17,6 +17,7 @@
 
 // refresh takes the platform's list and the owners over. The lock is held.
 func (r *Router) refresh(now time.Time) {
+	r.declare(now)
 	owners := r.owners()
 	slices.Sort(owners)
 	vms, at := r.cfg.VMs.VMs()
@@ -32,8 +33,15 @@
 	}
 	r.block()
 	r.updatePeers(now)
+	failing := 0
 	for _, u := range r.upstreams {
 		u.endHold(now)
+		if u.health.ejected() && !u.health.unreachable {
+			failing++
+		}
+	}
+	for _, u := range r.upstreams {
+		u.health.lenient = 2*failing > len(r.upstreams)
 	}
 }
 
@@ -54,9 +62,8 @@
 			r.byID[vm.ID] = u
 			r.upstreams = append(r.upstreams, u)
 		}
-		if vm.State == wireplatform.VMLeaving {
-			u.leaving = true
-		}
+		u.gone = false
+		u.leaving.listed = vm.State == wireplatform.VMLeaving
 	}
 	r.upstreams = slices.DeleteFunc(r.upstreams, func(u *upstream) bool {
 		u.gone = u.gone || !listed[u.id]
@@ -82,8 +89,13 @@
 func (r *Router) assign() {
 	share := max(1, wire.MaxConnections/max(1, len(r.ownerIDs)))
 	for _, u := range r.upstreams {
+		some := false
 		for i := range u.mine {
 			u.mine[i] = r.ownerOf(u.id, i) == r.cfg.Self.ID
+			some = some || u.mine[i]
+		}
+		if !some {
+			u.close()
 		}
 		u.pool.limit.Store(int64(share))
 	}
