Do not use a roster that was never read

Cause: an entry VM that had read no roster and knew no worker dereferenced nil when the platform did not answer its claim.

--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -157,8 +157,7 @@
 func (l *Lead) cachedRoster() (quorum.Roster, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	missing := l.roster == nil && len(l.listedWorkers()) > 0
-	if missing || (l.roster != nil && l.roster.Revision < l.seenRevision) {
+	if l.roster == nil || l.roster.Revision < l.seenRevision {
 		return quorum.Roster{}, false
 	}
 	return *l.roster, true
