Record the instances of the workers at once in a new term

Cause: another entry VM can take over during an outage of the platform only with a roster that names the instances of the workers, and the first one was written up to a second after the quorum.

--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -1,6 +1,7 @@
 package zonelead
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -106,6 +107,21 @@
 	}
 }
 
+// awaitInstances waits until every worker of the roster has granted its lease.
+func (c *Campaign) awaitInstances(ctx context.Context, limit time.Duration) {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		c.mu.Lock()
+		all := true
+		for _, w := range c.holder.Roster().Workers {
+			all = all && c.instances[w] != ""
+		}
+		c.mu.Unlock()
+		if all || !sleep(ctx, nil, limit/20) {
+			return
+		}
+	}
+}
+
 // Refused records that a worker refused a claim or a start.
 func (c *Campaign) Refused(worker string, r wire.Refusal) {
 	c.mu.Lock()
--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -27,7 +27,7 @@
 	rosterRefresh = time.Minute
 	// rosterRetry is the same while the roster is missing or a heartbeat told of
 	// a later one: with an old roster this entry VM could not become a candidate.
-	rosterRetry = time.Second
+	rosterRetry = 300 * time.Millisecond
 	// claimTimeout bounds the platform calls of one claim.
 	claimTimeout = 2500 * time.Millisecond
 )
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -17,6 +17,10 @@
 // maxTickDelay is the lateness of the timer that counts as a pause of this process.
 const maxTickDelay = time.Second
 
+// instancesWait bounds the wait of a new holder for the workers that have not
+// answered yet, so that one roster step records them all.
+const instancesWait = 500 * time.Millisecond
+
 // serve runs a campaign until the quorum is lost or given up.
 func (l *Lead) serve(ctx context.Context, c *Campaign, vote platformVote) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -99,12 +103,26 @@
 
 func (k *keeper) run(ctx context.Context) {
 	period := k.lead.cfg.OwnerLease() / 3
-	for sleep(ctx, nil, period) {
-		callCtx, cancel := context.WithTimeout(ctx, period)
-		k.renew(callCtx)
-		cancel()
+	held := k.campaign.Held()
+	for {
+		t := time.NewTimer(period)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-held:
+			// A new holder records the instances of the workers at once: without
+			// them nobody else could take over while the platform is away.
+			t.Stop()
+			held = nil
+			k.campaign.awaitInstances(ctx, instancesWait)
+		case <-t.C:
+			callCtx, cancel := context.WithTimeout(ctx, period)
+			k.renew(callCtx)
+			cancel()
+		}
 		if k.campaign.Holds() {
-			callCtx, cancel = context.WithTimeout(ctx, 2*period)
+			callCtx, cancel := context.WithTimeout(ctx, 2*period)
 			k.step(callCtx)
 			cancel()
 		}
