Publish a stored roster to the entry VMs of the zone

Cause: when the platform went away within half a second of a roster step, the other entry VMs knew by heartbeat that their roster was old and could not become candidates. Ruled out: reading the platform more often, since the outage may follow the step at once. Conclusion: a roster is sent by one call to each entry VM of the zone; one that misses it reads it from the platform.

--- a/daemon/internal/jobs/forward.go
+++ b/daemon/internal/jobs/forward.go
@@ -59,6 +59,7 @@
 	handle(srv, methodWorkers, s.workersHere)
 	handle(srv, methodDrain, s.drainHere)
 	handle(srv, methodQueues, s.queuesHere)
+	handle(srv, methodRoster, s.rosterHere)
 }
 
 func handle[A, R any](srv *peer.Server, method string, here func(context.Context, *A) (*R, error)) {
--- /dev/null
+++ b/daemon/internal/jobs/publish.go
@@ -0,0 +1,43 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/sched/quorum"
+)
+
+const (
+	methodRoster   = "jobs.roster"
+	publishTimeout = time.Second
+)
+
+// publish sends a roster to the other entry VMs of the zone in the background.
+// One that misses it reads the roster from the platform after the next heartbeat.
+func (s *Service) publish(ctx context.Context, r quorum.Roster) {
+	if s.cfg.Peers == nil {
+		return
+	}
+	for _, m := range s.cfg.View.InZone(s.cfg.Zone) {
+		if m.ID == s.cfg.SelfID || m.State != membership.Alive {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+			defer cancel()
+			if _, err := peer.Call[quorum.Roster, noArgs](ctx, s.cfg.Peers, m.PeerAddr, methodRoster, &r); err != nil {
+				s.cfg.Logger.Debug("[zonelead] roster not delivered", zap.String("to", m.ID), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// rosterHere takes a roster that the holder published.
+func (s *Service) rosterHere(_ context.Context, r *quorum.Roster) (*noArgs, error) {
+	s.leader.Learn(*r)
+	return &noArgs{}, nil
+}
--- a/daemon/internal/jobs/service.go
+++ b/daemon/internal/jobs/service.go
@@ -47,7 +47,7 @@
 	s := &Service{cfg: cfg, ownerID: cfg.SelfID + "/" + randomHex(8), metrics: newMetrics(cfg.Meter)}
 	s.leader = zonelead.New(zonelead.Config{
 		SelfID: cfg.SelfID, Zone: cfg.Zone, OwnerID: s.ownerID, View: cfg.View, VMs: cfg.VMs, Store: cfg.Store,
-		OwnerLease: s.ownerLease, Serve: s.serve, Removable: s.removable, Logger: cfg.Logger, Tracer: cfg.Tracer,
+		OwnerLease: s.ownerLease, Serve: s.serve, Removable: s.removable, Publish: s.publish, Logger: cfg.Logger, Tracer: cfg.Tracer,
 	})
 	if cfg.Server != nil {
 		s.register(cfg.Server)
--- a/daemon/internal/zonelead/config.go
+++ b/daemon/internal/zonelead/config.go
@@ -12,6 +12,7 @@
 	"rhubarbstall.example/daemon/internal/membership"
 	"rhubarbstall.example/daemon/internal/platform"
 	"rhubarbstall.example/daemon/internal/vmlist"
+	"rhubarbstall.example/sched/quorum"
 )
 
 // Config configures a Lead.
@@ -34,6 +35,9 @@
 	// Removable reports whether a worker that is no longer listed can run no task
 	// any more, so that it may leave the roster.
 	Removable func(worker string) bool
-	Logger    *zap.Logger
-	Tracer    trace.Tracer
+	// Publish sends a stored roster to the other entry VMs of the zone; nil sends
+	// nothing. It does not wait for them.
+	Publish func(ctx context.Context, r quorum.Roster)
+	Logger  *zap.Logger
+	Tracer  trace.Tracer
 }
--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -163,6 +163,16 @@
 	return *l.roster, true
 }
 
+// Learn remembers a stored roster that the holder published, so that this entry
+// VM can become a candidate if the platform goes away before it reads it.
+func (l *Lead) Learn(r quorum.Roster) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Validate() == nil && (l.roster == nil || l.roster.Revision < r.Revision) {
+		l.roster = &r
+	}
+}
+
 // refreshRoster reads the roster now and then in the background.
 func (l *Lead) refreshRoster(ctx context.Context) {
 	l.mu.Lock()
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -193,7 +193,7 @@
 	revision, err := platform.PutSettled(ctx, l.cfg.Store, rosterKey(l.cfg.Zone), value, base, "")
 	switch {
 	case err == nil:
-		k.adopt(revision)
+		k.adopt(ctx, revision)
 	case errors.Is(err, platform.ErrConflict):
 		// An earlier write of this step took effect, or another holder wrote.
 		roster, rerr := l.readRoster(ctx)
@@ -204,7 +204,7 @@
 			l.mu.Lock()
 			revision = l.rosterStoreRevision
 			l.mu.Unlock()
-			k.adopt(revision)
+			k.adopt(ctx, revision)
 			return
 		}
 		c.mu.Lock()
@@ -218,7 +218,7 @@
 	}
 }
 
-func (k *keeper) adopt(revision uint64) {
+func (k *keeper) adopt(ctx context.Context, revision uint64) {
 	l, c := k.lead, k.campaign
 	next := *k.next
 	k.next, k.sent = nil, false
@@ -231,6 +231,9 @@
 	l.mu.Lock()
 	l.roster, l.rosterStoreRevision = &next, revision
 	l.mu.Unlock()
+	if l.cfg.Publish != nil {
+		l.cfg.Publish(context.WithoutCancel(ctx), next)
+	}
 	l.cfg.Logger.Info("[zonelead] roster changed", zap.Uint32("revision", next.Revision),
 		zap.Int("workers", len(next.Workers)), zap.Int("platform_weight", next.PlatformWeight), zap.Error(err))
 }
