--- a/standin/scenario/promises_test.go
+++ b/standin/scenario/promises_test.go
@@ -3,6 +3,13 @@
 import "testing"
 
 // Each script is a test of its own, so that it can be named where a test is named.
+// The longest ones are first, since the tests run in this order, several at a time.
+
+// Guards against tasks of a dead worker that are lost, or started again too early.
+func TestP2WorkerDies(t *testing.T) { runDaemon(t, "p2-worker-dies") }
+
+// Guards against a paused worker whose tasks go on while they run elsewhere.
+func TestP2FrozenWorker(t *testing.T) { runDaemon(t, "p2-frozen-worker") }
 
 // Guards against a deployment that fails while nothing is wrong.
 func TestSmoke(t *testing.T) { runDaemon(t, "01-smoke") }
@@ -16,9 +23,6 @@
 // Guards against a zone scheduler that is cut from the platform and starts what another one starts too.
 func TestP2SchedulerCut(t *testing.T) { runDaemon(t, "p2-scheduler-cut") }
 
-// Guards against tasks of a dead worker that are lost, or started again too early.
-func TestP2WorkerDies(t *testing.T) { runDaemon(t, "p2-worker-dies") }
-
 // Guards against callers that get a part of an answer, or that of another request.
 func TestP3Answers(t *testing.T) { runDaemon(t, "p3-answers") }
 
