--- a/daemon/internal/jobs/changes.go
+++ b/daemon/internal/jobs/changes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/dispatch"
 	"rhubarbstall.example/sched/model"
 	wire "rhubarbstall.example/wire/worker"
 )
@@ -70,7 +71,7 @@
 		return model.Job{}, false
 	}
 	r.accepted = true
-	return r.model(), !r.Cancelled && r.endedCount() < r.Spec.Tasks
+	return r.model(1), !r.cancelStored && r.endedCount() < r.Spec.Tasks
 }
 
 // cancel stores the cancellation of a job. It reports false without calling done
@@ -111,15 +112,18 @@
 }
 
 // Spec implements dispatch.Book.
-func (g *ledger) Spec(ref model.TaskRef) (wire.Spec, bool) {
+func (g *ledger) Spec(ref model.TaskRef) (wire.Spec, dispatch.Need) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r, ok := g.records[ref.Job]
-	if !ok || !r.accepted || r.cancelStored || r.ended(ref.Index) {
-		return wire.Spec{}, false
+	switch {
+	case !ok || !r.accepted || r.cancelStored:
+		return wire.Spec{}, dispatch.NeedStop
+	case r.ended(ref.Index):
+		return wire.Spec{}, dispatch.NeedNothing
 	}
 	r.parked = false
-	return r.wireSpec(ref.Index), true
+	return r.wireSpec(ref.Index), dispatch.NeedRun
 }
 
 // Intend implements dispatch.Book. Only jobs that must not be repeated need the
@@ -162,9 +166,9 @@
 		changed = r.Unknown.add(ref.Index)
 	case model.VerdictRetry, model.VerdictParked:
 		r.parked = r.parked || verdict == model.VerdictParked
-		changed = r.used(ref.Index, ref.Attempt)
+		r.failed = true
 		if o != nil {
-			r.keepCheckpoint(ref.Index, o.Checkpoint)
+			changed = r.keepCheckpoint(ref.Index, o.Checkpoint)
 		}
 	}
 	if verdict != model.VerdictRetry && verdict != model.VerdictParked {
@@ -180,7 +184,8 @@
 	if stored == nil {
 		return
 	}
-	if !r.segment.dirty && !r.segment.writing {
+	if !changed && !r.segment.dirty && !r.segment.writing {
+		// Another attempt follows, or the end is stored already.
 		go stored()
 		return
 	}
--- a/daemon/internal/router/forward_test.go
+++ b/daemon/internal/router/forward_test.go
@@ -12,6 +12,7 @@
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/sched/admission"
 	wire "rhubarbstall.example/wire/runner"
 )
 
@@ -99,7 +100,7 @@
 	c.setMember("b", func(m *membership.Member) { m.PeerAddr, m.LastHeard, m.Report.FreeSlots = addr, time.Now(), 8 })
 	a.mu.Lock()
 	a.refresh(time.Now())
-	p := a.pickPeer(false)
+	p := a.pickPeer(a.newCall(request("check"), policy{}, time.Second), false)
 	must.NotNil(t, p)
 	g := grant{peer: p, member: p.member}
 	a.mu.Unlock()
@@ -127,6 +128,8 @@
 func TestNewcomerWaitsForBusySlots(t *testing.T) {
 	c := newCell(t)
 	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
 	r := c.runner("r", "z", func(w http.ResponseWriter, req *http.Request) {
 		<-release
 		echo(w, req)
@@ -146,7 +149,7 @@
 	})
 	time.Sleep(3 * tick)
 	must.Eq(t, 0, b.FreeSlots())
-	close(release)
+	open()
 	wg.Wait()
 	c.eventually("newcomer got its slots", func() bool { return b.FreeSlots() > 0 && a.FreeSlots()+b.FreeSlots() == wire.Slots })
 }
@@ -170,3 +173,79 @@
 	// Each entry VM has 10% and a burst of 3.
 	must.LessEq(t, n+n/10+2*3, r.runs.Load())
 }
+
+// Guards against a patient flood that takes the reserved slots of urgent kinds
+// because peers report free slots, and against urgent requests that wait then.
+func TestReserveHoldsBesideFreePeers(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
+	hold := func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(wire.HeaderKind) == "plan" {
+			<-release
+		}
+		echo(w, req)
+	}
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		c.runner(id, "z", hold)
+	}
+	a, b := c.node("a", "z"), c.node("b", "z")
+	c.settled()
+	for _, n := range []*node{a, b} {
+		_, err := n.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 3 * 4 * wire.Slots {
+		wg.Go(func() { _, _ = a.Send(ctx, request("plan")) })
+	}
+	c.beat()
+	time.Sleep(3 * tick)
+	must.Positive(t, a.FreeSlots())
+	must.Positive(t, b.FreeSlots())
+	for range 20 {
+		answer, err := a.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Less(t, 100*time.Millisecond, answer.Wait)
+	}
+	cancel()
+	open()
+	wg.Wait()
+}
+
+// Guards against a refusal while the own zone is overloaded and another zone is free.
+func TestOverflowGoesToOtherZone(t *testing.T) {
+	c := newCell(t)
+	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	defer open()
+	c.runner("r", "near", func(w http.ResponseWriter, req *http.Request) {
+		<-release
+		echo(w, req)
+	})
+	c.runner("r2", "far", echo)
+	a := c.node("a", "near")
+	c.node("b", "far")
+	c.settled()
+	a.mu.Lock()
+	a.ctl = admission.New(admission.Config{MaxQueued: 1})
+	a.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range wire.Slots + 1 {
+		wg.Go(func() { _, _ = a.Send(ctx, request("check")) })
+	}
+	c.eventually("zone overloaded", func() bool { return a.FreeSlots() == 0 && a.Queued() == 1 })
+	for range 5 {
+		c.beat()
+		answer, err := a.Send(t.Context(), request("check"))
+		must.NoError(t, err)
+		must.Eq(t, "far", answer.Zone)
+		time.Sleep(2 * tick)
+	}
+	cancel()
+	open()
+	wg.Wait()
+}
--- a/daemon/internal/router/upstream.go
+++ b/daemon/internal/router/upstream.go
@@ -7,9 +7,9 @@
 	wire "rhubarbstall.example/wire/runner"
 )
 
-// holdTime is how long a slot stays busy after an attempt with an unknown
-// outcome. The runner may still run the request until it notices that the
-// connection is closed.
+// holdTime is how long a slot stays busy after a request to which no answer
+// began. The runner may still run it until it notices that the connection is
+// closed.
 const holdTime = 500 * time.Millisecond
 
 // idleConnTime is how long an unused connection to a runner stays open.
@@ -24,12 +24,11 @@
 	// mine, owned, busy and held are indexed by slot. Mine is the result of the
 	// rendezvous; owned slots may also be used now. A busy slot may be no longer
 	// owned. A held slot stays busy until that time after its request ended.
-	mine  [wire.Slots]bool
-	owned [wire.Slots]bool
-	busy  [wire.Slots]bool
-	held  [wire.Slots]time.Time
-	// leaving tells that the list or the runner said that it takes no new work.
-	leaving bool
+	mine    [wire.Slots]bool
+	owned   [wire.Slots]bool
+	busy    [wire.Slots]bool
+	held    [wire.Slots]time.Time
+	leaving leaving
 	// gone tells that the list dropped the runner.
 	gone   bool
 	health health
@@ -100,7 +99,7 @@
 
 // usable returns how many more requests the runner may get now.
 func (u *upstream) usable(now time.Time) int {
-	if u.leaving || u.gone {
+	if u.leaving.now() || u.gone {
 		return 0
 	}
 	free := 0
@@ -109,12 +108,12 @@
 			free++
 		}
 	}
-	return min(free, u.health.room(now, u.inFlight()))
+	return min(free, u.health.room(now))
 }
 
 // release frees a slot, after the hold time if the runner may still use it.
-func (u *upstream) release(now time.Time, slot int, o Outcome) {
-	if o == Unknown {
+func (u *upstream) release(now time.Time, slot int, open bool) {
+	if open {
 		u.held[slot] = now.Add(holdTime)
 		return
 	}
