--- a/standin/scenario/expect.go
+++ b/standin/scenario/expect.go
@@ -18,13 +18,13 @@
 const anyEnd = "finished"
 
 // cmdAwait waits for the end of a flow, for a job's state, or for a number of
-// running tasks of a job.
+// tasks of a job that run or have started.
 func (w *world) cmdAwait(_ *testscript.TestScript, words []string) error {
 	a, err := parse(words, 1)
 	if err != nil {
 		return err
 	}
-	if err := a.check("state", "running", "for"); err != nil {
+	if err := a.check("state", "running", "started", "for"); err != nil {
 		return err
 	}
 	d, err := a.duration("for", waitLimit)
@@ -49,17 +49,24 @@
 	if err != nil {
 		return err
 	}
+	started, err := a.number("started", -1)
+	if err != nil {
+		return err
+	}
 	state := a.text("state", "succeeded")
 	job, err := w.caller.AwaitJob(ctx, id, func(j *oas.Job) bool {
-		if running >= 0 {
+		switch {
+		case running >= 0:
 			return j.Counts.Running == running
+		case started >= 0:
+			return j.Counts.Running+j.Counts.Succeeded+j.Counts.Failed >= started
 		}
 		return string(j.State) == state || check.Finished(string(j.State))
 	})
 	if err != nil {
 		return err
 	}
-	if running < 0 && string(job.State) != state && state != anyEnd {
+	if running < 0 && started < 0 && string(job.State) != state && state != anyEnd {
 		return fmt.Errorf("job %s is %s: %s", a.names[0], job.State, job.Message.Or(""))
 	}
 	return nil
