Add table tests, trace tests and the outcomes stated beside the traces

The room kept before urgent demand is known now needs ten workers; in a smaller zone it kept large tasks out.

--- a/sched/engine/limits.go
+++ b/sched/engine/limits.go
@@ -39,11 +39,14 @@
 	patienceUnset = 10 * time.Minute
 	// recheckEvery is the time between rounds while work waits.
 	recheckEvery = time.Second
+	// floorMargin is how far above the floor a kind is served first; between the
+	// end of one task and the start of the next it would otherwise be below.
+	floorMargin = 1.25
 	// A kind below its floor may hold more workers, and sooner: under a flood of
 	// small tasks no room for a larger one appears by itself.
 	floorPlans     = 8
-	floorHoldShare = 4
-	floorHolds     = 4
+	floorHoldShare = 2
+	floorHolds     = 8
 	floorPlanEvery = 200 * time.Millisecond
 	// controlRetry is the time after which a control without effect is repeated.
 	controlRetry = 5 * time.Second
--- a/sched/plugins/headroom.go
+++ b/sched/plugins/headroom.go
@@ -17,6 +17,9 @@
 	// headroomCold is the part kept while nothing is known, for coldTime.
 	headroomCold = 0.02
 	coldTime     = 15 * time.Minute
+	// coldWorkers is the least number of workers for that; with fewer, the kept
+	// part of one worker would keep large tasks out of the zone.
+	coldWorkers = 10
 	// headroomCap bounds the part of the workers kept for urgent work.
 	headroomCap = 0.5
 )
@@ -87,7 +90,7 @@
 	if h.began.IsZero() {
 		h.began = now
 	}
-	if now.Sub(h.began) < coldTime {
+	if now.Sub(h.began) < coldTime && h.cache.Known() >= coldWorkers {
 		part = max(part, headroomCold)
 	}
 	h.choose(part * float64(h.cache.Known()))
--- /dev/null
+++ b/sched/replay/bench_test.go
@@ -0,0 +1,67 @@
+package replay
+
+import (
+	"testing"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// BenchmarkReplay replays the recorded traces, the baseline in the same run.
+func BenchmarkReplay(b *testing.B) {
+	for _, name := range Names() {
+		for _, broken := range []bool{true, false} {
+			tr := Generate(name)
+			label := name
+			if !broken {
+				label += "-without-broken-worker"
+				for i := range tr.Workers {
+					tr.Workers[i].Broken = false
+				}
+			}
+			for _, e := range []string{"baseline", "engine"} {
+				b.Run(label+"/"+e, func(b *testing.B) {
+					for range b.N {
+						r, err := Run(tr, newEngine(e), 1<<51)
+						if err != nil {
+							b.Fatal(err)
+						}
+						b.ReportMetric(r.Packing, "packing")
+						b.ReportMetric(r.Done, "work-done")
+						b.ReportMetric(r.Jain, "jain")
+						for _, k := range tr.Kinds {
+							b.ReportMetric(float64(r.WaitMS(k.Name, 50)), k.Name+"-p50-ms")
+							b.ReportMetric(float64(r.WaitMS(k.Name, 99)), k.Name+"-p99-ms")
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkFlood floods with the least and the most urgent kind at ten times
+// what the fleet takes.
+func BenchmarkFlood(b *testing.B) {
+	for _, name := range Names() {
+		tr := Generate(name)
+		least, most := tr.extremes()
+		for _, kind := range []string{least, most} {
+			for _, e := range []string{"baseline", "engine"} {
+				b.Run(name+"/"+kind+"/"+e, func(b *testing.B) {
+					for range b.N {
+						r, err := RunFlood(tr, kind, func() model.Engine { return newEngine(e) })
+						if err != nil {
+							b.Fatal(err)
+						}
+						b.ReportMetric(float64(r.WaitMS), most+"-p99-ms")
+						b.ReportMetric(float64(r.CalmWaitMS), most+"-calm-p99-ms")
+						for _, k := range tr.Kinds {
+							b.ReportMetric(100*r.Goodput[k.Name], k.Name+"-%")
+							b.ReportMetric(100*r.CalmGoodput[k.Name], k.Name+"-calm-%")
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/sched/replay/outcome_test.go
@@ -0,0 +1,81 @@
+package replay
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// outcome is what a replay must reach; it stands beside each trace.
+type outcome struct {
+	Packing         float64          `json:"packing_at_least"`
+	Jain            float64          `json:"jain_at_least"`
+	WaitP99MS       map[string]int64 `json:"wait_p99_ms_at_most"`
+	Rejected        int              `json:"rejected"`
+	Parked          int              `json:"parked"`
+	OutOfMemoryMost int              `json:"out_of_memory_at_most"`
+}
+
+func load(t *testing.T, name string) (*Trace, outcome) {
+	f, err := os.Open("testdata/" + name + ".jsonl")
+	must.NoError(t, err)
+	defer f.Close()
+	tr, err := Decode(f)
+	must.NoError(t, err)
+	data, err := os.ReadFile("testdata/" + name + ".outcome.json")
+	must.NoError(t, err)
+	var o outcome
+	must.NoError(t, json.Unmarshal(data, &o))
+	return tr, o
+}
+
+// Guards against worse packing, fairness or waits than stated beside the trace,
+// and against work that never ends: a replay ends only when every task has.
+func TestRecordedTraces(t *testing.T) {
+	if raceEnabled {
+		t.Skip("too slow under the race detector; the code has no goroutines")
+	}
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tr, want := load(t, name)
+			r, err := Run(tr, newEngine("engine"), 1<<51)
+			must.NoError(t, err)
+			r.Write(testWriter{t}, "engine")
+			must.GreaterEq(t, want.Packing, r.Packing)
+			must.GreaterEq(t, want.Jain, r.Jain)
+			for kind, most := range want.WaitP99MS {
+				must.LessEq(t, most, r.WaitMS(kind, 99), must.Sprint(kind))
+			}
+			must.Eq(t, want.Rejected, r.Rejected)
+			must.Eq(t, want.Parked, r.Parked)
+			must.LessEq(t, want.OutOfMemoryMost, r.OutOfMemory)
+		})
+	}
+}
+
+// Guards against a decision that depends on anything but the events, and checks
+// the promises on the first ten minutes also under the race detector.
+func TestReplayIsDeterministic(t *testing.T) {
+	tr := Generate("kesarwala")
+	run := func() *Report {
+		r, err := Run(tr, newEngine("engine"), 600_000)
+		must.NoError(t, err)
+		return r
+	}
+	a, b := run(), run()
+	must.Eq(t, len(a.intervals), len(b.intervals))
+	for i := range a.intervals {
+		must.Eq(t, a.intervals[i].from, b.intervals[i].from)
+		must.Eq(t, a.intervals[i].job.spec.ID, b.intervals[i].job.spec.ID)
+	}
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Logf("%s", p)
+	return len(p), nil
+}
