--- a/daemon/internal/router/acquire.go
+++ b/daemon/internal/router/acquire.go
@@ -34,7 +34,7 @@
 	if r.noTarget(now) && startBy.After(now.Add(noUpstreamPatience)) {
 		startBy = now.Add(noUpstreamPatience)
 	}
-	t, refusal := r.ctl.Offer(now, c.class, startBy)
+	t, refusal := r.ctl.Offer(now, c.class, startBy, len(c.body))
 	if refusal != nil {
 		p := r.overflow(c, refusal)
 		r.mu.Unlock()
--- a/daemon/internal/router/exchange.go
+++ b/daemon/internal/router/exchange.go
@@ -22,7 +22,7 @@
 )
 
 // maxAnswerBytes bounds the memory that one answer takes.
-const maxAnswerBytes = 64 << 20
+const maxAnswerBytes = 16 << 20
 
 // onceBody hides the type of the body from net/http. For a *bytes.Reader
 // net/http sets GetBody and then sends a request again by itself when a reused
--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -15,6 +15,8 @@
 type Config struct {
 	// MaxQueued bounds the waiting requests of all classes; default 8192.
 	MaxQueued int
+	// MaxBytes bounds the bodies of all admitted requests; default 64 MiB.
+	MaxBytes int64
 	// MaxClasses bounds the classes that are kept; default 4096.
 	MaxClasses int
 }
@@ -27,8 +29,10 @@
 	remote  int
 	running int
 	waiting int
-	queues  map[classKey]*queue
-	kinds   map[string]*kind
+	// bytes is the size of the bodies of the admitted requests.
+	bytes  int64
+	queues map[classKey]*queue
+	kinds  map[string]*kind
 	// order and kindOrder list the queues and kinds in order of creation, so that decisions do not
 	// depend on the order of a map.
 	order     []*queue
@@ -47,6 +51,9 @@
 	if cfg.MaxQueued <= 0 {
 		cfg.MaxQueued = 8192
 	}
+	if cfg.MaxBytes <= 0 {
+		cfg.MaxBytes = 64 << 20
+	}
 	if cfg.MaxClasses <= 0 {
 		cfg.MaxClasses = 4096
 	}
@@ -93,10 +100,10 @@
 // Running returns the number of started requests.
 func (c *Controller) Running() int { return c.running }
 
-// Offer admits a request that must start by startBy, or refuses it. The zero
-// time leaves only the patience of the class.
-func (c *Controller) Offer(now time.Time, class Class, startBy time.Time) (*Ticket, *Refusal) {
-	if c.waiting >= c.cfg.MaxQueued {
+// Offer admits a request with a body of size bytes that must start by startBy,
+// or refuses it. The zero time leaves only the patience of the class.
+func (c *Controller) Offer(now time.Time, class Class, startBy time.Time, size int) (*Ticket, *Refusal) {
+	if c.waiting >= c.cfg.MaxQueued || c.bytes+int64(size) > c.cfg.MaxBytes {
 		return nil, &Refusal{Reason: Full, RetryAfter: c.drainTime()}
 	}
 	if _, ok := c.queues[class.key()]; !ok && len(c.queues) >= c.cfg.MaxClasses && !c.evict() {
@@ -111,7 +118,8 @@
 		q.refused++
 		return nil, &Refusal{Reason: TooLate, RetryAfter: retryAfter(wait - startBy.Sub(now))}
 	}
-	t := &Ticket{queue: q, offered: now, startBy: startBy}
+	t := &Ticket{queue: q, offered: now, startBy: startBy, size: int64(size)}
+	c.bytes += t.size
 	t.element = q.waiting.PushBack(t)
 	c.noteWaiting(now, q, 1)
 	return t, nil
@@ -146,6 +154,7 @@
 // attempt. It was admitted before, so the queue limit does not apply.
 func (c *Controller) Readmit(now time.Time, t *Ticket) {
 	if t.state == ticketClosed {
+		c.bytes += t.size
 		c.pushFront(now, t)
 	}
 }
@@ -165,6 +174,7 @@
 		return false
 	}
 	t.state = ticketClosed
+	c.bytes -= t.size
 	t.queue.waiting.Remove(t.element)
 	c.noteWaiting(now, t.queue, -1)
 	return true
@@ -178,6 +188,7 @@
 	}
 	c.stop(now, t)
 	t.state = ticketClosed
+	c.bytes -= t.size
 	actual := now.Sub(t.started)
 	t.queue.use((actual - t.estimate).Seconds())
 	if served {
--- a/sched/admission/controller_test.go
+++ b/sched/admission/controller_test.go
@@ -16,7 +16,7 @@
 	class := Class{Department: "d", Kind: "k", Patience: time.Second}
 	admitted := 0
 	for range 1000 {
-		_, refusal := c.Offer(epoch, class, time.Time{})
+		_, refusal := c.Offer(epoch, class, time.Time{}, 1)
 		if refusal == nil {
 			admitted++
 			continue
@@ -41,7 +41,7 @@
 		now = now.Add(10 * time.Millisecond)
 		for d, w := range weights {
 			for range 10 {
-				_, _ = c.Offer(now, Class{Department: d, Kind: "k", Weight: w, Patience: time.Second}, time.Time{})
+				_, _ = c.Offer(now, Class{Department: d, Kind: "k", Weight: w, Patience: time.Second}, time.Time{}, 1)
 			}
 		}
 		for len(running) > 4 {
@@ -67,7 +67,7 @@
 		starts = map[string]int{}
 		for range 400 {
 			for _, class := range classes {
-				_, _ = c.Offer(now, class, time.Time{})
+				_, _ = c.Offer(now, class, time.Time{}, 1)
 			}
 			tk := c.Next(now, nil)
 			now = now.Add(50 * time.Millisecond)
@@ -99,7 +99,7 @@
 		now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
 		c.SetCapacity(now, rng.IntN(12))
 		class := Class{Department: fmt.Sprint(rng.IntN(40)), Kind: fmt.Sprint(rng.IntN(4)), Urgency: rng.IntN(3), ReservePercent: 10, FloorPercent: 10, Patience: time.Second}
-		if tk, _ := c.Offer(now, class, time.Time{}); tk != nil && i%7 == 0 {
+		if tk, _ := c.Offer(now, class, time.Time{}, 1); tk != nil && i%7 == 0 {
 			must.True(t, c.Cancel(now, tk))
 		}
 		running := c.Running()
@@ -128,12 +128,27 @@
 		must.Eq(t, c.Queued(), waiting)
 		must.Eq(t, c.Running(), inUse)
 		must.Eq(t, len(open), inUse)
+		must.Eq(t, int64(waiting+inUse), c.bytes)
 		// Each running request may come back once above the bound.
 		must.LessEq(t, 50+12, waiting)
 		must.LessEq(t, 20+12, len(c.order))
 	}
 }
 
+// Guards against few requests with large bodies that use up the memory.
+func TestBytesAreBounded(t *testing.T) {
+	c := New(Config{MaxBytes: 10})
+	c.SetCapacity(epoch, 1)
+	class := Class{Department: "d", Kind: "k", Patience: time.Minute}
+	tk, refusal := c.Offer(epoch, class, time.Time{}, 8)
+	must.Nil(t, refusal)
+	_, refusal = c.Offer(epoch, class, time.Time{}, 3)
+	must.Eq(t, Full, refusal.Reason)
+	must.True(t, c.Cancel(epoch, tk))
+	_, refusal = c.Offer(epoch, class, time.Time{}, 3)
+	must.Nil(t, refusal)
+}
+
 // Guards against a retry storm, and against an entry VM that may never retry.
 func TestBudgetSlides(t *testing.T) {
 	var b Budget
--- a/sched/admission/refusal.go
+++ b/sched/admission/refusal.go
@@ -12,7 +12,7 @@
 const (
 	// TooLate means that the request could not start within its patience.
 	TooLate Reason = iota + 1
-	// Full means that the memory bound of all queues is reached.
+	// Full means that the bound of waiting requests or of their bytes is reached.
 	Full
 	// TooManyClasses means that every class that the controller keeps is in use.
 	TooManyClasses
--- a/sched/admission/simulation_test.go
+++ b/sched/admission/simulation_test.go
@@ -134,7 +134,7 @@
 }
 
 func (s *controlled) offer(now time.Duration, class Class, j *simJob) bool {
-	t, refusal := s.c.Offer(epoch.Add(now), class, time.Time{})
+	t, refusal := s.c.Offer(epoch.Add(now), class, time.Time{}, 1)
 	if refusal != nil {
 		return false
 	}
--- a/sched/admission/ticket.go
+++ b/sched/admission/ticket.go
@@ -24,6 +24,7 @@
 	offered  time.Time
 	startBy  time.Time
 	started  time.Time
+	size     int64
 	estimate time.Duration
 	// remote tells that the request runs at another entry VM.
 	remote bool
