admission: keep room for other kinds under a flood of one kind

Cause: a kind with a patience of hours could fill all 8192 places, and urgent requests were refused as full.

--- a/sched/admission/controller.go
+++ b/sched/admission/controller.go
@@ -110,6 +110,10 @@
 		return nil, &Refusal{Reason: TooManyClasses, RetryAfter: time.Second}
 	}
 	q := c.queue(now, class)
+	if c.crowds(q.kind, int64(size)) {
+		q.refused++
+		return nil, &Refusal{Reason: Full, RetryAfter: c.drainTime()}
+	}
 	limit := now.Add(class.Patience)
 	if startBy.IsZero() || startBy.After(limit) {
 		startBy = limit
@@ -119,12 +123,24 @@
 		return nil, &Refusal{Reason: TooLate, RetryAfter: retryAfter(wait - startBy.Sub(now))}
 	}
 	t := &Ticket{queue: q, offered: now, startBy: startBy, size: int64(size)}
-	c.bytes += t.size
+	c.hold(t, t.size)
 	t.element = q.waiting.PushBack(t)
 	c.noteWaiting(now, q, 1)
 	return t, nil
 }
 
+// crowds tells whether a kind holds twice the room that is left. It keeps a
+// third of the memory free under a flood of one kind, so that a patient kind
+// with a long queue does not shut out an urgent one.
+func (c *Controller) crowds(k *kind, size int64) bool {
+	return k.waiting >= 2*(c.cfg.MaxQueued-c.waiting) || k.bytes+size > 2*(c.cfg.MaxBytes-c.bytes)
+}
+
+func (c *Controller) hold(t *Ticket, bytes int64) {
+	c.bytes += bytes
+	t.queue.kind.bytes += bytes
+}
+
 // Check tells whether Offer would refuse the class now; nil if it would not.
 func (c *Controller) Check(now time.Time, class Class) *Refusal {
 	q, ok := c.queues[class.key()]
@@ -154,8 +170,8 @@
 // attempt. It was admitted before, so the queue limit does not apply.
 func (c *Controller) Readmit(now time.Time, t *Ticket) {
 	if t.state == ticketClosed {
-		c.bytes += t.size
 		c.pushFront(now, t)
+		c.hold(t, t.size)
 	}
 }
 
@@ -174,7 +190,7 @@
 		return false
 	}
 	t.state = ticketClosed
-	c.bytes -= t.size
+	c.hold(t, -t.size)
 	t.queue.waiting.Remove(t.element)
 	c.noteWaiting(now, t.queue, -1)
 	return true
@@ -188,7 +204,7 @@
 	}
 	c.stop(now, t)
 	t.state = ticketClosed
-	c.bytes -= t.size
+	c.hold(t, -t.size)
 	actual := now.Sub(t.started)
 	t.queue.use((actual - t.estimate).Seconds())
 	if served {
--- a/sched/admission/controller_test.go
+++ b/sched/admission/controller_test.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// Guards against a patient kind whose long queue takes all memory and so shuts
+// out an urgent one.
+func TestLongQueueLeavesRoom(t *testing.T) {
+	c := New(Config{MaxQueued: 90, MaxBytes: 900})
+	c.SetCapacity(epoch, 1)
+	patient := Class{Department: "d", Kind: "patient", Patience: 8 * time.Hour}
+	for range 200 {
+		_, _ = c.Offer(epoch, patient, time.Time{}, 10)
+	}
+	must.Eq(t, 60, c.Queued())
+	urgent := Class{Department: "d", Kind: "urgent", Urgency: 90, Patience: 2 * time.Second}
+	for range 15 {
+		_, refusal := c.Offer(epoch, urgent, time.Time{}, 10)
+		must.Nil(t, refusal)
+	}
+}
+
 // Guards against few requests with large bodies that use up the memory.
 func TestBytesAreBounded(t *testing.T) {
 	c := New(Config{MaxBytes: 10})
--- a/sched/admission/kind.go
+++ b/sched/admission/kind.go
@@ -29,6 +29,8 @@
 	running int
 	waiting int
 	classes int
+	// bytes is the size of the bodies of the admitted requests.
+	bytes int64
 	// ready holds the classes that wait.
 	ready queueHeap
 	// declared kinds are kept without classes.
