--- a/daemon/internal/router/router.go
+++ b/daemon/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,6 +30,8 @@
 	metrics   *metrics
 	policies  policies
 	once      *once.Keeper
+	// bodies is the size of the bodies of the callers' requests in progress.
+	bodies atomic.Int64
 
 	mu        sync.Mutex
 	ctl       *admission.Controller
--- a/daemon/internal/router/send.go
+++ b/daemon/internal/router/send.go
@@ -14,6 +14,10 @@
 	"rhubarbstall.example/settings"
 )
 
+// maxBodies bounds the bodies of the requests in progress, those that wait for
+// their record at the platform included; admission bounds those that it admitted.
+const maxBodies = 96 << 20
+
 // Send runs a request and returns its whole answer. Every error has a code and
 // the outcome of the request; codes.OutcomeNotRun is a promise that it was not run.
 func (r *Router) Send(ctx context.Context, req Request) (Answer, error) {
@@ -50,6 +54,12 @@
 	if int64(len(req.Body)) > bodyLimit(doc) {
 		return Answer{}, codes.BodyTooLarge.With("the body is larger than the limit", codes.WithOutcome(codes.OutcomeNotRun))
 	}
+	size := int64(len(req.Body))
+	defer r.bodies.Add(-size)
+	if r.bodies.Add(size) > maxBodies {
+		return Answer{}, codes.QueueFull.With("the bodies of the requests in progress take all memory for them",
+			codes.WithOutcome(codes.OutcomeNotRun), codes.RetryAfter(time.Second))
+	}
 	deadline, err := requestDeadline(req, p)
 	if err != nil {
 		return Answer{}, err
