--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -137,7 +137,7 @@
 		return nil, platformVote{}, err
 	}
 	c := l.newCampaign(roster)
-	c.Granted(quorum.Platform, uint64(c.holder.Epoch()), vote.sentAt)
+	c.Granted(quorum.Platform, "", uint64(c.holder.Epoch()), vote.sentAt)
 	return c, vote, nil
 }
 
@@ -157,8 +157,7 @@
 func (l *Lead) cachedRoster() (quorum.Roster, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	missing := l.roster == nil && len(l.listedWorkers()) > 0
-	if missing || (l.roster != nil && l.roster.Revision < l.seenRevision) {
+	if l.roster == nil || l.roster.Revision < l.seenRevision {
 		return quorum.Roster{}, false
 	}
 	return *l.roster, true
