--- a/daemon/internal/router/fakes_test.go
+++ b/daemon/internal/router/fakes_test.go
@@ -120,6 +120,10 @@
 		p.Urgency, p.ReservePercent = 90, 20
 	case "plan":
 		p.Urgency, p.FloorPercent = 10, 20
+	case "calm":
+		// Tests that are not about admission use a patience that a slow machine
+		// does not reach.
+		p.Patience, p.Deadline = 30*time.Second, 30*time.Second
 	case "proof":
 		p.Urgency, p.NoRepeat = 50, true
 	default:
--- a/daemon/internal/router/forward.go
+++ b/daemon/internal/router/forward.go
@@ -58,6 +58,9 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if now, ok := r.cfg.View.Get(m.ID); !ok || now.Incarnation != m.Incarnation || now.State == membership.Left || now.State == membership.Dead {
+		return result{err: fmt.Errorf("entry VM %s has left", m.ID)}
+	}
 	deadline, _ := ctx.Deadline()
 	remaining := time.Until(deadline) - forwardMargin
 	if remaining <= 0 {
