router: end the store's outage before the at-most-once test ends

Cause: an outcome whose write failed in the outage was still retried after the last test, which the check for leaked goroutines found in 1 of 9 runs under load.

--- a/daemon/internal/router/once_test.go
+++ b/daemon/internal/router/once_test.go
@@ -95,6 +95,10 @@
 	must.Eq(t, codes.PlatformUnavailable, codes.Of(err))
 	must.Eq(t, codes.OutcomeNotRun, codes.OutcomeOf(err))
 	must.Eq(t, 1, r.runs.Load())
+	c.store.away.Store(false)
+	for _, n := range nodes {
+		must.NoError(t, n.once.Drain(t.Context()))
+	}
 }
 
 // Guards against a second attempt of a request that must not be repeated after
