--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -27,7 +27,7 @@
 	rosterRefresh = time.Minute
 	// rosterRetry is the same while the roster is missing or a heartbeat told of
 	// a later one: with an old roster this entry VM could not become a candidate.
-	rosterRetry = time.Second
+	rosterRetry = 300 * time.Millisecond
 	// claimTimeout bounds the platform calls of one claim.
 	claimTimeout = 2500 * time.Millisecond
 )
@@ -163,6 +163,16 @@
 	return *l.roster, true
 }
 
+// Learn remembers a stored roster that the holder published, so that this entry
+// VM can become a candidate if the platform goes away before it reads it.
+func (l *Lead) Learn(r quorum.Roster) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Validate() == nil && (l.roster == nil || l.roster.Revision < r.Revision) {
+		l.roster = &r
+	}
+}
+
 // refreshRoster reads the roster now and then in the background.
 func (l *Lead) refreshRoster(ctx context.Context) {
 	l.mu.Lock()
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -17,6 +17,10 @@
 // maxTickDelay is the lateness of the timer that counts as a pause of this process.
 const maxTickDelay = time.Second
 
+// instancesWait bounds the wait of a new holder for the workers that have not
+// answered yet, so that one roster step records them all.
+const instancesWait = 500 * time.Millisecond
+
 // serve runs a campaign until the quorum is lost or given up.
 func (l *Lead) serve(ctx context.Context, c *Campaign, vote platformVote) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -99,12 +103,26 @@
 
 func (k *keeper) run(ctx context.Context) {
 	period := k.lead.cfg.OwnerLease() / 3
-	for sleep(ctx, nil, period) {
-		callCtx, cancel := context.WithTimeout(ctx, period)
-		k.renew(callCtx)
-		cancel()
+	held := k.campaign.Held()
+	for {
+		t := time.NewTimer(period)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-held:
+			// A new holder records the instances of the workers at once: without
+			// them nobody else could take over while the platform is away.
+			t.Stop()
+			held = nil
+			k.campaign.awaitInstances(ctx, instancesWait)
+		case <-t.C:
+			callCtx, cancel := context.WithTimeout(ctx, period)
+			k.renew(callCtx)
+			cancel()
+		}
 		if k.campaign.Holds() {
-			callCtx, cancel = context.WithTimeout(ctx, 2*period)
+			callCtx, cancel := context.WithTimeout(ctx, 2*period)
 			k.step(callCtx)
 			cancel()
 		}
@@ -175,7 +193,7 @@
 	revision, err := platform.PutSettled(ctx, l.cfg.Store, rosterKey(l.cfg.Zone), value, base, "")
 	switch {
 	case err == nil:
-		k.adopt(revision)
+		k.adopt(ctx, revision)
 	case errors.Is(err, platform.ErrConflict):
 		// An earlier write of this step took effect, or another holder wrote.
 		roster, rerr := l.readRoster(ctx)
@@ -186,7 +204,7 @@
 			l.mu.Lock()
 			revision = l.rosterStoreRevision
 			l.mu.Unlock()
-			k.adopt(revision)
+			k.adopt(ctx, revision)
 			return
 		}
 		c.mu.Lock()
@@ -200,7 +218,7 @@
 	}
 }
 
-func (k *keeper) adopt(revision uint64) {
+func (k *keeper) adopt(ctx context.Context, revision uint64) {
 	l, c := k.lead, k.campaign
 	next := *k.next
 	k.next, k.sent = nil, false
@@ -213,6 +231,9 @@
 	l.mu.Lock()
 	l.roster, l.rosterStoreRevision = &next, revision
 	l.mu.Unlock()
+	if l.cfg.Publish != nil {
+		l.cfg.Publish(context.WithoutCancel(ctx), next)
+	}
 	l.cfg.Logger.Info("[zonelead] roster changed", zap.Uint32("revision", next.Revision),
 		zap.Int("workers", len(next.Workers)), zap.Int("platform_weight", next.PlatformWeight), zap.Error(err))
 }
