Require a list that names the entry VM itself before it uses slots; number answers that are not kept

A recorded request whose answer was too large to keep was told as outcome unknown, although it is known to have run. A forward on its way to an entry VM that just left was lost. Ruled out: a longer grace time for the join, which only makes the case rarer. Before: a list without the own name counted as complete.

--- a/api/codes/code.go
+++ b/api/codes/code.go
@@ -40,6 +40,7 @@
 	InProgress     Code = 3001
 	OutcomeUnknown Code = 3002
 	CallerGone     Code = 3003
+	AnswerNotKept  Code = 3004
 )
 
 // Codes of the state of the system.
--- a/api/codes/error.go
+++ b/api/codes/error.go
@@ -20,6 +20,8 @@
 	OutcomeNotRun     Outcome = "not_run"
 	OutcomeInProgress Outcome = "in_progress"
 	OutcomeOpen       Outcome = "unknown"
+	// OutcomeRan means that the request ran once and its answer is not kept.
+	OutcomeRan Outcome = "ran"
 )
 
 // Option adds data to an error.
--- a/api/codes/info.go
+++ b/api/codes/info.go
@@ -42,6 +42,7 @@
 	InProgress:     {"in_progress", http.StatusConflict, "An earlier submission with the same key is still running.", "Ask again later with the same key."},
 	OutcomeUnknown: {"outcome_unknown", http.StatusBadGateway, "The request may have run; no whole answer arrived.", "Check the effect before you send it with a new key."},
 	CallerGone:     {"caller_gone", 499, "The caller closed the connection; the request may have run.", "None."},
+	AnswerNotKept:  {"answer_not_kept", http.StatusGone, "An earlier submission with the same key ran and was answered; the answer was too large to keep.", "Do not send it again; fetch the result from the upstream."},
 
 	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, "The platform's key-value service cannot be reached.", "Try again after the given time."},
 	NoZoneScheduler:     {"no_zone_scheduler", http.StatusServiceUnavailable, "The availability zone has no zone scheduler at the moment.", "Try again after the given time."},
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -1553,6 +1553,8 @@
 		*s = OutcomeInProgress
 	case OutcomeUnknown:
 		*s = OutcomeUnknown
+	case OutcomeRan:
+		*s = OutcomeRan
 	default:
 		*s = Outcome(v)
 	}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -959,6 +959,7 @@
 	OutcomeNotRun     Outcome = "not_run"
 	OutcomeInProgress Outcome = "in_progress"
 	OutcomeUnknown    Outcome = "unknown"
+	OutcomeRan        Outcome = "ran"
 )
 
 // AllValues returns all Outcome values.
@@ -967,6 +968,7 @@
 		OutcomeNotRun,
 		OutcomeInProgress,
 		OutcomeUnknown,
+		OutcomeRan,
 	}
 }
 
@@ -979,6 +981,8 @@
 		return []byte(s), nil
 	case OutcomeUnknown:
 		return []byte(s), nil
+	case OutcomeRan:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -996,6 +1000,9 @@
 	case OutcomeUnknown:
 		*s = OutcomeUnknown
 		return nil
+	case OutcomeRan:
+		*s = OutcomeRan
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
@@ -1606,7 +1613,7 @@
 	Department string `json:"department"`
 	// Opaque to the scheduler.
 	Body []byte `json:"body"`
-	// Time for the whole request; default is the patience of the kind.
+	// Time for the whole request; default and upper bound is deadline_ms of the kind.
 	DeadlineMs     OptInt64  `json:"deadline_ms"`
 	IdempotencyKey OptString `json:"idempotency_key"`
 	// The request must run at most once; needs an idempotency key.
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -374,6 +374,8 @@
 		return nil
 	case "unknown":
 		return nil
+	case "ran":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- a/daemon/internal/app/lifecycle.go
+++ b/daemon/internal/app/lifecycle.go
@@ -16,6 +16,9 @@
 	defaultDrain = 30 * time.Second
 	// handoverTimeout bounds the messages that end the membership.
 	handoverTimeout = 2 * time.Second
+	// lingerTime is how long peer calls are still answered after the leave
+	// message: a forward on its way is refused as not run instead of being lost.
+	lingerTime = 100 * time.Millisecond
 )
 
 // ErrGaveUp means that the drain limit passed with requests in progress.
@@ -82,10 +85,18 @@
 	leaveCtx, cancelLeave := context.WithTimeout(force, handoverTimeout)
 	defer cancelLeave()
 	a.members.Leave(leaveCtx)
+	linger(leaveCtx, lingerTime)
 	a.log.Info("[app] drained")
 	return nil
 }
 
+func linger(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (a *App) close() {
 	_ = a.api.HTTP.Close()
 	_ = a.peerListener.Close()
--- a/daemon/internal/once/resolve.go
+++ b/daemon/internal/once/resolve.go
@@ -133,9 +133,9 @@
 		a = &Answer{}
 	}
 	if a.Omitted > 0 && len(a.Body) == 0 {
-		return nil, codes.OutcomeUnknown.With(
+		return nil, codes.AnswerNotKept.With(
 			fmt.Sprintf("the request ran and was answered once; its answer of %d bytes is too large to be kept", a.Omitted),
-			codes.WithOutcome(codes.OutcomeOpen), codes.WithDetails("ran: true", "answer kept: false"))
+			codes.WithOutcome(codes.OutcomeRan))
 	}
 	return a, nil
 }
--- a/daemon/internal/router/join.go
+++ b/daemon/internal/router/join.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// listComplete tells whether the platform's list was read and every live entry
-// VM of the zone on it is among the owners.
+// listComplete tells whether the platform's list names this entry VM and every
+// live entry VM of the zone on it is among the owners.
 func (r *Router) listComplete(owners []string) bool {
 	vms, at := r.cfg.VMs.VMs()
 	if at.IsZero() {
@@ -239,10 +239,14 @@
 	for _, id := range owners {
 		known[id] = true
 	}
+	// A list that does not name this entry VM yet may lack others that started
+	// with it; two of them would each take every slot.
+	named := false
 	for _, vm := range vms {
 		if vm.Role != wireplatform.RoleEntry || vm.AvailabilityZone != r.cfg.Self.Zone {
 			continue
 		}
+		named = named || vm.ID == r.cfg.Self.ID
 		if m, ok := r.cfg.View.Get(vm.ID); ok && !counts(m) {
 			continue
 		}
@@ -250,5 +254,5 @@
 			return false
 		}
 	}
-	return true
+	return named
 }
