Measure the waiting time of tasks

Cause: the waiting time from request to start is the first measure of the users, and only requests had it. Ruled out: the time of the decision alone, which leaves out the call to the worker. After: rhubarbstall.dispatch.wait by kind, up to the confirmed start; tests of dispatch and of the metrics page pass.

--- a/daemon/internal/dispatch/attempt.go
+++ b/daemon/internal/dispatch/attempt.go
@@ -25,6 +25,10 @@
 type attempt struct {
 	model.Placement
 	phase phase
+	// kind, waited and decidedAt give the waiting time when the start is confirmed.
+	kind      string
+	waited    time.Duration
+	decidedAt time.Time
 	// asked is the action that the worker still has to carry out.
 	asked wire.Action
 	// unconfirmed tells that the action has not reached the worker yet.
--- a/daemon/internal/dispatch/metrics.go
+++ b/daemon/internal/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	orphans   metric.Int64Counter
 	controls  metric.Int64Counter
 	decisions metric.Float64Histogram
+	waits     metric.Float64Histogram
 }
 
 func newMetrics(m metric.Meter) *metrics {
@@ -31,9 +32,14 @@
 	out.orphans, _ = m.Int64Counter("rhubarbstall.dispatch.unneeded_tasks", metric.WithDescription("Running tasks that no job needs."))
 	out.controls, _ = m.Int64Counter("rhubarbstall.dispatch.controls", metric.WithDescription("Actions on running tasks by result of the call."))
 	out.decisions, _ = m.Float64Histogram("rhubarbstall.dispatch.round.duration", metric.WithUnit("s"), metric.WithDescription("Duration of a decision round."))
+	out.waits, _ = m.Float64Histogram("rhubarbstall.dispatch.wait", metric.WithUnit("s"), metric.WithDescription("Time from submission, or the end of the attempt before, to the confirmed start, by kind."))
 	return out
 }
 
+func (m *metrics) waited(kind string, d time.Duration) {
+	m.waits.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 func (m *metrics) sync(ctx context.Context, err error) {
 	m.syncs.Add(ctx, 1, metric.WithAttributes(attribute.String("result", resultName(err))))
 }
--- a/daemon/internal/dispatch/round.go
+++ b/daemon/internal/dispatch/round.go
@@ -35,7 +35,7 @@
 			lp.engine.Refused(now, s.Ref)
 			continue
 		}
-		a := &attempt{Placement: s.Placement, phase: queued}
+		a := &attempt{Placement: s.Placement, phase: queued, kind: s.Kind, waited: s.Waited, decidedAt: now}
 		lp.track(l, a)
 		l.queue = append(l.queue, a)
 		touched[l] = true
--- a/daemon/internal/dispatch/track.go
+++ b/daemon/internal/dispatch/track.go
@@ -64,6 +64,9 @@
 func (lp *Loop) confirm(now time.Time, a *attempt) {
 	lp.setPhase(a, running)
 	lp.engine.Started(now, a.Ref)
+	if !a.decidedAt.IsZero() {
+		lp.metrics.waited(a.kind, a.waited+now.Sub(a.decidedAt))
+	}
 }
 
 // takeBack records that an attempt did not and will not start.
