Measure slopes at the size of a zone

Cause: docs/CAPACITY.md needs the zone of 824 workers and 14,700 tasks measured, not extrapolated from 400.

--- a/standin/cmd/slopes/main.go
+++ b/standin/cmd/slopes/main.go
@@ -20,8 +20,9 @@
 	{Name: "idle-4-entries", Entries: 4, Workers: 12},
 	{Name: "workers-100", Entries: 2, Workers: 100},
 	{Name: "workers-400", Entries: 2, Workers: 400},
-	{Name: "tasks-6000", Entries: 2, Workers: 400, Tasks: 6000},
-	{Name: "starts-300", Entries: 2, Workers: 100, StartsPerSecond: 300},
+	{Name: "workers-824", Entries: 2, Workers: 824},
+	{Name: "tasks-14700", Entries: 2, Workers: 824, Tasks: 14700},
+	{Name: "starts-324", Entries: 2, Workers: 824, StartsPerSecond: 324},
 	{Name: "requests-1000", Entries: 2, Workers: 12, Runners: 8, RequestsPerSecond: 1000},
 }
 
