--- a/sched/engine/holds.go
+++ b/sched/engine/holds.go
@@ -117,30 +117,34 @@
 // plan finds the earliest start, on workers kept for urgent work only if no
 // others can ever take the tasks.
 func (e *Engine) plan(t *framework.Task, tasks int) (gang.Plan, bool) {
-	p, ok := gang.Make(e.last, e.planNodes(t, false), t.Size, tasks, e.end)
+	most := planNodes
+	if tasks == 1 {
+		most = planNodesSingle
+	}
+	p, ok := gang.Make(e.last, e.planNodes(t, false, most), t.Size, tasks, e.end)
 	if !ok {
-		p, ok = gang.Make(e.last, e.planNodes(t, true), t.Size, tasks, e.end)
+		p, ok = gang.Make(e.last, e.planNodes(t, true, most), t.Size, tasks, e.end)
 	}
 	return p, ok
 }
 
 // planNodes returns workers without holds that can take the task when empty,
 // beginning at a different one each time.
-func (e *Engine) planNodes(t *framework.Task, kept bool) []*cache.Node {
+func (e *Engine) planNodes(t *framework.Task, kept bool, most int) []*cache.Node {
 	all := e.cache.Nodes()
 	if len(all) == 0 {
 		return nil
 	}
 	from := 0
-	if len(all) > planNodes {
-		e.rotor += planNodes
+	if len(all) > most {
+		e.rotor += most
 		from = e.rotor % len(all)
 	}
 	var out []*cache.Node
 	for i := range all {
 		n := all[(from+i)%len(all)]
 		if n.Usable() && !n.Quarantined && n.Hold == nil && (kept || n.Kept.IsZero()) && t.Size.Fits(n.Capacity) {
-			if out = append(out, n); len(out) == planNodes {
+			if out = append(out, n); len(out) == most {
 				break
 			}
 		}
--- a/sched/engine/limits.go
+++ b/sched/engine/limits.go
@@ -23,10 +23,12 @@
 	maxVictimNodes = 48
 	// roomTimeout ends the claim on room that preemption should have made.
 	roomTimeout = 20 * time.Second
-	// planNodes bounds the workers that a reservation considers, planEvery the
-	// time between two plans for the same job.
-	planNodes = 256
-	planEvery = 5 * time.Second
+	// planNodes bounds the workers that the reservation of a gang considers,
+	// planNodesSingle those for a single task, and planEvery the time between two
+	// plans for the same job.
+	planNodes       = 256
+	planNodesSingle = 64
+	planEvery       = 5 * time.Second
 	// A gang that has waited less than a part of its patience reserves its start
 	// only if the idle time is at most a part of its run time: 1/gangDue, 1/idleShare.
 	gangDue   = 4
