Apply a kind's mark against repetition to its jobs

Cause: read-through. A kind with no_repeat in the settings bound requests only; a job of that kind whose submission did not say no_repeat ran its tasks again after a lost outcome, a doubled proof. Ruled out: resolving the mark at each start, since a change of the settings would then make stored tasks repeatable. Before: kindForbidsRepeat did not exist and Spec.NoRepeat came from the submission alone. After: the mark is set at submission and stored; the comparison of two submissions with one key leaves it out.

--- a/daemon/internal/jobs/api.go
+++ b/daemon/internal/jobs/api.go
@@ -23,6 +23,9 @@
 	if _, ok := p.Policy(spec.Department, spec.Kind); !ok {
 		return Job{}, unknownKind(p, spec.Department, spec.Kind)
 	}
+	if s.kindForbidsRepeat(&spec) {
+		spec.NoRepeat = true
+	}
 	zones, err := s.homes(&spec)
 	if err != nil {
 		return Job{}, err
@@ -41,6 +44,18 @@
 	return Job{}, noScheduler(s.cfg.Zone)
 }
 
+// kindForbidsRepeat reports whether the settings of the kind say that its work
+// must run at most once. The mark is stored with the job, so a later change of
+// the settings does not make its tasks repeatable.
+func (s *Service) kindForbidsRepeat(spec *Spec) bool {
+	doc, _, ok := s.cfg.Settings.Current()
+	if !ok {
+		return false
+	}
+	policy, ok := doc.Resolve(spec.Department, spec.Kind)
+	return ok && policy.NoRepeat
+}
+
 func unknownKind(p model.Policies, department, kind string) error {
 	for _, d := range p.Departments() {
 		if d.Path == department {
--- a/daemon/internal/jobs/path_test.go
+++ b/daemon/internal/jobs/path_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/settings"
 )
 
 // run runs f with a zone under a virtual clock.
@@ -63,3 +64,21 @@
 		must.Eq(t, codes.NeverFits, codes.Of(err))
 	})
 }
+
+// Guards against tasks of a kind that must run at most once being repeated,
+// because the job itself did not say so.
+func TestKindMarksJobAgainstRepetition(t *testing.T) {
+	doc, err := settings.Parse([]byte(`{
+		"availability_zones": ["z"],
+		"head_office": {"kinds": {"proof": {"no_repeat": true}, "plan": {}}},
+	}`))
+	must.NoError(t, err)
+	s := &Service{cfg: Config{Settings: fixedSettings{doc}}}
+	for kind, want := range map[string]bool{"proof": true, "plan": false, "other": false} {
+		must.Eq(t, want, s.kindForbidsRepeat(&Spec{Department: "head_office", Kind: kind}), must.Sprint(kind))
+	}
+}
+
+type fixedSettings struct{ doc *settings.Document }
+
+func (f fixedSettings) Current() (*settings.Document, uint64, bool) { return f.doc, 1, true }
--- a/daemon/internal/jobs/spec.go
+++ b/daemon/internal/jobs/spec.go
@@ -71,7 +71,9 @@
 	return nil
 }
 
-// same reports whether two submissions with one key ask for the same work.
+// same reports whether two submissions with one key ask for the same work. The
+// mark against repetition is left out, since it may come from settings that
+// changed between them; the first submission's counts.
 func (s *Spec) same(o *Spec) bool {
 	a, b := *s, *o
 	a.Payload, b.Payload = nil, nil
@@ -81,5 +83,5 @@
 
 func (s *Spec) equalScalars(o *Spec) bool {
 	return s.Kind == o.Kind && s.Department == o.Department && s.Type == o.Type && s.Tasks == o.Tasks &&
-		s.Size == o.Size && s.RunMillis == o.RunMillis && s.Checkpointing == o.Checkpointing && s.NoRepeat == o.NoRepeat
+		s.Size == o.Size && s.RunMillis == o.RunMillis && s.Checkpointing == o.Checkpointing
 }
