Let new workers run tasks before they vote, and leave gone workers out of the total

Read-through showed two more: a zone whose workers were all replaced could never reach a majority of the old ones again, and a start could go to a worker of a step that no quorum had acknowledged, which a candidate with the roster before does not know. Ruled out: several voters in one step, since majorities of rosters that differ by two workers may be disjoint; a reset of the roster by the platform's record alone, since another holder may still run on leases. Mechanisms: observers join any number at a time and become voters one by one; starts wait until a quorum acknowledged the step that added the worker; workers that the platform's list has dropped for 15 s leave the total, only together with the platform's vote.

--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -65,7 +65,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	owner := wire.Owner{ID: c.owner, Epoch: uint64(c.holder.GrantedEpoch(worker))}
-	return owner, c.holds(now) && c.holder.HasVote(now, worker)
+	return owner, c.holds(now) && c.holder.MayUse(now, worker)
 }
 
 // holds reports whether the quorum is held. The first loss is final even if the
@@ -141,9 +141,16 @@
 	c.holder.Forget(worker)
 }
 
-// Workers returns the workers of the roster.
+// Workers returns the workers that may run tasks of the zone.
 func (c *Campaign) Workers() []string {
-	return c.Roster().Workers
+	return c.Roster().All()
+}
+
+// setGone states which workers are proved to be gone.
+func (c *Campaign) setGone(gone map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder.SetGone(gone)
 }
 
 // Roster returns the roster.
--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -47,6 +47,7 @@
 	noHolderSince time.Time
 	current       *Campaign
 	refreshing    atomic.Bool
+	gone          goneWorkers
 	handover      chan struct{}
 	handoverOnce  sync.Once
 	idle          chan struct{}
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -67,6 +67,7 @@
 			return "this process was paused"
 		}
 		last = now
+		c.setGone(l.gone.update(now, c.Roster(), l.zoneList()))
 		switch c.check(startedAt) {
 		case lostQuorum:
 			return "quorum lost"
@@ -223,7 +224,7 @@
 	next := *k.next
 	k.next, k.sent = nil, false
 	c.mu.Lock()
-	err := c.holder.Step(next)
+	err := c.holder.Step(time.Now(), next)
 	if err != nil {
 		c.stale = true
 	}
@@ -235,7 +236,7 @@
 		l.cfg.Publish(context.WithoutCancel(ctx), next)
 	}
 	l.cfg.Logger.Info("[zonelead] roster changed", zap.Uint32("revision", next.Revision),
-		zap.Int("workers", len(next.Workers)), zap.Int("platform_weight", next.PlatformWeight), zap.Error(err))
+		zap.Int("voters", len(next.Workers)), zap.Int("observers", len(next.Observers)), zap.Int("platform_weight", next.PlatformWeight), zap.Error(err))
 }
 
 // wanted returns the workers that the roster should have: those on the list,
@@ -243,13 +244,13 @@
 func (k *keeper) wanted(roster quorum.Roster) []string {
 	want := k.lead.listedWorkers()
 	if len(want) == 0 {
-		return roster.Workers
+		return roster.All()
 	}
 	listed := make(map[string]bool, len(want))
 	for _, w := range want {
 		listed[w] = true
 	}
-	for _, w := range roster.Workers {
+	for _, w := range roster.All() {
 		if !listed[w] && !k.lead.cfg.Removable(w) {
 			want = append(want, w)
 		}
@@ -258,5 +259,6 @@
 }
 
 func equal(a, b quorum.Roster) bool {
-	return a.PlatformWeight == b.PlatformWeight && slices.Equal(a.Workers, b.Workers) && maps.Equal(a.Instances, b.Instances)
+	return a.PlatformWeight == b.PlatformWeight && slices.Equal(a.Workers, b.Workers) &&
+		slices.Equal(a.Observers, b.Observers) && maps.Equal(a.Instances, b.Instances)
 }
--- a/sched/quorum/holder.go
+++ b/sched/quorum/holder.go
@@ -32,6 +32,10 @@
 	// held tells that the quorum was held, and lost that it was lost since.
 	held bool
 	lost bool
+	// gone holds workers that are proved to be gone.
+	gone map[string]bool
+	// fresh holds the workers that the last step added.
+	fresh map[string]bool
 }
 
 // New returns a candidate without votes.
@@ -113,6 +117,46 @@
 	return ok && now.Before(v.expires)
 }
 
+// SetGone states which workers are proved to be gone: they can vote for nobody.
+// They count neither as votes nor in the total, so that a zone whose workers
+// were all replaced gets a holder again. This holds only together with the
+// platform's vote, since two candidates may know different workers to be gone,
+// and one that is gone for the first may have come back for the second.
+func (h *Holder) SetGone(gone map[string]bool) { h.gone = gone }
+
+// goneWeight returns the weight that the roster loses by workers that are gone.
+func (h *Holder) goneWeight(now time.Time) int {
+	if !h.HasVote(now, Platform) {
+		return 0
+	}
+	sum := 0
+	for w := range h.gone {
+		sum += h.roster.Weight(w)
+	}
+	return sum
+}
+
+// majority reports whether a weight is more than half of the votes that can be
+// given.
+func (h *Holder) majority(now time.Time, weight int) bool {
+	return 2*weight > h.roster.Total()-h.goneWeight(now)
+}
+
+// counted returns the weight of a voter, zero if it is gone.
+func (h *Holder) counted(now time.Time, voter string) int {
+	if h.gone[voter] && h.HasVote(now, Platform) {
+		return 0
+	}
+	return h.roster.Weight(voter)
+}
+
+// MayUse reports whether starts may be sent to a worker. A worker that the last
+// step added waits until a quorum acknowledged that step: a candidate with the
+// roster before would not know that tasks may run there.
+func (h *Holder) MayUse(now time.Time, worker string) bool {
+	return h.roster.Uses(worker) && h.HasVote(now, worker) && (!h.fresh[worker] || h.acknowledged(now))
+}
+
 // Weight returns the weight of the votes that the candidate has. Without the
 // platform's vote its roster may be old. Then, until it has had the quorum, it
 // counts only workers that have not restarted since the roster was written: a
@@ -122,7 +166,7 @@
 	current := h.held || h.HasVote(now, Platform)
 	for id, v := range h.votes {
 		if now.Before(v.expires) && (current || h.roster.Instances[id] == v.instance && v.instance != "") {
-			sum += h.roster.Weight(id)
+			sum += h.counted(now, id)
 		}
 	}
 	return sum
@@ -134,7 +178,7 @@
 	switch {
 	case h.lost:
 		return false
-	case h.roster.Majority(h.Weight(now)):
+	case h.majority(now, h.Weight(now)):
 		h.held = true
 		return true
 	}
@@ -142,33 +186,39 @@
 	return false
 }
 
-// Acknowledged reports whether a quorum of voters acknowledged the roster. Only
+// acknowledged reports whether a quorum of voters acknowledged the roster. Only
 // then the next step may be taken.
-func (h *Holder) Acknowledged() bool {
+func (h *Holder) acknowledged(now time.Time) bool {
 	sum := 0
 	for id, v := range h.votes {
 		if v.granted.Revision() >= h.roster.Revision {
-			sum += h.roster.Weight(id)
+			sum += h.counted(now, id)
 		}
 	}
-	return h.roster.Majority(sum)
+	return h.majority(now, sum)
 }
 
 // MayStep reports whether the next step may be stored. It needs the platform's
 // vote: a candidate that takes that vote reads the roster afterwards, and then at
 // most one write that was sent before can follow.
 func (h *Holder) MayStep(now time.Time) bool {
-	return h.Holds(now) && h.HasVote(now, Platform) && h.Acknowledged()
+	return h.Holds(now) && h.HasVote(now, Platform) && h.acknowledged(now)
 }
 
 // Step adopts the next roster. MayStep was true before it was stored.
-func (h *Holder) Step(next Roster) error {
-	if !h.Acknowledged() {
+func (h *Holder) Step(now time.Time, next Roster) error {
+	if !h.acknowledged(now) {
 		return ErrStepPending
 	}
 	if !oneStep(h.roster, next) {
 		return ErrNotAStep
 	}
+	h.fresh = make(map[string]bool)
+	for _, w := range next.All() {
+		if !h.roster.Uses(w) {
+			h.fresh[w] = true
+		}
+	}
 	h.roster = next
 	return nil
 }
--- a/sched/quorum/quorum_test.go
+++ b/sched/quorum/quorum_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -38,10 +39,11 @@
 		// the fault, so that the test is short.
 		first uint64
 	}{
-		{"no margin", mutation{noMargin: true}, 1170},
-		{"no wait", mutation{noWait: true, calm: true}, 190},
-		{"odd platform weight", mutation{oddPlatformWeight: true, calm: true}, 55},
-		{"forgetful workers count", mutation{forgetful: true}, 515},
+		{"no margin", mutation{noMargin: true}, 15},
+		{"no wait", mutation{noWait: true, calm: true}, 770},
+		{"odd platform weight", mutation{oddPlatformWeight: true, calm: true}, 720},
+		{"forgetful workers count", mutation{forgetful: true}, 3190},
+		{"removed workers are gone at once", mutation{goneAtOnce: true}, 100},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := c.first; seed < c.first+500; seed++ {
@@ -98,14 +100,89 @@
 	h := New(NewRoster([]string{"a", "b"}), 1)
 	next, ok := h.Roster().Next([]string{"a", "b", "c"})
 	must.True(t, ok)
-	must.ErrorIs(t, h.Step(next), ErrStepPending)
+	must.ErrorIs(t, h.Step(now, next), ErrStepPending)
 	for _, v := range []string{"a", "b", Platform} {
 		h.Granted(now, v, "", h.Epoch(), now, testLease)
 	}
-	must.ErrorIs(t, h.Step(next.Join("d")), ErrNotAStep)
-	must.NoError(t, h.Step(next))
+	must.ErrorIs(t, h.Step(now, next.Join("d")), ErrNotAStep)
+	must.NoError(t, h.Step(now, next))
 	last := next.Join("e")
-	must.ErrorIs(t, h.Step(last), ErrStepPending)
+	must.ErrorIs(t, h.Step(now, last), ErrStepPending)
 	must.True(t, h.Holds(now))
 	must.False(t, h.Holds(now.Add(HolderLease(testLease))))
 }
+
+// Guards against a start on a worker that a candidate with the roster before
+// does not know, and would not wait for.
+func TestNewWorkerIsUsedAfterAcknowledgement(t *testing.T) {
+	now := time.Unix(0, 0)
+	h := New(NewRoster([]string{"a", "b"}), 1)
+	grant := func(voters ...string) {
+		for _, v := range voters {
+			h.Granted(now, v, "", h.Epoch(), now, testLease)
+		}
+	}
+	grant("a", "b", Platform)
+	next, ok := h.Roster().Next([]string{"a", "b", "c", "d"})
+	must.True(t, ok)
+	must.Eq(t, []string{"c", "d"}, next.Observers)
+	must.NoError(t, h.Step(now, next))
+	must.True(t, h.MayUse(now, "a"))
+	grant("c")
+	must.False(t, h.MayUse(now, "c"), must.Sprint("no quorum acknowledged the step"))
+	grant("a", Platform)
+	must.True(t, h.MayUse(now, "c"))
+	must.False(t, h.MayUse(now, "d"), must.Sprint("d granted no lease"))
+	promoted, ok := next.Next([]string{"a", "b", "c", "d"})
+	must.True(t, ok)
+	must.True(t, promoted.Has("c") && !promoted.Has("d") && promoted.Uses("d"))
+	must.NoError(t, promoted.Validate())
+}
+
+// Guards against a zone whose workers were all replaced never getting a holder
+// again, and against gone workers being left out without the platform's vote.
+func TestGoneWorkersLeaveTheTotal(t *testing.T) {
+	now := time.Unix(0, 0)
+	h := New(NewRoster([]string{"a", "b", "c", "d"}), 1)
+	h.Granted(now, Platform, "", h.Epoch(), now, testLease)
+	must.False(t, h.Holds(now))
+	h.SetGone(map[string]bool{"a": true, "b": true, "c": true, "d": true})
+	must.True(t, h.Holds(now))
+
+	h = New(NewRoster([]string{"a", "b", "c", "d"}), 1)
+	h.SetGone(map[string]bool{"a": true, "b": true, "c": true})
+	h.Granted(now, "d", "", h.Epoch(), now, testLease)
+	must.False(t, h.Holds(now), must.Sprint("without the platform's vote gone workers count"))
+}
+
+// Guards against two disjoint sets of voters that both reach a majority when the
+// candidates know different workers to be gone.
+func TestMajoritiesIntersectWithGoneWorkers(t *testing.T) {
+	for n := range 40 {
+		r := NewRoster(numbered(n))
+		total := r.Total()
+		for gone1 := 0; gone1 <= n; gone1++ {
+			for gone2 := 0; gone2 <= n; gone2++ {
+				// Only voters that neither knows to be gone can vote.
+				alive := total - WorkerWeight*max(gone1, gone2)
+				need1 := minMajority(total - WorkerWeight*gone1)
+				need2 := minMajority(total - WorkerWeight*gone2)
+				must.Greater(t, alive, need1+need2)
+			}
+		}
+	}
+}
+
+// minMajority returns the least even weight above half of a total.
+func minMajority(total int) int {
+	w := total/2 + 1
+	return w + w%2
+}
+
+func numbered(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("w%03d", i)
+	}
+	return out
+}
--- a/sched/quorum/roster.go
+++ b/sched/quorum/roster.go
@@ -18,6 +18,11 @@
 	// Workers is sorted.
 	Workers        []string `json:"workers"`
 	PlatformWeight int      `json:"platform_weight"`
+	// Observers are workers in use without a vote, sorted. Any number may come or go
+	// in one step, since the weights stay; each becomes a voter in a step of its
+	// own. Without them, a zone whose workers were replaced would get them back at
+	// less than one a second.
+	Observers []string `json:"observers,omitempty"`
 	// Instances holds the last known instance of each worker. A worker with
 	// another instance has restarted and forgotten the epochs that it granted.
 	Instances map[string]string `json:"instances,omitempty"`
@@ -44,9 +49,14 @@
 	if r.PlatformWeight < 2 || r.PlatformWeight%2 != 0 {
 		return fmt.Errorf("weight %d of the platform is not a positive even number", r.PlatformWeight)
 	}
-	if !slices.IsSorted(r.Workers) {
+	if !slices.IsSorted(r.Workers) || !slices.IsSorted(r.Observers) {
 		return fmt.Errorf("workers of the roster are not sorted")
 	}
+	for _, w := range r.Observers {
+		if r.Has(w) {
+			return fmt.Errorf("worker %q is a voter and an observer", w)
+		}
+	}
 	return nil
 }
 
@@ -66,12 +76,23 @@
 	return 0
 }
 
-// Has reports whether a worker is on the roster.
+// Has reports whether a worker is a voter of the roster.
 func (r Roster) Has(worker string) bool {
 	_, ok := slices.BinarySearch(r.Workers, worker)
 	return ok
 }
 
+// Uses reports whether a worker is a voter or an observer of the roster.
+func (r Roster) Uses(worker string) bool {
+	_, ok := slices.BinarySearch(r.Observers, worker)
+	return ok || r.Has(worker)
+}
+
+// All returns the workers that may run tasks: voters and observers.
+func (r Roster) All() []string {
+	return append(slices.Clone(r.Workers), r.Observers...)
+}
+
 // Majority reports whether weight is more than half of the total.
 func (r Roster) Majority(weight int) bool {
 	return 2*weight > r.Total()
@@ -84,10 +105,30 @@
 		return r
 	}
 	r.Workers = slices.Insert(slices.Clone(r.Workers), i, worker)
+	r.Observers = slices.DeleteFunc(slices.Clone(r.Observers), func(w string) bool { return w == worker })
 	r.Revision++
 	return r
 }
 
+// observe returns the roster with the wanted workers that are no voters as its
+// observers, and false if it has them already.
+func (r Roster) observe(wanted []string) (Roster, bool) {
+	var observers []string
+	for _, w := range wanted {
+		if !r.Has(w) {
+			observers = append(observers, w)
+		}
+	}
+	slices.Sort(observers)
+	observers = slices.Compact(observers)
+	if slices.Equal(observers, r.Observers) {
+		return r, false
+	}
+	r.Observers = observers
+	r.Revision++
+	return r, true
+}
+
 // Leave returns the roster without a worker.
 func (r Roster) Leave(worker string) Roster {
 	i, ok := slices.BinarySearch(r.Workers, worker)
@@ -123,9 +164,13 @@
 }
 
 // Next returns the roster one step closer to the wanted workers, and false if
-// nothing is left to change. The platform's weight is corrected first, so that
-// it stays close to the weight for the number of workers.
+// nothing is left to change. New workers become observers first, all at once.
+// The platform's weight is corrected next, so that it stays close to the weight
+// for the number of voters.
 func (r Roster) Next(wanted []string) (Roster, bool) {
+	if next, ok := r.observe(wanted); ok {
+		return next, true
+	}
 	switch target := PlatformWeightFor(len(r.Workers)); {
 	case r.PlatformWeight < target:
 		r.PlatformWeight += 2
--- a/sched/quorum/schedule_faults_test.go
+++ b/sched/quorum/schedule_faults_test.go
@@ -107,3 +107,37 @@
 		}
 	}
 }
+
+// leaseLapsed is the time after which no lease of a removed worker counts: the
+// longest lease on the slowest clock.
+const leaseLapsed = 4 * time.Second
+
+// removeSome removes some workers for good, as a failed rack or zone does.
+func (w *world) removeSome() {
+	share := 1 + w.intn(4)
+	for _, id := range w.sortedVoters() {
+		v := w.voters[id]
+		if v.removedAt == 0 && w.intn(4) < share {
+			v.removedAt = w.now
+			w.wanted = slices.DeleteFunc(slices.Clone(w.wanted), func(o string) bool { return o == id })
+		}
+	}
+	for range w.intn(4) {
+		w.join()
+	}
+}
+
+// gone returns the workers that a candidate knows to be gone.
+func (w *world) gone(c *candidate) map[string]bool {
+	wait := leaseLapsed + c.listLag
+	if w.mut.goneAtOnce {
+		wait = 0
+	}
+	gone := make(map[string]bool)
+	for id, v := range w.voters {
+		if v.removedAt > 0 && w.now-v.removedAt >= wait {
+			gone[id] = true
+		}
+	}
+	return gone
+}
--- a/sched/quorum/schedule_test.go
+++ b/sched/quorum/schedule_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,10 @@
 	noWait            bool
 	// forgetful counts workers that restarted since the roster was written.
 	forgetful bool
-	// calm workers do not restart.
+	// calm workers do not restart and are not removed.
 	calm bool
+	// goneAtOnce counts a worker as gone before the leases that it granted lapsed.
+	goneAtOnce bool
 }
 
 // world is a random schedule in virtual time. Real time is a duration; each
@@ -38,11 +41,13 @@
 	platform   platformState
 	candidates []*candidate
 	wanted     []string
-	joined     int
-	violation  string
-	held       int
-	heldAlone  int
-	steps      int
+	// direct lets workers join without a time as observers.
+	direct    bool
+	joined    int
+	violation string
+	held      int
+	heldAlone int
+	steps     int
 }
 
 // voterState is a worker as a voter.
@@ -54,6 +59,8 @@
 	// silent is the time until which a restarted worker grants no lease.
 	silent time.Duration
 	starts int
+	// removedAt is the time at which the VM was removed for good; zero if it was not.
+	removedAt time.Duration
 }
 
 type platformState struct {
@@ -77,10 +84,13 @@
 	term uint32
 	// stepping tells that a write of the next roster is in progress.
 	stepping bool
+	// listLag is how late the candidate learns from the list that a VM was removed.
+	listLag time.Duration
 }
 
 func newWorld(intn func(int) int, mut mutation, workers, candidates int) *world {
 	w := &world{intn: intn, mut: mut, voters: map[string]*voterState{}}
+	w.direct = mut.oddPlatformWeight || mut.forgetful || intn(2) == 0
 	var ids []string
 	for i := range workers {
 		ids = append(ids, fmt.Sprintf("w%03d", i))
@@ -97,7 +107,7 @@
 		w.platform.roster.Instances[id] = "0"
 	}
 	for i := range candidates {
-		w.candidates = append(w.candidates, &candidate{id: i, rate: w.rate(), cached: w.platform.roster, instances: map[string]string{}, cut: map[string]bool{}})
+		w.candidates = append(w.candidates, &candidate{id: i, rate: w.rate(), cached: w.platform.roster, instances: map[string]string{}, cut: map[string]bool{}, listLag: time.Duration(w.intn(8000)) * time.Millisecond})
 	}
 	return w
 }
@@ -190,6 +200,10 @@
 		if !w.mut.calm {
 			w.restartSome()
 		}
+	case 7:
+		if !w.mut.calm && !w.mut.forgetful {
+			w.removeSome()
+		}
 	case 3:
 		// A detected pause drops everything; the candidacy starts again.
 		c.h = nil
@@ -201,6 +215,7 @@
 		w.campaign(c)
 		return
 	}
+	c.h.SetGone(w.gone(c))
 	w.renew(c)
 	w.step(c)
 }
@@ -283,6 +298,9 @@
 	epoch, sent := h.NextClaim(id), c.clock(w.now)
 	arrive := func() {
 		v := w.voters[id]
+		if v.removedAt > 0 {
+			return
+		}
 		if epoch < v.epoch || epoch == v.epoch && v.owner != c.id {
 			seen := v.epoch
 			w.after(w.delay(), func() {
@@ -317,7 +335,9 @@
 		return
 	}
 	next, ok := h.Roster().Restarted(c.instances)
-	if !ok {
+	if !ok && w.direct {
+		next, ok = directNext(h.Roster(), w.wanted)
+	} else if !ok {
 		next, ok = h.Roster().Next(w.wanted)
 	}
 	if w.mut.oddPlatformWeight {
@@ -347,18 +367,30 @@
 				h.roster = next
 				return
 			}
-			if h.Step(next) != nil {
+			if h.Step(c.clock(w.now), next) != nil {
 				c.h = nil
 			}
 		})
 	})
 }
 
+// directNext lets new workers vote at once, without a time as observers. It is a
+// legal step too, and the roster changes faster by it.
+func directNext(r Roster, wanted []string) (Roster, bool) {
+	for _, id := range wanted {
+		if !r.Has(id) && r.PlatformWeight == PlatformWeightFor(len(r.Workers)) {
+			return r.Join(id), true
+		}
+	}
+	next, ok := r.Next(append(slices.Clone(r.Observers), wanted...))
+	return next, ok
+}
+
 // oddNext keeps the platform's weight equal to the number of workers, in the
 // same step as the join or the leave.
 func oddNext(r Roster, wanted []string) (Roster, bool) {
 	r.PlatformWeight = PlatformWeightFor(len(r.Workers))
-	next, ok := r.Next(wanted)
+	next, ok := directNext(r, wanted)
 	next.PlatformWeight = len(next.Workers)
 	return next, ok
 }
