--- a/standin/scenario/cluster.go
+++ b/standin/scenario/cluster.go
@@ -80,11 +80,7 @@
 		for i := range workers {
 			name := fmt.Sprintf("%s-worker-%d", prefix, i+1)
 			rack := fmt.Sprintf("%s-rack-%d", prefix, i/2+1)
-			w.restart[name] = func() error {
-				return w.cluster.StartWorker(name, zone, rack, "-max-owner-lease", "1500ms",
-					"-milli-cpu", a.text("cpu", "8000"), "-memory-mb", a.text("memory", "16384"), "-usage-lag", "200ms")
-			}
-			if err := w.restart[name](); err != nil {
+			if err := w.startWorker(name, zone, rack, a); err != nil {
 				return err
 			}
 		}
--- a/standin/scenario/processes.go
+++ b/standin/scenario/processes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -90,3 +92,54 @@
 		return w.ctx.Err()
 	}
 }
+
+// cmdReplaceWorkers kills every worker of a zone, removes them from the
+// platform's list, and starts as many new ones under new names.
+func (w *world) cmdReplaceWorkers(_ *testscript.TestScript, words []string) error {
+	a, err := parse(words, 1)
+	if err != nil {
+		return err
+	}
+	if err := a.check("cpu", "memory"); err != nil {
+		return err
+	}
+	zone := a.names[0]
+	old := w.workersOf(zone)
+	for _, name := range old {
+		p, err := w.cluster.Process(name)
+		if err != nil {
+			return err
+		}
+		p.Kill()
+		if err := w.cluster.RemoveVM(name); err != nil {
+			return err
+		}
+	}
+	for i := range old {
+		if err := w.startWorker(fmt.Sprintf("%s-worker-new-%d", zone[:1], i+1), zone, fmt.Sprintf("%s-rack-new-%d", zone[:1], i/2+1), a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// workersOf returns the workers of a zone in order of their names.
+func (w *world) workersOf(zone string) []string {
+	var names []string
+	for name := range w.restart {
+		if strings.HasPrefix(name, zone[:1]+"-worker-") {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// startWorker starts a worker that can be started again under its name.
+func (w *world) startWorker(name, zone, rack string, a arguments) error {
+	w.restart[name] = func() error {
+		return w.cluster.StartWorker(name, zone, rack, "-max-owner-lease", "1500ms",
+			"-milli-cpu", a.text("cpu", "8000"), "-memory-mb", a.text("memory", "16384"), "-usage-lag", "200ms")
+	}
+	return w.restart[name]()
+}
--- a/standin/scenario/promises_test.go
+++ b/standin/scenario/promises_test.go
@@ -5,6 +5,9 @@
 // Each script is a test of its own, so that it can be named where a test is named.
 // The longest ones are first, since the tests run in this order, several at a time.
 
+// Guards against a zone that never gets a scheduler again after all its workers were replaced.
+func TestP9WorkersReplaced(t *testing.T) { runDaemon(t, "p9-workers-replaced") }
+
 // Guards against tasks of a dead worker that are lost, or started again too early.
 func TestP2WorkerDies(t *testing.T) { runDaemon(t, "p2-worker-dies") }
 
--- a/standin/scenario/world.go
+++ b/standin/scenario/world.go
@@ -80,7 +80,8 @@
 		"apply": (*world).cmdApply, "request": (*world).cmdRequest, "submit": (*world).cmdSubmit,
 		"cancel": (*world).cmdCancel, "await": (*world).cmdAwait, "expect": (*world).cmdExpect,
 		"pause": (*world).cmdPause, "platform": (*world).cmdPlatform, "lose-answers": (*world).cmdLoseAnswers,
-		"leave": (*world).cmdLeave, "fault": (*world).cmdFault, "cut": (*world).cmdCut, "heal": (*world).cmdHeal,
+		"replace-workers": (*world).cmdReplaceWorkers,
+		"leave":           (*world).cmdLeave, "fault": (*world).cmdFault, "cut": (*world).cmdCut, "heal": (*world).cmdHeal,
 		"zone-scheduler": (*world).cmdZoneScheduler, "check-history": (*world).cmdCheckHistory,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(all))
