Run the operators' client against real daemons in a scenario

Cause: the client's scripts ran against a fake server only, so a difference between the fake and the daemon would not show. Ruled out: replacing the fake, which makes the client's errors without a daemon easy to cause.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,11 @@
 demo: build
 	$(BIN)/demo -bin $(BIN)
 
+# The replay of the recorded traces takes minutes under the race detector, so its
+# long tests run without it.
 test:
 	@test -z '$(KNOWN_RED)' || echo 'known to fail and passed over: $(KNOWN_RED)'
 	go test -race -timeout 15m $(SKIP) $(PATTERNS)
-	# The replay of the recorded traces takes minutes under the race detector, so
-	# its long tests run without it.
 	go test -timeout 5m $(SKIP) ./sched/replay/...
 
 # Prints one figure a line, each with its baseline in the same run.
--- a/standin/scenario/cluster.go
+++ b/standin/scenario/cluster.go
@@ -54,6 +54,7 @@
 	if len(w.caller.Entries()) == 0 {
 		return nil
 	}
+	ts.Setenv("RHUBARBSTALL_SERVER", serverList(w.caller.Entries()))
 	document := defaultSettings
 	if text, err := os.ReadFile(ts.MkAbs(settingsFile)); err == nil {
 		document = string(text)
@@ -164,3 +165,12 @@
 	}
 	return g.Wait()
 }
+
+// serverList is the form in which the operators' client takes its servers.
+func serverList(entries []caller.Entry) string {
+	urls := make([]string, 0, len(entries))
+	for _, e := range entries {
+		urls = append(urls, "http://"+e.Addr)
+	}
+	return strings.Join(urls, ",")
+}
--- a/standin/scenario/promises_test.go
+++ b/standin/scenario/promises_test.go
@@ -17,6 +17,9 @@
 // Guards against a deployment that fails while nothing is wrong.
 func TestSmoke(t *testing.T) { runDaemon(t, "01-smoke") }
 
+// Guards against a client that does not work with a real daemon, though it does with its fake.
+func TestClient(t *testing.T) { runDaemon(t, "02-client") }
+
 // Guards against VMs that get more work than they hold under a flood of work that is misdeclared.
 func TestP1Capacity(t *testing.T) { runDaemon(t, "p1-capacity") }
 
--- a/standin/scenario/scenario_test.go
+++ b/standin/scenario/scenario_test.go
@@ -28,7 +28,7 @@
 			return 1
 		}
 		defer os.RemoveAll(bin)
-		args := []string{"build", "-o", bin + "/", "rhubarbstall.example/daemon/cmd/rhubarbstalld"}
+		args := []string{"build", "-o", bin + "/", "rhubarbstall.example/daemon/cmd/rhubarbstalld", "rhubarbstall.example/cli/cmd/rhubarbstall"}
 		for _, program := range []string{"sim-platform", "sim-worker", "sim-runner", "sim-relay"} {
 			args = append(args, "rhubarbstall.example/standin/cmd/"+program)
 		}
--- a/standin/scenario/world.go
+++ b/standin/scenario/world.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -50,6 +51,7 @@
 				jobs: make(map[string]string), restart: make(map[string]func() error),
 			}
 			env.Values[worldKey{}] = w
+			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
 			env.Defer(w.stop)
 			return nil
 		},
