Keep workers that answer in the quorum, whatever the platform's list says

Cause: read-through of the rule for gone workers. A platform list that wrongly drops live workers, for example while it is filled again after a restart, would let a candidate with the platform's vote leave out workers that vote for another holder. Ruled out: trusting the list alone; it is the one assumption under that rule. Before: gone workers applied from the first tick. After: from one owner lease into the campaign, when every worker was called, and without those that answered, if only with a refusal. A test shows no quorum with refusals and a quorum without.

--- a/daemon/internal/zonelead/campaign.go
+++ b/daemon/internal/zonelead/campaign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -146,10 +147,13 @@
 	return c.Roster().All()
 }
 
-// setGone states which workers are proved to be gone.
+// setGone states which workers the platform's list has dropped. Those that
+// answered this campaign, if only with a refusal, are left out: a list that is
+// wrong must not make two holders.
 func (c *Campaign) setGone(gone map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(gone, func(w string, _ bool) bool { return c.answered[w] })
 	c.holder.SetGone(gone)
 }
 
--- a/daemon/internal/zonelead/gone_test.go
+++ b/daemon/internal/zonelead/gone_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"rhubarbstall.example/sched/quorum"
+	wire "rhubarbstall.example/wire/worker"
 )
 
 func listOf(complete bool, workers ...string) zoneList {
@@ -31,3 +32,16 @@
 	must.MapEmpty(t, g.update(now.Add(2*goneAfter), roster, listOf(true, "a", "b")))
 	must.MapEmpty(t, g.update(now.Add(3*goneAfter), roster, listOf(true, "b")))
 }
+
+// Guards against a list that wrongly drops live workers making a second holder.
+func TestWorkerThatAnswersIsNotGone(t *testing.T) {
+	c := newCampaign("e1", quorum.NewRoster([]string{"a", "b"}), 1, 3*time.Second)
+	c.Granted(quorum.Platform, "", uint64(c.holder.Epoch()), time.Now())
+	c.Refused("a", wire.Refusal{Code: wire.RefusedOtherOwner, OwnerID: "e2"})
+	c.Refused("b", wire.Refusal{Code: wire.RefusedOtherOwner, OwnerID: "e2"})
+	c.setGone(map[string]bool{"a": true, "b": true})
+	must.False(t, c.holder.Holds(time.Now()))
+	c.answered = map[string]bool{}
+	c.setGone(map[string]bool{"a": true, "b": true})
+	must.True(t, c.holder.Holds(time.Now()))
+}
--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -67,7 +67,12 @@
 			return "this process was paused"
 		}
 		last = now
-		c.setGone(l.gone.update(now, c.Roster(), l.zoneList()))
+		gone := l.gone.update(now, c.Roster(), l.zoneList())
+		// Every worker was called by then; one that answers is not gone, whatever
+		// the list says.
+		if now.Sub(startedAt) >= c.Lease() {
+			c.setGone(gone)
+		}
 		switch c.check(startedAt) {
 		case lostQuorum:
 			return "quorum lost"
