Record the instance of a worker in the step that makes it a voter

The outage fell between the step that made a worker a voter and the next one, which recorded its instance; a candidate without the platform's vote counts only workers with a known instance, and with 5 workers it needs all of them. Ruled out: too short a limit in the script (the leases and ranks take about 5 s); load alone. An outage within about a second of a roster step can still block a replacement, if the other entry VMs missed the roster.

--- a/daemon/internal/zonelead/serve.go
+++ b/daemon/internal/zonelead/serve.go
@@ -183,6 +183,9 @@
 		}
 		if !change {
 			next, change = roster.Next(k.wanted(roster))
+			c.mu.Lock()
+			next = next.Recorded(c.instances)
+			c.mu.Unlock()
 		}
 		if !change {
 			return
--- a/sched/quorum/quorum_test.go
+++ b/sched/quorum/quorum_test.go
@@ -137,6 +137,9 @@
 	must.True(t, ok)
 	must.True(t, promoted.Has("c") && !promoted.Has("d") && promoted.Uses("d"))
 	must.NoError(t, promoted.Validate())
+	recorded := promoted.Recorded(map[string]string{"a": "1", "c": "1", "d": "1"})
+	must.Eq(t, promoted.Revision, recorded.Revision)
+	must.Eq(t, map[string]string{"a": "1", "c": "1"}, recorded.Instances, must.Sprint("voters only"))
 }
 
 // Guards against a zone whose workers were all replaced never getting a holder
--- a/sched/quorum/roster.go
+++ b/sched/quorum/roster.go
@@ -163,6 +163,19 @@
 	return r, true
 }
 
+// Recorded returns the roster of the same revision with the given instances of
+// its voters. It is used for a step that is not stored yet: a worker that becomes
+// a voter without its instance could not be counted by a candidate that has no
+// vote of the platform.
+func (r Roster) Recorded(instances map[string]string) Roster {
+	next, changed := r.Restarted(instances)
+	if !changed {
+		return r
+	}
+	next.Revision = r.Revision
+	return next
+}
+
 // Next returns the roster one step closer to the wanted workers, and false if
 // nothing is left to change. New workers become observers first, all at once.
 // The platform's weight is corrected next, so that it stays close to the weight
