--- a/api/codes/code.go
+++ b/api/codes/code.go
@@ -21,6 +21,7 @@
 	KeyReused         Code = 1009
 	NotFound          Code = 1010
 	JobTooLarge       Code = 1011
+	JobGone           Code = 1012
 )
 
 // Codes of admission and limits. Nothing was run.
--- a/api/codes/info.go
+++ b/api/codes/info.go
@@ -29,6 +29,7 @@
 	KeyReused:         {"key_reused", http.StatusConflict, "The idempotency key was used before for a different body.", "Use a new key for new work."},
 	NotFound:          {"not_found", http.StatusNotFound, "The named object does not exist.", "Check the identity."},
 	JobTooLarge:       {"job_too_large", http.StatusRequestEntityTooLarge, "The stored job would be larger than the limit.", "Move the payload elsewhere and pass a reference."},
+	JobGone:           {"job_gone", http.StatusGone, "The job does not exist, or its state is no longer kept.", "Check the identity; submit the job again if it is to run."},
 
 	QueueFull:       {"queue_full", http.StatusTooManyRequests, "The request could not start within the patience of its kind.", "Try again after the given time."},
 	NoUpstream:      {"no_upstream", http.StatusServiceUnavailable, "No upstream can take the request.", "Try again after the given time."},
--- /dev/null
+++ b/daemon/cmd/rhubarbstalld/cell.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"rhubarbstall.example/daemon/internal/entryvm"
+	"rhubarbstall.example/daemon/internal/logsink"
+	"rhubarbstall.example/platform"
+)
+
+// cellCommand runs an entry VM on the users' platform, whose settings file it reads.
+func cellCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "cell",
+		Short: "Serve a cell on the users' platform until SIGTERM; " + platform.BootVariable + " names the settings file",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			boot, err := platform.LoadBoot()
+			if err != nil {
+				return err
+			}
+			sink := logsink.New()
+			defer sink.Close()
+			first, _, stop := shutdownSignals(cmd.Context())
+			defer stop()
+			return entryvm.New(boot, newCellLogger(sink)).Run(first)
+		},
+	}
+}
+
+func newCellLogger(sink zapcore.WriteSyncer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), sink, zap.InfoLevel))
+}
--- a/daemon/cmd/rhubarbstalld/root.go
+++ b/daemon/cmd/rhubarbstalld/root.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand(), versionCommand())
+	root.AddCommand(runCommand(), cellCommand(), checkCommand(), versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/daemon/internal/cellsched/advice.go
@@ -0,0 +1,64 @@
+package cellsched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+// adviceSlack is how much longer than expected a call to the advisor may take.
+const adviceSlack = 1500 * time.Millisecond
+
+// AdviceTask is a call to the advisor that an entry VM makes for the scheduler.
+type AdviceTask struct {
+	ID         int64    `json:"id"`
+	Step       string   `json:"step"`
+	Runners    []string `json:"runners"`
+	ExpectedMS int64    `json:"expected_ms"`
+}
+
+// AdviceAnswer is the outcome of an AdviceTask.
+type AdviceAnswer struct {
+	ID       int64           `json:"id"`
+	Approved []cell.Approval `json:"approved"`
+	// TookMS is how long the call took.
+	TookMS int64  `json:"took_ms"`
+	Error  string `json:"error,omitempty"`
+}
+
+// NextAdvice waits for a call that a VM is to make. If the VM does not report its
+// outcome in time, the call counts as failed.
+func (s *Scheduler) NextAdvice(ctx context.Context, vm string) (AdviceTask, bool) {
+	id, call, ok := s.lanes.take(ctx, vm)
+	if !ok {
+		return AdviceTask{}, false
+	}
+	time.AfterFunc(call.Expected+2*adviceSlack, func() {
+		s.Advised(AdviceAnswer{ID: id, Error: "no outcome from " + vm})
+	})
+	return AdviceTask{ID: id, Step: call.Group, Runners: call.Runners, ExpectedMS: call.Expected.Milliseconds()}, true
+}
+
+// Advised records the outcome of a call.
+func (s *Scheduler) Advised(a AdviceAnswer) {
+	call, ok := s.lanes.finish(a.ID)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	sent := now.Add(-time.Duration(a.TookMS) * time.Millisecond)
+	var err error
+	if a.Error != "" {
+		err = errors.New(a.Error)
+	}
+	s.mu.Lock()
+	s.cell.Advised(now, call, sent, a.Approved, err)
+	s.mu.Unlock()
+	s.log.Info("[sched] advice", zap.String("step", call.Group), zap.Int("named", len(call.Runners)), zap.Int("approved", len(a.Approved)),
+		zap.Int64("took_ms", a.TookMS), zap.Duration("waited", now.Sub(call.Since)), zap.String("error", a.Error))
+	s.wake()
+}
--- /dev/null
+++ b/daemon/internal/cellsched/api.go
@@ -0,0 +1,77 @@
+package cellsched
+
+import (
+	"context"
+	"time"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+// Submission is an accepted job that an entry VM passes on.
+type Submission struct {
+	ID    string `json:"id"`
+	Value []byte `json:"value"`
+}
+
+// Submit takes up a job that lies in the store.
+func (s *Scheduler) Submit(sub Submission) error {
+	j, err := DecodeJob(sub.ID, sub.Value)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if s.ready {
+		s.cell.AddJob(time.Now(), j, nil)
+	}
+	s.mu.Unlock()
+	s.wake()
+	return nil
+}
+
+// State returns the stored state of a job; false if the job is not known here.
+func (s *Scheduler) State(id string) (cell.JobState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.cell.Job(id)
+	if j == nil {
+		return "", false
+	}
+	return stored(j), true
+}
+
+// Cancel ends a job and returns once that is stored; false if the job is not known here.
+func (s *Scheduler) Cancel(ctx context.Context, id string) (bool, error) {
+	s.mu.Lock()
+	known := s.cell.Cancel(time.Now(), id)
+	s.mu.Unlock()
+	if !known {
+		return false, nil
+	}
+	s.wake()
+	signal(s.dirty)
+	for {
+		s.mu.Lock()
+		j := s.cell.Job(id)
+		saved := s.saved
+		done := j == nil || stored(j).Final()
+		s.mu.Unlock()
+		if done {
+			return true, nil
+		}
+		select {
+		case <-saved:
+		case <-ctx.Done():
+			return true, ctx.Err()
+		case <-s.ctx.Done():
+			return true, s.ctx.Err()
+		}
+	}
+}
+
+// Pending returns the number of a queue's jobs of which nothing has started; false
+// while the jobs are not loaded.
+func (s *Scheduler) Pending(queue string) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cell.Pending(queue), s.ready
+}
--- /dev/null
+++ b/daemon/internal/cellsched/holder.go
@@ -0,0 +1,44 @@
+package cellsched
+
+import (
+	"context"
+	"sync"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+// Holder is the scheduler of the present term on this VM, if it has one.
+type Holder struct {
+	mu     sync.Mutex
+	sched  *Scheduler
+	queues []cell.Queue
+}
+
+// Run makes s the present scheduler while it runs.
+func (h *Holder) Run(ctx context.Context, s *Scheduler) {
+	h.mu.Lock()
+	h.sched = s
+	s.SetQueues(h.queues)
+	h.mu.Unlock()
+	s.Run(ctx)
+	h.mu.Lock()
+	h.sched = nil
+	h.mu.Unlock()
+}
+
+// Current returns the present scheduler, or nil.
+func (h *Holder) Current() *Scheduler {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sched
+}
+
+// SetQueues puts a configuration in force, also for later terms.
+func (h *Holder) SetQueues(queues []cell.Queue) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.queues = queues
+	if h.sched != nil {
+		h.sched.SetQueues(queues)
+	}
+}
--- /dev/null
+++ b/daemon/internal/cellsched/lanes.go
@@ -0,0 +1,113 @@
+package cellsched
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+// longCall separates calls that would hold up urgent ones. The advisor serves the
+// calls of one VM one after the other.
+const longCall = 150 * time.Millisecond
+
+// lanes hands the calls to the advisor out to the entry VMs, each of which makes
+// one at a time.
+type lanes struct {
+	mu      sync.Mutex
+	waiting []cell.AdviceCall
+	// vms holds when each VM last asked for a call.
+	vms map[string]time.Time
+	// long counts the calls under way that are long.
+	long    int
+	changed chan struct{}
+	given   map[int64]cell.AdviceCall
+	next    int64
+}
+
+func newLanes() *lanes {
+	return &lanes{vms: make(map[string]time.Time), changed: make(chan struct{}), given: make(map[int64]cell.AdviceCall)}
+}
+
+func (l *lanes) add(call cell.AdviceCall) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = append(l.waiting, call)
+	l.notify()
+}
+
+func (l *lanes) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// laneMemory is how long a VM counts after it last asked; longer than any call takes.
+const laneMemory = 5 * time.Second
+
+// count returns how many VMs make calls.
+func (l *lanes) count(now time.Time) int {
+	for vm, at := range l.vms {
+		if now.Sub(at) > laneMemory {
+			delete(l.vms, vm)
+		}
+	}
+	return len(l.vms)
+}
+
+// take waits for a call that a VM is to make; false if the context ended first.
+func (l *lanes) take(ctx context.Context, vm string) (int64, cell.AdviceCall, bool) {
+	for {
+		l.mu.Lock()
+		l.vms[vm] = time.Now()
+		id, call, ok := l.pick()
+		changed := l.changed
+		l.mu.Unlock()
+		if ok {
+			return id, call, true
+		}
+		select {
+		case <-ctx.Done():
+			return 0, cell.AdviceCall{}, false
+		case <-changed:
+		}
+	}
+}
+
+// pick takes the most urgent call out. A quarter of the VMs, at least one, makes
+// short calls only.
+func (l *lanes) pick() (int64, cell.AdviceCall, bool) {
+	sort.SliceStable(l.waiting, func(i, k int) bool { return l.waiting[i].Rank < l.waiting[k].Rank })
+	n := l.count(time.Now())
+	maxLong := max(1, n-max(1, n/4))
+	for i, call := range l.waiting {
+		if call.Expected > longCall {
+			if l.long >= maxLong {
+				continue
+			}
+			l.long++
+		}
+		l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+		l.next++
+		l.given[l.next] = call
+		return l.next, call, true
+	}
+	return 0, cell.AdviceCall{}, false
+}
+
+// finish returns a call that was given out; false if it is not known.
+func (l *lanes) finish(id int64) (cell.AdviceCall, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call, ok := l.given[id]
+	if !ok {
+		return call, false
+	}
+	delete(l.given, id)
+	if call.Expected > longCall {
+		l.long--
+	}
+	l.notify()
+	return call, true
+}
--- /dev/null
+++ b/daemon/internal/cellsched/orders.go
@@ -0,0 +1,106 @@
+package cellsched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+// start carries out a start order and records its outcome.
+func (s *Scheduler) start(st cell.Start) {
+	run := st.Run
+	s.mu.Lock()
+	l := s.loops[run.Runner]
+	s.cell.OrderSent(time.Now(), run.Runner)
+	s.mu.Unlock()
+	if l == nil || s.ctx.Err() != nil {
+		s.started(run, cell.StartRefused, "gone", nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.runners.Start(ctx, l.target(), platform.StartOrder{
+		Task: run.Task, Execution: run.Execution, Payload: st.Payload, Checkpoint: st.Checkpoint,
+		Ticket: st.Ticket, Until: l.leaseEnd(), Fence: s.term.Number,
+	})
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		s.started(run, cell.StartOK, "", nil)
+	case errors.As(err, &refused):
+		s.checkFence(err)
+		s.started(run, cell.StartRefused, refused.Reason, err)
+	case errors.Is(err, platform.ErrNotSent):
+		s.started(run, cell.StartRefused, "unreachable", err)
+	default:
+		s.started(run, cell.StartUnknown, "", err)
+		l.poll()
+	}
+}
+
+func (s *Scheduler) started(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
+	s.mu.Lock()
+	s.cell.StartAnswered(time.Now(), run, outcome, reason)
+	s.mu.Unlock()
+	if outcome == cell.StartOK {
+		s.log.Info("[sched] run started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
+		return
+	}
+	s.log.Warn("[sched] run not started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
+		zap.String("runner", run.Runner), zap.Bool("unknown", outcome == cell.StartUnknown), zap.String("reason", reason), zap.Error(err))
+	s.wake()
+}
+
+// stop carries out a stop order. Unanswered ones are repeated by the cell.
+func (s *Scheduler) stop(run *cell.Run) {
+	s.mu.Lock()
+	l := s.loops[run.Runner]
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.runners.Stop(ctx, l.target(), run.Task, run.Execution, s.term.Number)
+	if err != nil {
+		s.checkFence(err)
+		s.log.Warn("[sched] stop not answered", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
+			zap.String("runner", run.Runner), zap.Error(err))
+		return
+	}
+	s.log.Info("[sched] run stopped", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
+	s.mu.Lock()
+	s.cell.StopAnswered(time.Now(), run)
+	s.mu.Unlock()
+	if !run.Confirmed() {
+		// A run that never began has no end to wait for.
+		l.poll()
+	}
+}
+
+func (s *Scheduler) logEvents(events []cell.Event) {
+	for _, e := range events {
+		fields := []zap.Field{}
+		if e.Task.Job != "" {
+			fields = append(fields, zap.String("job", e.Task.Job), zap.Stringer("task", e.Task), zap.Int64("execution", e.Execution))
+		}
+		if e.Runner != "" {
+			fields = append(fields, zap.String("runner", e.Runner))
+		}
+		if e.Detail != "" {
+			fields = append(fields, zap.String("detail", e.Detail))
+		}
+		if e.Count > 0 {
+			fields = append(fields, zap.Int("count", e.Count))
+		}
+		if e.Age > 0 {
+			fields = append(fields, zap.Duration("age", e.Age))
+		}
+		s.log.Info("[sched] "+string(e.Kind), fields...)
+	}
+}
--- /dev/null
+++ b/daemon/internal/cellsched/persist.go
@@ -0,0 +1,148 @@
+package cellsched
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+const (
+	// statesPerWrite keeps a transaction below the platform's bound: a condition
+	// and a write for each state, and the guard of the term.
+	statesPerWrite = (platform.MaxTxnEntries - 1) / 2
+	// persistGap gathers changes between two writes.
+	persistGap = 20 * time.Millisecond
+	// sweepEvery is how often finished jobs are removed, sweepSlack how much
+	// longer than promised they are kept.
+	sweepEvery = 5 * time.Second
+	sweepSlack = 15 * time.Second
+	// jobsPerSweep removes three records a job in one transaction.
+	jobsPerSweep = (platform.MaxTxnEntries - 1) / 3
+)
+
+// persistLoop stores changed states.
+func (s *Scheduler) persistLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.dirty:
+		}
+		for s.ctx.Err() == nil && s.persist(s.ctx) {
+			if !pause(s.ctx, persistGap) {
+				return
+			}
+		}
+	}
+}
+
+// persist stores one batch; it reports whether more may be left.
+func (s *Scheduler) persist(ctx context.Context) bool {
+	s.mu.Lock()
+	batch, err := s.cell.TakeDirty(statesPerWrite)
+	txn := platform.Txn{Expected: []platform.Condition{s.term.Guard}}
+	for _, d := range batch {
+		txn.Expected = append(txn.Expected, platform.Condition{Key: StateKey(d.ID), Revision: s.revisions[d.ID]})
+		txn.Write = append(txn.Write, platform.Write{Key: StateKey(d.ID), Value: d.Value})
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.log.Error("[sched] state not encoded", zap.Error(err))
+	}
+	if len(batch) == 0 {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	revision, err := s.store.Commit(callCtx, txn)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.cell.Unsaved(batch)
+		s.persistFailed(ctx, err)
+		return true
+	}
+	for _, d := range batch {
+		s.revisions[d.ID] = revision
+		s.cell.Saved(d)
+	}
+	close(s.saved)
+	s.saved = make(chan struct{})
+	return true
+}
+
+// persistFailed learns from a conflict: an earlier try whose answer was lost has
+// moved the revisions, or another term has begun. s.mu is held.
+func (s *Scheduler) persistFailed(ctx context.Context, err error) {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		if ctx.Err() == nil {
+			s.log.Warn("[sched] states not stored", zap.Error(err))
+		}
+		return
+	}
+	for _, item := range conflict.Current {
+		if item.Key == s.term.Guard.Key && item.Revision != s.term.Guard.Revision {
+			s.log.Warn("[sched] another term has begun", zap.Int64("term", s.term.Number))
+			s.stepDown()
+			return
+		}
+		if id, ok := strings.CutPrefix(item.Key, statePrefix); ok {
+			s.revisions[id] = item.Revision
+		}
+	}
+}
+
+// flush stores what is left when the term ends; what cannot be stored is found
+// again on the runners.
+func (s *Scheduler) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	for s.persist(ctx) && ctx.Err() == nil {
+		pause(ctx, time.Millisecond)
+	}
+}
+
+// sweepLoop removes jobs whose states no longer need to be told.
+func (s *Scheduler) sweepLoop() {
+	for pause(s.ctx, sweepEvery) {
+		for s.sweep() {
+		}
+	}
+}
+
+func (s *Scheduler) sweep() bool {
+	before := time.Now().Add(-s.set.StatusKept - sweepSlack)
+	s.mu.Lock()
+	ids := s.cell.Expired(before, jobsPerSweep)
+	s.mu.Unlock()
+	if len(ids) == 0 {
+		return false
+	}
+	txn := platform.Txn{Expected: []platform.Condition{s.term.Guard}}
+	for _, id := range ids {
+		txn.Remove = append(txn.Remove, JobKey(id), CancelKey(id), StateKey(id))
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTime)
+	defer cancel()
+	if _, err := s.store.Commit(ctx, txn); err != nil {
+		s.log.Warn("[sched] finished jobs not removed", zap.Int("jobs", len(ids)), zap.Error(err))
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.cell.RemoveJob(id)
+		delete(s.revisions, id)
+	}
+	return true
+}
+
+// stored reports a job's state as the store has it.
+func stored(j *cell.Job) cell.JobState { return j.SavedState() }
--- /dev/null
+++ b/daemon/internal/cellsched/records.go
@@ -0,0 +1,61 @@
+package cellsched
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+// Keys of the store. Work that entry VMs hand in lies below one prefix, so that one
+// watch sees it; states are written by the scheduler alone.
+const (
+	WorkPrefix   = "work/"
+	jobPrefix    = "work/job/"
+	cancelPrefix = "work/cancel/"
+	statePrefix  = "state/"
+)
+
+// JobKey is the key of an accepted job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// CancelKey is the key of a request to cancel a job.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// StateKey is the key of a job's state.
+func StateKey(id string) string { return statePrefix + id }
+
+// JobHeader is what is stored of a job beside the client's body.
+type JobHeader struct {
+	Queue string `json:"queue"`
+	Pool  string `json:"pool"`
+}
+
+// EncodeJob returns the stored form of a job: the header, a newline, the body as
+// the client sent it.
+func EncodeJob(h JobHeader, body []byte) ([]byte, error) {
+	head, err := json.Marshal(h)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(head, '\n'), body...), nil
+}
+
+// DecodeJob reads the stored form of a job.
+func DecodeJob(id string, value []byte) (*cell.Job, error) {
+	head, body, ok := bytes.Cut(value, []byte{'\n'})
+	if !ok {
+		return nil, fmt.Errorf("stored job %s has no header", id)
+	}
+	var h JobHeader
+	if err := json.Unmarshal(head, &h); err != nil {
+		return nil, fmt.Errorf("stored job %s: %w", id, err)
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return nil, fmt.Errorf("stored job %s: %w", id, err)
+	}
+	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, Spec: *spec}, nil
+}
--- /dev/null
+++ b/daemon/internal/cellsched/runnerlist.go
@@ -0,0 +1,68 @@
+package cellsched
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/platform"
+)
+
+// listRunners reads the runners' records and begins a conversation with each.
+func (s *Scheduler) listRunners() (int64, bool) {
+	items, at, ok := s.list(platform.RunnerPrefix)
+	if !ok {
+		return 0, false
+	}
+	s.applyRunners(items, true)
+	return at, true
+}
+
+func (s *Scheduler) watchRunners(at int64) {
+	s.watch(platform.RunnerPrefix, at, s.applyRunners)
+}
+
+// applyRunners records changed entries; a full listing also tells which are gone.
+func (s *Scheduler) applyRunners(items []platform.Item, full bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := make(map[string]bool, len(items))
+	for _, item := range items {
+		id := strings.TrimPrefix(item.Key, platform.RunnerPrefix)
+		if item.Deleted {
+			if s.loops[id] != nil {
+				s.log.Info("[sched] runner entry gone", zap.String("runner", id))
+			}
+			s.cell.UnlistRunner(id)
+			continue
+		}
+		info, err := platform.DecodeRunner(item)
+		if err != nil {
+			s.log.Warn("[sched] runner entry unreadable", zap.String("runner", id), zap.Error(err))
+			continue
+		}
+		seen[id] = true
+		s.cell.SetRunner(now, info)
+		if l := s.loops[id]; l != nil {
+			l.setAddr(info.Address)
+			if l.draining != info.Draining {
+				l.draining = info.Draining
+				s.log.Info("[sched] runner draining", zap.String("runner", id), zap.Bool("draining", info.Draining))
+			}
+			continue
+		}
+		l := newRunnerLoop(s, info)
+		s.loops[id] = l
+		s.spawn(l.run)
+	}
+	if full {
+		for id := range s.loops {
+			if !seen[id] {
+				s.cell.UnlistRunner(id)
+			}
+		}
+	}
+	s.wake()
+}
--- /dev/null
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -0,0 +1,194 @@
+package cellsched
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+const (
+	// holdWait is how long a hold waits for an end; it is also how often the
+	// leases are renewed on a calm runner.
+	holdWait = 1000 * time.Millisecond
+	// holdSlack is added to the wait for the answer to arrive.
+	holdSlack = 800 * time.Millisecond
+	// holdPause is kept after a hold that failed.
+	holdPause = 250 * time.Millisecond
+	// unsavedWait bounds the pause between holds while ends are not stored yet.
+	unsavedWait = 500 * time.Millisecond
+)
+
+// runnerLoop is the conversation with one runner: it renews the leases and takes
+// the reports in.
+type runnerLoop struct {
+	s        *Scheduler
+	id       string
+	draining bool
+
+	mu   sync.Mutex
+	addr string
+	// clock is the last reading of the runner's clock, taken at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// interrupt ends a waiting hold.
+	interrupt context.CancelFunc
+	failing   bool
+}
+
+func newRunnerLoop(s *Scheduler, info cell.RunnerInfo) *runnerLoop {
+	return &runnerLoop{s: s, id: info.ID, addr: info.Address, draining: info.Draining}
+}
+
+func (l *runnerLoop) setAddr(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addr = addr
+}
+
+func (l *runnerLoop) target() platform.RunnerAddr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return platform.RunnerAddr{ID: l.id, Addr: l.addr}
+}
+
+// leaseEnd returns the end of a lease that begins now, on the runner's clock; 0 if
+// the clock is not known yet.
+func (l *runnerLoop) leaseEnd() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	return l.clock + time.Since(l.clockAt) + l.s.lease
+}
+
+func (l *runnerLoop) setClock(at time.Time, c platform.Clock) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clock, l.clockAt = c.Reading, at
+}
+
+func (l *runnerLoop) run() {
+	for l.s.ctx.Err() == nil {
+		if l.gone() {
+			return
+		}
+		l.hold()
+	}
+}
+
+// gone ends the conversation with a runner that was taken away.
+func (l *runnerLoop) gone() bool {
+	s := l.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.cell.Gone(time.Now(), l.id) {
+		return false
+	}
+	s.cell.RemoveRunner(l.id)
+	delete(s.loops, l.id)
+	s.log.Info("[sched] runner forgotten", zap.String("runner", l.id))
+	return true
+}
+
+func (l *runnerLoop) hold() {
+	s := l.s
+	sent := time.Now()
+	s.mu.Lock()
+	acked, all := s.cell.Acked(l.id)
+	s.cell.OrderSent(sent, l.id)
+	s.mu.Unlock()
+	h := platform.HoldRequest{Fence: s.term.Number, Seen: acked, Until: l.leaseEnd()}
+	if all && h.Until > 0 {
+		h.Wait = holdWait
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, h.Wait+holdSlack)
+	l.mu.Lock()
+	l.interrupt = cancel
+	l.mu.Unlock()
+	rep, clock, err := s.runners.Hold(ctx, l.target(), h)
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	cancel()
+	if err != nil {
+		if !cancelled {
+			l.failed(err)
+		}
+		return
+	}
+	now := time.Now()
+	l.setClock(now, clock)
+	if l.failing {
+		l.failing = false
+		s.log.Info("[sched] runner regained", zap.String("runner", l.id))
+	}
+	s.mu.Lock()
+	saved := s.saved
+	s.cell.Report(now, sent, l.id, rep)
+	_, all = s.cell.Acked(l.id)
+	dirty := s.cell.HasDirty()
+	s.mu.Unlock()
+	s.wake()
+	if dirty {
+		signal(s.dirty)
+	}
+	if !all {
+		waitSaved(s.ctx, saved)
+	}
+}
+
+// waitSaved waits until states were stored, since a runner repeats ends that it
+// may not forget yet.
+func waitSaved(ctx context.Context, saved <-chan struct{}) {
+	t := time.NewTimer(unsavedWait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-saved:
+	case <-t.C:
+	}
+}
+
+func (l *runnerLoop) failed(err error) {
+	s := l.s
+	if s.ctx.Err() != nil {
+		return
+	}
+	if !l.failing {
+		l.failing = true
+		s.log.Warn("[sched] runner lost", zap.String("runner", l.id), zap.Error(err))
+	}
+	s.checkFence(err)
+	var refused *platform.RefusedError
+	s.mu.Lock()
+	if errors.As(err, &refused) && refused.Reason == platform.RefusedInstance {
+		s.cell.Replaced(time.Now(), l.id)
+	} else {
+		s.cell.Unreachable(l.id)
+	}
+	s.mu.Unlock()
+	pause(s.ctx, holdPause)
+}
+
+// checkFence ends the term if a runner has seen a later one.
+func (s *Scheduler) checkFence(err error) {
+	var refused *platform.RefusedError
+	if errors.As(err, &refused) && refused.Reason == platform.RefusedFence {
+		s.log.Warn("[sched] a runner has seen a later term", zap.Int64("term", s.term.Number))
+		s.stepDown()
+	}
+}
+
+// poll lets the loop ask the runner again at once.
+func (l *runnerLoop) poll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.interrupt != nil {
+		l.interrupt()
+	}
+}
--- /dev/null
+++ b/daemon/internal/cellsched/scheduler.go
@@ -0,0 +1,186 @@
+// Package cellsched runs the cell's scheduler on the entry VM that holds the term:
+// it loads the stored jobs, keeps one conversation with each runner, carries out
+// the decisions of sched/cell and stores what changes.
+package cellsched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+const (
+	// orderTimeout is many round trips to a runner; later answers are treated as lost.
+	orderTimeout = 500 * time.Millisecond
+	// maxLease bounds the time after which the work of a silent runner starts elsewhere.
+	maxLease = 6 * time.Second
+	// leaseReserve is kept below the platform's longest lease.
+	leaseReserve = 200 * time.Millisecond
+	// executionsPerTerm separates the execution numbers of terms.
+	executionsPerTerm = 1 << 20
+	// decideGap bounds how often decisions are taken.
+	decideGap = 4 * time.Millisecond
+	// tickEvery bounds how late a timeout is noticed.
+	tickEvery = 100 * time.Millisecond
+)
+
+// Settings are the figures of the deployment that the scheduler needs.
+type Settings struct {
+	VM           string
+	MaxHold      time.Duration
+	EarlyStart   time.Duration
+	StatusKept   time.Duration
+	RemoteFactor float64
+}
+
+// Scheduler holds the state of one term.
+type Scheduler struct {
+	set     Settings
+	term    election.Term
+	store   *platform.Store
+	runners *platform.Runners
+	log     *zap.Logger
+	lanes   *lanes
+	lease   time.Duration
+
+	mu    sync.Mutex
+	cell  *cell.Cell
+	loops map[string]*runnerLoop
+	ready bool
+	// revisions holds the revision of each stored state.
+	revisions map[string]int64
+
+	kick  chan struct{}
+	dirty chan struct{}
+	// saved is closed and replaced after each write of states.
+	saved    chan struct{}
+	stepDown context.CancelFunc
+	ctx      context.Context
+	tasks    sync.WaitGroup
+}
+
+// New returns a scheduler for a term.
+func New(set Settings, term election.Term, store *platform.Store, runners *platform.Runners, log *zap.Logger) *Scheduler {
+	lease := min(set.MaxHold-leaseReserve, maxLease)
+	return &Scheduler{
+		set: set, term: term, store: store, runners: runners, log: log, lease: lease,
+		lanes: newLanes(),
+		cell: cell.New(time.Now(), cell.Config{
+			Lease: lease, OrderTimeout: orderTimeout,
+			InheritWait:    election.OutageHold + lease + time.Second,
+			FirstExecution: (term.Number-1)*executionsPerTerm + 1,
+			RemoteFactor:   set.RemoteFactor,
+		}),
+		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64),
+		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), saved: make(chan struct{}),
+	}
+}
+
+// Run schedules until the context ends or the term is found to be over.
+func (s *Scheduler) Run(ctx context.Context) {
+	s.ctx, s.stepDown = context.WithCancel(ctx)
+	defer s.stepDown()
+	begin := time.Now()
+	work, ok := s.load()
+	if !ok {
+		return
+	}
+	s.log.Info("[sched] jobs loaded", zap.Int64("term", s.term.Number), zap.Int("jobs", s.jobs()),
+		zap.Duration("took", time.Since(begin)))
+	s.spawn(func() { s.watchWork(work) })
+	s.spawn(s.persistLoop)
+	s.spawn(s.sweepLoop)
+	s.decideLoop()
+	s.flush()
+	s.tasks.Wait()
+}
+
+func (s *Scheduler) spawn(f func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		f()
+	}()
+}
+
+func (s *Scheduler) jobs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cell.Jobs()
+}
+
+// wake lets the decision loop run soon.
+func (s *Scheduler) wake() { signal(s.kick) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// SetQueues puts a configuration in force.
+func (s *Scheduler) SetQueues(queues []cell.Queue) {
+	s.mu.Lock()
+	s.cell.SetQueues(queues)
+	s.mu.Unlock()
+	s.wake()
+}
+
+// decideLoop takes decisions when something changed, and at least each tick.
+func (s *Scheduler) decideLoop() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.kick:
+		case <-tick.C:
+		}
+		s.decide()
+		if !pause(s.ctx, decideGap) {
+			return
+		}
+	}
+}
+
+func (s *Scheduler) decide() {
+	now := time.Now()
+	s.mu.Lock()
+	s.cell.Tick(now)
+	d := s.cell.Decide(now, now.Round(0))
+	events := s.cell.TakeEvents()
+	dirty := s.cell.HasDirty()
+	s.mu.Unlock()
+	s.logEvents(events)
+	for _, st := range d.Starts {
+		go s.start(st)
+	}
+	for _, st := range d.Stops {
+		go s.stop(st.Run)
+	}
+	for _, call := range d.Advice {
+		s.lanes.add(call)
+	}
+	if dirty {
+		signal(s.dirty)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/internal/election/election.go
@@ -0,0 +1,341 @@
+// Package election decides which entry VM schedules: the one that holds a record
+// of the store under a lease. Terms are counted in a second record that stays, and
+// whose number fences the orders and writes of earlier holders.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/platform"
+)
+
+const (
+	prefix    = "lead/"
+	holderKey = "lead/holder"
+	termKey   = "lead/term"
+	// leaseTTL bounds the time without a scheduler after its VM is lost; it is
+	// several renewals long, so that a slow store does not end it.
+	leaseTTL   = 1500 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
+	// renewTimeout leaves time for a second try within the lease.
+	renewTimeout = 600 * time.Millisecond
+	// OutageHold is how long a holder goes on without reaching the store. Runners
+	// refuse it earlier if another VM has taken over.
+	OutageHold = 8 * time.Second
+	callTime   = time.Second
+	watchWait  = 5 * time.Second
+	retryPause = 150 * time.Millisecond
+	// maxJitter spreads the campaigns of VMs that see the vacancy at the same time.
+	maxJitter = 30 * time.Millisecond
+)
+
+// Holder names the VM that schedules.
+type Holder struct {
+	VM   string `json:"vm"`
+	Addr string `json:"addr"`
+	Term int64  `json:"term"`
+}
+
+// Term is a period in which one VM schedules.
+type Term struct {
+	Number int64
+	// Guard is the condition under which writes of the term take place.
+	Guard platform.Condition
+}
+
+// Lead is called for each term that this VM wins and returns when ctx ends, or
+// earlier if it learns that the term is over.
+type Lead func(ctx context.Context, t Term)
+
+// Elector takes part in the election.
+type Elector struct {
+	store *platform.Store
+	self  Holder
+	lead  Lead
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	current  Holder
+	resigned bool
+	lease    int64
+}
+
+// New returns an elector for the VM that peers reach at addr.
+func New(store *platform.Store, vm, addr string, lead Lead, log *zap.Logger) *Elector {
+	return &Elector{store: store, self: Holder{VM: vm, Addr: addr}, lead: lead, log: log}
+}
+
+// Current returns the last known holder; its address is empty if there is none.
+func (e *Elector) Current() Holder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+func (e *Elector) setCurrent(h Holder) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current != h {
+		e.current = h
+		e.log.Info("[election] holder known", zap.String("holder", h.VM), zap.Int64("term", h.Term))
+	}
+}
+
+// Run takes part until the context ends.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := e.round(ctx); err != nil && ctx.Err() == nil {
+			e.log.Warn("[election] store not reached", zap.Error(err))
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// round reads the records, then follows the holder or campaigns.
+func (e *Elector) round(ctx context.Context) error {
+	holder, term, at, err := e.read(ctx)
+	if err != nil {
+		return err
+	}
+	if holder.VM == "" {
+		if e.isResigned() {
+			pause(ctx, retryPause)
+			return nil
+		}
+		pause(ctx, rand.N(maxJitter))
+		return e.campaign(ctx, term)
+	}
+	e.setCurrent(holder)
+	return e.follow(ctx, at)
+}
+
+// termRecord is the counter of terms as it lies in the store.
+type termRecord struct {
+	number, revision int64
+}
+
+func (e *Elector) read(ctx context.Context) (Holder, termRecord, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	page, err := e.store.Range(ctx, prefix, "")
+	if err != nil {
+		return Holder{}, termRecord{}, 0, err
+	}
+	var h Holder
+	var t termRecord
+	for _, item := range page.Items {
+		switch item.Key {
+		case holderKey:
+			if err := json.Unmarshal(item.Value, &h); err != nil {
+				e.log.Error("[election] holder record unreadable", zap.Error(err))
+			}
+		case termKey:
+			n, err := strconv.ParseInt(string(item.Value), 10, 64)
+			if err != nil {
+				return Holder{}, termRecord{}, 0, err
+			}
+			t = termRecord{n, item.Revision}
+		}
+	}
+	return h, t, page.At, nil
+}
+
+// follow waits until the holder's record ends.
+func (e *Elector) follow(ctx context.Context, at int64) error {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTime)
+		items, next, err := e.store.Watch(callCtx, prefix, at, watchWait)
+		cancel()
+		if err != nil {
+			if platform.StatusOf(err) == http.StatusGone {
+				return nil
+			}
+			return err
+		}
+		if len(items) > 0 {
+			return nil
+		}
+		at = next
+	}
+	return nil
+}
+
+// campaign tries to become the holder of the next term.
+func (e *Elector) campaign(ctx context.Context, last termRecord) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	lease, _, err := e.store.Grant(callCtx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	next := e.self
+	next.Term = last.number + 1
+	revision, err := e.claim(callCtx, next, lease, []platform.Condition{{Key: holderKey}, {Key: termKey, Revision: last.revision}}, true)
+	if err != nil {
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			e.drop(lease)
+			return nil
+		}
+		// The claim may take place later; without renewals its lease ends soon.
+		return err
+	}
+	e.setCurrent(next)
+	e.setLease(lease)
+	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}})
+	return nil
+}
+
+func (e *Elector) claim(ctx context.Context, h Holder, lease int64, expected []platform.Condition, newTerm bool) (int64, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return 0, err
+	}
+	txn := platform.Txn{Expected: expected, Write: []platform.Write{{Key: holderKey, Value: value, Lease: lease}}}
+	if newTerm {
+		txn.Write = append(txn.Write, platform.Write{Key: termKey, Value: strconv.AppendInt(nil, h.Term, 10)})
+	}
+	return e.store.Commit(ctx, txn)
+}
+
+// serve runs the term and renews its lease until the term is over.
+func (e *Elector) serve(ctx context.Context, t Term) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.log.Info("[election] term begins", zap.Int64("term", t.Number))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.lead(ctx, t)
+	}()
+	go func() {
+		e.renew(ctx, t)
+		cancel()
+	}()
+	<-done
+	e.log.Info("[election] term ends", zap.Int64("term", t.Number))
+	e.setCurrent(Holder{})
+	e.drop(e.takeLease())
+}
+
+// renew returns when the term is over.
+func (e *Elector) renew(ctx context.Context, t Term) {
+	last := time.Now()
+	lost := false
+	for {
+		if !pause(ctx, renewEvery) {
+			return
+		}
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := e.store.Renew(callCtx, e.leaseID())
+		cancel()
+		if platform.StatusOf(err) == http.StatusNotFound {
+			err = e.reclaim(ctx, t)
+			var conflict *platform.ConflictError
+			if errors.As(err, &conflict) {
+				e.log.Warn("[election] another term has begun", zap.Int64("term", t.Number))
+				return
+			}
+		}
+		switch {
+		case err == nil:
+			if lost {
+				e.log.Info("[election] store regained", zap.Duration("away", sent.Sub(last)))
+			}
+			last, lost = sent, false
+		case time.Since(last) > OutageHold:
+			e.log.Warn("[election] term given up without the store", zap.Int64("term", t.Number), zap.Error(err))
+			return
+		case !lost && time.Since(last) > leaseTTL:
+			lost = true
+			e.log.Warn("[election] store lost", zap.Duration("since", time.Since(last)), zap.Error(err))
+		}
+	}
+}
+
+// reclaim sets the holder's record again after its lease has ended, if no other
+// term has begun since.
+func (e *Elector) reclaim(ctx context.Context, t Term) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	lease, _, err := e.store.Grant(callCtx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	h := e.self
+	h.Term = t.Number
+	if _, err := e.claim(callCtx, h, lease, []platform.Condition{{Key: holderKey}, t.Guard}, false); err != nil {
+		e.drop(lease)
+		return err
+	}
+	e.setLease(lease)
+	e.log.Info("[election] lease ended and was claimed again", zap.Int64("term", t.Number))
+	return nil
+}
+
+// Resign keeps this VM out of further campaigns.
+func (e *Elector) Resign() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resigned = true
+}
+
+func (e *Elector) isResigned() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resigned
+}
+
+func (e *Elector) setLease(id int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease = id
+}
+
+func (e *Elector) leaseID() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lease
+}
+
+func (e *Elector) takeLease() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := e.lease
+	e.lease = 0
+	return id
+}
+
+// drop ends a lease, so that the next term begins at once.
+func (e *Elector) drop(lease int64) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	if err := e.store.Revoke(ctx, lease); err != nil {
+		e.log.Debug("[election] lease left to lapse", zap.Int64("lease", lease), zap.Error(err))
+	}
+}
+
+// pause waits; it reports false if the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/internal/entryvm/vm.go
@@ -0,0 +1,191 @@
+package entryvm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/cellsched"
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/front"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/platform"
+)
+
+const (
+	// rotationTime is how long the balancer may go on sending new connections
+	// after the VM reported that it is not ready.
+	rotationTime = 2500 * time.Millisecond
+	// exitReserve is kept before the platform ends the process.
+	exitReserve = 700 * time.Millisecond
+	// headerTimeout and idleTimeout apply to client connections.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// memoryShare of the VM's memory is the collector's limit; the rest is for
+	// socket buffers and what the collector does not count.
+	memoryShare = 0.7
+	// gcPercent trades memory for processor time below the limit.
+	gcPercent = 150
+)
+
+// VM is the process of an entry VM.
+type VM struct {
+	boot     *platform.Boot
+	log      *zap.Logger
+	store    *platform.Store
+	routes   *front.Routes
+	holder   *cellsched.Holder
+	elector  *election.Elector
+	client   *cellsched.Client
+	peers    *peer.Client
+	draining atomic.Bool
+	// background counts the loops that end with the process.
+	background sync.WaitGroup
+}
+
+// New assembles the process.
+func New(boot *platform.Boot, log *zap.Logger) *VM {
+	v := &VM{
+		boot: boot, log: log, store: platform.NewStore(boot.StoreAddr, nil),
+		routes: new(front.Routes), holder: new(cellsched.Holder), peers: peer.NewClient(boot.VM),
+	}
+	runners := platform.NewRunners()
+	set := cellsched.Settings{
+		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
+		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor,
+	}
+	v.elector = election.New(v.store, boot.VM, v.peerAddr(), func(ctx context.Context, t election.Term) {
+		v.holder.Run(ctx, cellsched.New(set, t, v.store, runners, log))
+	}, log)
+	v.client = cellsched.NewClient(boot.VM, v.holder, v.elector, v.peers)
+	return v
+}
+
+func (v *VM) peerAddr() string { return fmt.Sprintf("%s:%d", v.boot.IP, v.boot.PeerPort) }
+
+// Run serves until ctx ends, then shuts down within the grace period.
+func (v *VM) Run(ctx context.Context) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(v.boot.MemoryMB) * memoryShare * (1 << 20)))
+	clients, ready, peers, err := v.listen()
+	if err != nil {
+		return err
+	}
+	v.log.Info("[vm] started", zap.String("vm", v.boot.VM), zap.String("zone", v.boot.AvailabilityZone),
+		zap.String("clients", v.boot.ClientAddr), zap.String("peers", v.peerAddr()), zap.Bool("first_start", v.boot.FirstStart))
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	electCtx, resign := context.WithCancel(base)
+	defer resign()
+
+	server := &http.Server{
+		Handler:           front.NewHandler(v.routes, front.NewJobs(v.store, v.client, v.log), v.log),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	readiness := &http.Server{Handler: http.HandlerFunc(v.ready), ReadHeaderTimeout: headerTimeout}
+	peerServer := peer.NewServer()
+	cellsched.Register(peerServer, v.holder)
+	failed := make(chan error, 3)
+	for _, serve := range []func() error{
+		func() error { return server.Serve(clients) },
+		func() error { return readiness.Serve(ready) },
+		func() error { return peerServer.Serve(peers) },
+	} {
+		go func() {
+			if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	v.spawn(func() { watchConfig(base, v.store, v.log, v.applyConfig) })
+	elected := make(chan struct{})
+	go func() {
+		defer close(elected)
+		v.elector.Run(electCtx)
+	}()
+	if v.boot.AdvisorAddr != "" {
+		v.spawn(func() { v.client.Ask(base, platform.NewAdvisor(v.boot.AdvisorAddr), v.log) })
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	v.shutdown(server, resign, elected)
+	stop()
+	_ = readiness.Close()
+	peerServer.CloseConnections()
+	v.log.Info("[vm] stopped", zap.String("vm", v.boot.VM))
+	return nil
+}
+
+func (v *VM) spawn(f func()) {
+	v.background.Add(1)
+	go func() {
+		defer v.background.Done()
+		f()
+	}()
+}
+
+// shutdown hands the scheduler's role over, lets the balancer turn away, and
+// finishes the requests in progress.
+func (v *VM) shutdown(server *http.Server, resign context.CancelFunc, elected <-chan struct{}) {
+	begin := time.Now()
+	v.log.Info("[vm] draining", zap.Duration("grace", v.boot.Grace))
+	v.draining.Store(true)
+	v.elector.Resign()
+	resign()
+	// Responses from now on close their connections, so that clients move.
+	server.SetKeepAlivesEnabled(false)
+	limit, cancel := context.WithDeadline(context.Background(), begin.Add(v.boot.Grace-exitReserve))
+	defer cancel()
+	pause(limit, rotationTime)
+	if err := server.Shutdown(limit); err != nil {
+		v.log.Warn("[vm] requests in progress were given up", zap.Error(err))
+	}
+	select {
+	case <-elected:
+	case <-limit.Done():
+		v.log.Warn("[vm] scheduler did not end in time")
+	}
+}
+
+func (v *VM) listen() (clients, ready, peers net.Listener, err error) {
+	if clients, err = net.Listen("tcp", v.boot.ClientAddr); err != nil {
+		return nil, nil, nil, err
+	}
+	if ready, err = net.Listen("tcp", v.boot.ReadyAddr); err != nil {
+		return nil, nil, nil, err
+	}
+	peers, err = net.Listen("tcp", v.peerAddr())
+	return clients, ready, peers, err
+}
+
+// ready tells the balancer whether to send new connections here.
+func (v *VM) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if v.draining.Load() || !v.routes.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (v *VM) applyConfig(c *platform.Configuration) {
+	if !v.routes.Set(c) {
+		return
+	}
+	v.holder.SetQueues(c.Queues)
+	v.log.Info("[config] configuration in force", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
+}
--- /dev/null
+++ b/daemon/internal/front/jobs.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/cellsched"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+const (
+	// storeTime bounds one try of a store call, so that a silent connection leaves
+	// time for another try.
+	storeTime = 900 * time.Millisecond
+	// retryPause is kept between tries.
+	retryPause = 60 * time.Millisecond
+	// schedulerTime bounds a call to the scheduler, so that the store can be asked instead.
+	schedulerTime = 700 * time.Millisecond
+	// cancelTime bounds the wait for the scheduler to store a cancel.
+	cancelTime = 1200 * time.Millisecond
+	// passOnTime bounds the passing on of an accepted job; the scheduler finds jobs
+	// in the store by itself.
+	passOnTime = 2 * time.Second
+)
+
+// Jobs accepts, tells and cancels jobs.
+type Jobs struct {
+	store *platform.Store
+	sched *cellsched.Client
+	log   *zap.Logger
+}
+
+// NewJobs returns the part that talks to the store and the scheduler.
+func NewJobs(store *platform.Store, sched *cellsched.Client, log *zap.Logger) *Jobs {
+	return &Jobs{store: store, sched: sched, log: log}
+}
+
+// Accept stores a job and passes it to the scheduler. OutcomeUnknown means that the
+// job may be stored now or later; any other error means that it is not and will not be.
+func (j *Jobs) Accept(ctx context.Context, id string, h cellsched.JobHeader, body []byte) error {
+	value, err := cellsched.EncodeJob(h, body)
+	if err != nil {
+		return codes.Internal.Errorf("job not encoded: %w", err)
+	}
+	if err := j.put(ctx, id, value); err != nil {
+		return err
+	}
+	go j.passOn(cellsched.Submission{ID: id, Value: value})
+	return nil
+}
+
+func (j *Jobs) passOn(sub cellsched.Submission) {
+	ctx, cancel := context.WithTimeout(context.Background(), passOnTime)
+	defer cancel()
+	if err := j.sched.Submit(ctx, sub); err != nil {
+		j.log.Info("[front] job left to the scheduler's watch", zap.String("job", sub.ID), zap.Error(err))
+	}
+}
+
+// put creates the job's record, and tries again while the outcome is open.
+func (j *Jobs) put(ctx context.Context, id string, value []byte) error {
+	txn := platform.Txn{
+		Expected: []platform.Condition{{Key: cellsched.JobKey(id)}},
+		Write:    []platform.Write{{Key: cellsched.JobKey(id), Value: value}},
+	}
+	open := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTime)
+		_, err := j.store.Commit(callCtx, txn)
+		cancel()
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			// The same job came before, here or at another VM, or an earlier try was done.
+			return nil
+		case platform.StatusOf(err) == http.StatusTooManyRequests, platform.StatusOf(err) == http.StatusServiceUnavailable,
+			errors.Is(err, platform.ErrNotSent):
+		default:
+			open = true
+		}
+		j.log.Warn("[front] job not stored yet", zap.String("job", id), zap.Bool("open", open), zap.Error(err))
+		if !pause(ctx, retryPause) || ctx.Err() != nil {
+			if open {
+				return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %w", err)
+			}
+			return codes.PlatformUnavailable.With("the store cannot be reached", codes.RetryAfter(time.Second))
+		}
+	}
+}
+
+// State returns the state of a job.
+func (j *Jobs) State(ctx context.Context, id string) (cell.JobState, error) {
+	callCtx, cancel := context.WithTimeout(ctx, schedulerTime)
+	state, known, err := j.sched.State(callCtx, id)
+	cancel()
+	if err == nil && known {
+		return state, nil
+	}
+	return j.storedState(ctx, id)
+}
+
+// storedState reads the state of a job from the store.
+func (j *Jobs) storedState(ctx context.Context, id string) (cell.JobState, error) {
+	item, err := j.get(ctx, cellsched.StateKey(id))
+	if err == nil {
+		saved, err := cell.ParseSavedJob(item.Value)
+		if err != nil {
+			return "", codes.Internal.Errorf("%w", err)
+		}
+		return saved.State, nil
+	}
+	if platform.StatusOf(err) != http.StatusNotFound {
+		return "", codes.PlatformUnavailable.With("the state of the job cannot be read", codes.RetryAfter(time.Second))
+	}
+	if err := j.exists(ctx, id); err != nil {
+		return "", err
+	}
+	return cell.Queued, nil
+}
+
+// exists returns JobGone if the store has no such job.
+func (j *Jobs) exists(ctx context.Context, id string) error {
+	_, err := j.get(ctx, cellsched.JobKey(id))
+	switch {
+	case err == nil:
+		return nil
+	case platform.StatusOf(err) == http.StatusNotFound:
+		return codes.JobGone.Errorf("no job %s is known", id)
+	}
+	return codes.PlatformUnavailable.With("the job cannot be looked up", codes.RetryAfter(time.Second))
+}
+
+func (j *Jobs) get(ctx context.Context, key string) (platform.Item, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTime)
+		item, err := j.store.Get(callCtx, key)
+		cancel()
+		if err == nil || platform.StatusOf(err) == http.StatusNotFound {
+			return item, err
+		}
+		if !pause(ctx, retryPause) || ctx.Err() != nil {
+			return item, err
+		}
+	}
+}
+
+// Cancel ends a job. It returns once the cancel is stored.
+func (j *Jobs) Cancel(ctx context.Context, id string) error {
+	callCtx, cancel := context.WithTimeout(ctx, cancelTime)
+	known, err := j.sched.Cancel(callCtx, id)
+	cancel()
+	if err == nil && known {
+		return nil
+	}
+	if err := j.exists(ctx, id); err != nil {
+		return err
+	}
+	txn := platform.Txn{Write: []platform.Write{{Key: cellsched.CancelKey(id), Value: []byte("{}")}}}
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTime)
+		_, err := j.store.Commit(callCtx, txn)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, retryPause) || ctx.Err() != nil {
+			return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the cancel: %w", err)
+		}
+	}
+}
+
+// Pending returns the number of a queue's jobs of which nothing has started.
+func (j *Jobs) Pending(ctx context.Context, queue string) (int, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, schedulerTime)
+		n, err := j.sched.Pending(callCtx, queue)
+		cancel()
+		if err == nil {
+			return n, nil
+		}
+		if !pause(ctx, retryPause) || ctx.Err() != nil {
+			return 0, codes.NoZoneScheduler.With("the scheduler cannot be reached", codes.RetryAfter(time.Second))
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/sched/cell/cell.go
@@ -0,0 +1,191 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// Config holds the figures of a deployment.
+type Config struct {
+	// Lease is how long runs outlive the last renewal.
+	Lease time.Duration
+	// OrderTimeout is how long an unanswered order is waited for.
+	OrderTimeout time.Duration
+	// InheritWait is how long runs of an earlier scheduler may exist on a runner
+	// that cannot be reached, counted from the takeover.
+	InheritWait time.Duration
+	// FirstExecution is above every execution of earlier schedulers.
+	FirstExecution int64
+	// RemoteFactor is the slowdown of tasks away from their data or rack.
+	RemoteFactor float64
+}
+
+// leaseMargin covers the 2% by which a runner's clock may be slow, and the flight
+// time of an order.
+func leaseMargin(lease time.Duration) time.Duration {
+	return lease/40 + 300*time.Millisecond
+}
+
+// Cell is the state of the scheduler.
+type Cell struct {
+	cfg     Config
+	took    time.Time
+	queues  map[string]*Queue
+	jobs    map[string]*Job
+	runners map[string]*runner
+	// order lists the runners by id, so that decisions do not depend on map order.
+	order []*runner
+	ready []*group
+	stops []Stop
+	dirty map[string]*Job
+	// inheritClear is set once no unknown run of an earlier scheduler can exist.
+	inheritClear bool
+	events       []Event
+}
+
+// New returns an empty cell at the time of the takeover.
+func New(now time.Time, cfg Config) *Cell {
+	return &Cell{
+		cfg: cfg, took: now,
+		queues:  make(map[string]*Queue),
+		jobs:    make(map[string]*Job),
+		runners: make(map[string]*runner),
+		dirty:   make(map[string]*Job),
+	}
+}
+
+// SetQueues replaces the policies. Jobs of a queue that is gone keep its last policy.
+func (c *Cell) SetQueues(queues []Queue) {
+	for i := range queues {
+		q := queues[i]
+		if old := c.queues[q.Name]; old != nil {
+			*old = q
+			continue
+		}
+		c.queues[q.Name] = &q
+	}
+}
+
+// SetRunner records a published entry of a runner.
+func (c *Cell) SetRunner(now time.Time, info RunnerInfo) {
+	r := c.runners[info.ID]
+	if r == nil {
+		r = &runner{runs: make(map[runKey]*Run), lastHeard: now}
+		// An earlier scheduler may have started runs there.
+		r.leaseBound = c.took.Add(c.cfg.InheritWait)
+		c.runners[info.ID] = r
+		r.info = info
+		c.order = append(c.order, r)
+		sort.Slice(c.order, func(i, k int) bool { return c.order[i].info.ID < c.order[k].info.ID })
+	}
+	r.info = info
+	r.listed = true
+}
+
+// UnlistRunner records that the entry of a runner is gone. Its runs count until
+// they end or their lease has lapsed.
+func (c *Cell) UnlistRunner(id string) {
+	if r := c.runners[id]; r != nil {
+		r.listed = false
+	}
+}
+
+// Unreachable records that a runner did not answer. It gets no new starts until
+// its next report.
+func (c *Cell) Unreachable(id string) {
+	if r := c.runners[id]; r != nil && !r.suspect {
+		r.suspect = true
+		c.event(Event{Kind: RunnerSuspect, Runner: id, Detail: "no answer"})
+	}
+}
+
+// OrderSent extends the time until which runs on the runner may exist.
+func (c *Cell) OrderSent(now time.Time, id string) {
+	if r := c.runners[id]; r != nil {
+		bound := now.Add(c.cfg.Lease + leaseMargin(c.cfg.Lease))
+		if bound.After(r.leaseBound) {
+			r.leaseBound = bound
+		}
+	}
+}
+
+// Gone reports whether the runner can be forgotten: its entry is gone and nothing
+// can run there.
+func (c *Cell) Gone(now time.Time, id string) bool {
+	r := c.runners[id]
+	return r == nil || (!r.listed && len(r.runs) == 0 && now.After(r.leaseBound))
+}
+
+// RemoveRunner forgets a runner for which Gone holds.
+func (c *Cell) RemoveRunner(id string) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	delete(c.runners, id)
+	for i, x := range c.order {
+		if x == r {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// Tick handles everything that follows from the passing of time.
+func (c *Cell) Tick(now time.Time) {
+	for _, r := range c.order {
+		if now.After(r.leaseBound) && now.Sub(r.lastHeard) > c.cfg.OrderTimeout && (len(r.runs) > 0 || !r.heard) {
+			c.dropRuns(now, r)
+		}
+		c.retryStops(now, r)
+		c.findStalled(now, r)
+	}
+	if !c.inheritClear {
+		c.checkInherit(now)
+	}
+}
+
+// dropRuns releases the runs of a runner on which every lease has lapsed.
+func (c *Cell) dropRuns(now time.Time, r *runner) {
+	if len(r.runs) > 0 {
+		c.event(Event{Kind: RunnerLapsed, Runner: r.info.ID, Count: len(r.runs)})
+	}
+	for _, run := range r.sortedRuns() {
+		c.lostRun(now, r, run)
+	}
+}
+
+// checkInherit finds out whether every run of an earlier scheduler is known.
+func (c *Cell) checkInherit(now time.Time) {
+	if !now.After(c.took.Add(c.cfg.InheritWait)) {
+		for _, r := range c.order {
+			if !r.heard {
+				return
+			}
+		}
+		if len(c.order) == 0 {
+			return
+		}
+	}
+	c.inheritClear = true
+	c.event(Event{Kind: InheritedClear, Age: now.Sub(c.took)})
+}
+
+// mayStart reports whether the tasks of a job may be started without doubling a
+// run of an earlier scheduler.
+func (c *Cell) mayStart(j *Job) bool { return !j.Inherited || c.inheritClear }
+
+func (r *runner) sortedRuns() []*Run {
+	runs := make([]*Run, 0, len(r.runs))
+	for _, run := range r.runs {
+		runs = append(runs, run)
+	}
+	sort.Slice(runs, func(i, k int) bool {
+		a, b := runs[i], runs[k]
+		if a.Task != b.Task {
+			return a.Task.String() < b.Task.String()
+		}
+		return a.Execution < b.Execution
+	})
+	return runs
+}
--- /dev/null
+++ b/sched/cell/group.go
@@ -0,0 +1,59 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+)
+
+// group holds the tasks of one step in one occurrence of a job.
+type group struct {
+	job        *Job
+	queue      *Queue
+	occurrence int
+	step       int
+	spec       *Step
+	tasks      []task
+	// open counts the tasks that are not done.
+	open int
+	// waiting counts the tasks that have no run.
+	waiting int
+	// due is the earliest start on the wall clock; zero for none.
+	due time.Time
+	// blockers counts the earlier steps that are not done.
+	blockers int
+	// gangExecution is the execution of the latest run of a gang.
+	gangExecution int64
+	gangFailures  int
+	// gangFailed is the last execution counted in gangFailures.
+	gangFailed int64
+	// gangCheckpoint is the checkpoint that all members start from.
+	gangCheckpoint string
+	// readySince is when the group last became startable.
+	readySince time.Time
+	// avoid holds runners on which a task of the group failed or stalled.
+	avoid  map[string]bool
+	advice advice
+	// rank orders the startable groups; the lowest gets room first.
+	rank float64
+	// listed tells whether the group is in the list of startable groups.
+	listed bool
+	// readyAt is the steady time from which the group may start again.
+	readyAt time.Time
+}
+
+// key names the group as advice calls do.
+func (g *group) key() string {
+	return fmt.Sprintf("%s.%d.%d", g.job.ID, g.occurrence, g.step)
+}
+
+func (g *group) ref(index int) TaskRef {
+	return TaskRef{Job: g.job.ID, Occurrence: g.occurrence, Step: g.step, Index: index}
+}
+
+// failures returns the failed runs that count against the limit of a task.
+func (g *group) failures(index int) int {
+	if g.spec.Gang {
+		return g.gangFailures
+	}
+	return g.tasks[index].failures
+}
--- /dev/null
+++ b/sched/cell/job.go
@@ -0,0 +1,65 @@
+package cell
+
+import "time"
+
+// JobState is the state of a job as callers see it.
+type JobState string
+
+// The job states.
+const (
+	Queued    JobState = "queued"
+	Running   JobState = "running"
+	Completed JobState = "completed"
+	Failed    JobState = "failed"
+	Cancelled JobState = "cancelled"
+)
+
+// Final reports whether a job in this state no longer changes.
+func (s JobState) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Job is a job that the cell knows.
+type Job struct {
+	ID    string
+	Queue string
+	Pool  string
+	Spec  Spec
+	// Accepted is when this scheduler learned of the job.
+	Accepted time.Time
+	// Inherited marks a job that an earlier scheduler may have started.
+	Inherited bool
+
+	state JobState
+	// version counts changes of the stored part; savedVersion is what the store has.
+	version, savedVersion int
+	savedState            JobState
+	started               bool
+	groups                []*group
+	openGroups            int
+	finishedAt            time.Time
+}
+
+// State returns the current state, which the store may not have yet.
+func (j *Job) State() JobState { return j.state }
+
+// SavedState returns the state that the store holds.
+func (j *Job) SavedState() JobState {
+	if j.state.Final() && j.savedState != j.state {
+		// A final state is shown only after it is stored.
+		if j.started {
+			return Running
+		}
+		return Queued
+	}
+	return j.state
+}
+
+func (j *Job) touch() { j.version++ }
+
+// group returns the tasks of one step in one occurrence.
+func (j *Job) group(occurrence, step int) *group {
+	i := occurrence*len(j.Spec.Steps) + step
+	if occurrence < 0 || step < 0 || step >= len(j.Spec.Steps) || i >= len(j.groups) {
+		return nil
+	}
+	return j.groups[i]
+}
--- /dev/null
+++ b/sched/cell/jobs.go
@@ -0,0 +1,172 @@
+package cell
+
+import (
+	"time"
+)
+
+// AddJob queues a job; saved is its stored state, nil for a new job. It reports
+// whether the job was new to the cell.
+func (c *Cell) AddJob(now time.Time, j *Job, saved *SavedJob) bool {
+	if c.jobs[j.ID] != nil {
+		return false
+	}
+	j.Accepted = now
+	j.state, j.savedState = Queued, Queued
+	c.jobs[j.ID] = j
+	q := c.queue(j)
+	steps := len(j.Spec.Steps)
+	for k := range j.Spec.Occurrences() {
+		for s := range j.Spec.Steps {
+			g := &group{job: j, queue: q, occurrence: k, step: s, spec: &j.Spec.Steps[s]}
+			g.tasks = make([]task, g.spec.Count)
+			g.open, g.waiting = g.spec.Count, g.spec.Count
+			if j.Spec.Repetitions > 0 {
+				g.due = j.Spec.FirstRun.Add(time.Duration(k) * j.Spec.Interval)
+			}
+			g.blockers = len(uniqueInts(g.spec.After))
+			j.groups = append(j.groups, g)
+		}
+	}
+	j.openGroups = len(j.groups)
+	if saved != nil {
+		saved.restore(j)
+	}
+	for i, g := range j.groups {
+		if g.open == 0 {
+			c.unblock(now, j, i/steps, i%steps)
+		}
+	}
+	if j.state.Final() {
+		j.finishedAt = now
+		return true
+	}
+	for _, g := range j.groups {
+		c.enlist(now, g)
+	}
+	return true
+}
+
+// queue returns the policy of a job's queue; a job of a queue that no settings
+// know gets a plain one.
+func (c *Cell) queue(j *Job) *Queue {
+	q := c.queues[j.Queue]
+	if q == nil {
+		q = &Queue{Name: j.Queue, Pool: j.Pool, Priority: 1, MaxAttempts: 3, SlackFactor: 2}
+		c.queues[j.Queue] = q
+	}
+	return q
+}
+
+// enlist puts a group among the startable ones if it has tasks to start.
+func (c *Cell) enlist(now time.Time, g *group) {
+	if g.listed || g.blockers > 0 || g.waiting == 0 || g.job.state.Final() {
+		return
+	}
+	g.listed = true
+	g.readySince = now
+	c.ready = append(c.ready, g)
+}
+
+// unblock counts down the groups that wait for a finished step.
+func (c *Cell) unblock(now time.Time, j *Job, occurrence, step int) {
+	j.openGroups--
+	if j.openGroups == 0 && !j.state.Final() {
+		c.finish(now, j, Completed)
+		return
+	}
+	for s := range j.Spec.Steps {
+		g := j.group(occurrence, s)
+		for _, a := range uniqueInts(g.spec.After) {
+			if a == step {
+				g.blockers--
+				c.enlist(now, g)
+			}
+		}
+	}
+}
+
+// finish ends a job and stops what still runs of it.
+func (c *Cell) finish(now time.Time, j *Job, state JobState) {
+	j.state = state
+	j.finishedAt = now
+	c.markDirty(j)
+	c.event(Event{Kind: JobFinished, Task: TaskRef{Job: j.ID}, Detail: string(state), Age: now.Sub(j.Accepted)})
+	for _, g := range j.groups {
+		for i := range g.tasks {
+			for _, run := range append([]*Run(nil), g.tasks[i].live...) {
+				c.orderStop(now, run)
+			}
+		}
+	}
+}
+
+// Cancel ends a job by request. It reports false if the job is unknown.
+func (c *Cell) Cancel(now time.Time, id string) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	if !j.state.Final() {
+		c.finish(now, j, Cancelled)
+	}
+	return true
+}
+
+// Job returns a known job, or nil.
+func (c *Cell) Job(id string) *Job { return c.jobs[id] }
+
+// Jobs returns the number of known jobs.
+func (c *Cell) Jobs() int { return len(c.jobs) }
+
+// Pending returns the number of jobs of a queue of which nothing has started.
+func (c *Cell) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.Queue == queue && !j.started && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Expired returns the jobs that ended before the given time and are stored.
+func (c *Cell) Expired(before time.Time, limit int) []string {
+	var ids []string
+	for id, j := range c.jobs {
+		if len(ids) == limit {
+			break
+		}
+		if j.state.Final() && j.savedState == j.state && j.finishedAt.Before(before) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// RemoveJob forgets a job.
+func (c *Cell) RemoveJob(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.state = Cancelled
+		delete(c.jobs, id)
+		delete(c.dirty, id)
+	}
+}
+
+func (c *Cell) markDirty(j *Job) {
+	j.touch()
+	c.dirty[j.ID] = j
+}
+
+func uniqueInts(in []int) []int {
+	out := in[:0:0]
+	for i, v := range in {
+		dup := false
+		for _, w := range in[:i] {
+			dup = dup || v == w
+		}
+		if !dup {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/sched/cell/orders.go
@@ -0,0 +1,124 @@
+package cell
+
+import (
+	"time"
+)
+
+// Stop is an order to end a run.
+type Stop struct {
+	Run *Run
+}
+
+// orderStop asks the runner to end a run. The run takes room until the runner
+// lists its end, or no longer lists it after having acknowledged the stop.
+func (c *Cell) orderStop(now time.Time, run *Run) {
+	if run.Phase == Active {
+		run.Phase = Stopping
+	}
+	if run.Phase == Sending || !run.stopSent.IsZero() {
+		// The answer of a start decides first; see StartAnswered.
+		if run.Phase == Sending {
+			run.orphan = true
+		}
+		return
+	}
+	run.stopSent = now
+	c.stops = append(c.stops, Stop{Run: run})
+}
+
+// retryStops repeats stops that got no answer, and stops unanswered starts.
+func (c *Cell) retryStops(now time.Time, r *runner) {
+	for _, run := range r.runs {
+		if !run.stopSent.IsZero() && run.stopAcked.IsZero() && now.Sub(run.stopSent) > 2*c.cfg.OrderTimeout {
+			run.stopSent = now
+			c.stops = append(c.stops, Stop{Run: run})
+		}
+	}
+}
+
+// StopAnswered records that the runner acknowledged a stop: it does not start the
+// run any more.
+func (c *Cell) StopAnswered(now time.Time, run *Run) {
+	if run.stopAcked.IsZero() {
+		run.stopAcked = now
+	}
+}
+
+// StartOutcome is what is known of a start order.
+type StartOutcome int
+
+// The outcomes of a start order.
+const (
+	// StartOK means that the runner has the run.
+	StartOK StartOutcome = iota
+	// StartRefused means that the runner did nothing and never will.
+	StartRefused
+	// StartUnknown means that the order may be carried out now or later.
+	StartUnknown
+)
+
+// StartAnswered records the outcome of a start order; reason tells why a runner
+// refused.
+func (c *Cell) StartAnswered(now time.Time, run *Run, outcome StartOutcome, reason string) {
+	r := c.runners[run.Runner]
+	if r == nil || r.runs[runKey{run.Task, run.Execution}] != run {
+		return
+	}
+	switch outcome {
+	case StartOK:
+		if run.Phase == Sending || run.Phase == Unsure {
+			c.confirm(now, run)
+		}
+		if run.orphan {
+			c.orderStop(now, run)
+		}
+	case StartRefused:
+		c.refused(now, r, run, reason)
+	case StartUnknown:
+		if run.Phase == Sending {
+			run.Phase, run.unsureAt = Unsure, now
+			if run.orphan {
+				c.orderStop(now, run)
+			}
+		}
+	}
+}
+
+// refusedPause keeps a task from being offered again and again to runners that refuse it.
+const refusedPause = 100 * time.Millisecond
+
+func (c *Cell) refused(now time.Time, r *runner, run *Run, reason string) {
+	if run.Phase != Sending && run.Phase != Unsure {
+		return
+	}
+	g := run.group
+	r.remove(run)
+	c.release(now, g, run.Task.Index, run)
+	g.readyAt = now.Add(refusedPause)
+	switch reason {
+	case "ticket":
+		delete(g.advice.tickets, r.info.ID)
+	case "room", "late":
+	default:
+		r.unhealthyUntil = now.Add(sickPause)
+	}
+	if g.spec.Gang {
+		c.stopGang(now, g)
+	}
+}
+
+// stopGang ends the other members of a gang that cannot become complete.
+func (c *Cell) stopGang(now time.Time, g *group) {
+	for i := range g.tasks {
+		for _, run := range append([]*Run(nil), g.tasks[i].live...) {
+			c.orderStop(now, run)
+		}
+	}
+}
+
+// TakeStops returns the stops ordered since the last call.
+func (c *Cell) TakeStops() []Stop {
+	s := c.stops
+	c.stops = nil
+	return s
+}
--- /dev/null
+++ b/sched/cell/report.go
@@ -0,0 +1,370 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// EndKind is how a run ended.
+type EndKind string
+
+// The ends of a run.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	EndLapsed  EndKind = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken EndKind = "broken"
+	// EndAlone means that the other members of the gang never came.
+	EndAlone EndKind = "alone"
+)
+
+// RunningRow is a run that a runner lists.
+type RunningRow struct {
+	Task       TaskRef
+	Execution  int64
+	Checkpoint string
+	Percent    float64
+	// Gauge is the tail of a serving task in ms, otherwise the milli-CPU in use.
+	Gauge float64
+}
+
+// EndRow is an end that a runner lists.
+type EndRow struct {
+	Number     int64
+	Task       TaskRef
+	Execution  int64
+	How        EndKind
+	Checkpoint string
+}
+
+// Report is a runner's list of runs and ends.
+type Report struct {
+	Life    int64
+	Running []RunningRow
+	Ended   []EndRow
+}
+
+// Report takes a report into account whose request was sent at sentAt.
+func (c *Cell) Report(now, sentAt time.Time, id string, rep Report) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.suspect = false
+	r.lastHeard = now
+	if r.life != rep.Life && (r.heard || r.life != 0) {
+		c.reborn(now, r)
+	}
+	r.life = rep.Life
+	r.heard = true
+	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
+	for i := range rep.Ended {
+		if e := &rep.Ended[i]; e.Number > r.lastEnd {
+			r.lastEnd = e.Number
+			c.ended(now, r, e)
+		}
+	}
+	listed := make(map[runKey]bool, len(rep.Running))
+	for i := range rep.Running {
+		row := &rep.Running[i]
+		listed[runKey{row.Task, row.Execution}] = true
+		c.running(now, r, row)
+	}
+	for _, run := range r.sortedRuns() {
+		if !listed[runKey{run.Task, run.Execution}] {
+			c.unlisted(now, sentAt, r, run)
+		}
+	}
+}
+
+// reborn handles a runner that lost everything. Unanswered orders may still reach
+// the new life, so they are stopped there first.
+func (c *Cell) reborn(now time.Time, r *runner) {
+	c.event(Event{Kind: RunnerReborn, Runner: r.info.ID, Count: len(r.runs)})
+	r.lastEnd, r.acked, r.unsaved = 0, 0, nil
+	r.strikes, r.unhealthyUntil = 0, time.Time{}
+	for _, run := range r.sortedRuns() {
+		if run.Phase == Sending || run.Phase == Unsure {
+			run.Phase = Unsure
+			continue
+		}
+		c.lostRun(now, r, run)
+	}
+}
+
+// running handles a run that a runner lists.
+func (c *Cell) running(now time.Time, r *runner, row *RunningRow) {
+	run := r.runs[runKey{row.Task, row.Execution}]
+	if run == nil {
+		run = c.found(now, r, row)
+	}
+	if run.Phase == Sending || run.Phase == Unsure {
+		c.confirm(now, run)
+	}
+	if row.Percent != run.percent || run.progressAt.IsZero() {
+		run.percent, run.progressAt = row.Percent, now
+	}
+	run.saved = row.Checkpoint
+}
+
+// found handles a listed run that this scheduler did not start.
+func (c *Cell) found(now time.Time, r *runner, row *RunningRow) *Run {
+	run := &Run{Task: row.Task, Execution: row.Execution, Runner: r.info.ID, Phase: Active, Started: now, confirmedAt: now}
+	j := c.jobs[row.Task.Job]
+	var g *group
+	if j != nil {
+		g = j.group(row.Task.Occurrence, row.Task.Step)
+	}
+	known := g != nil && row.Task.Index < len(g.tasks)
+	if known {
+		run.group = g
+		run.claimed = g.claim()
+	}
+	r.add(run)
+	if !known || j.state.Final() || g.tasks[row.Task.Index].done ||
+		(len(g.tasks[row.Task.Index].live) > 0 && !g.spec.Speculative) ||
+		(g.spec.Gang && g.gangExecution > row.Execution) {
+		run.orphan = true
+		c.event(Event{Kind: RunOrphan, Task: row.Task, Execution: row.Execution, Runner: r.info.ID})
+		c.orderStop(now, run)
+		return run
+	}
+	c.event(Event{Kind: RunAdopted, Task: row.Task, Execution: row.Execution, Runner: r.info.ID})
+	t := &g.tasks[row.Task.Index]
+	t.execution = max(t.execution, row.Execution)
+	if g.spec.Gang {
+		g.gangExecution = max(g.gangExecution, row.Execution)
+	}
+	if len(t.live) == 0 {
+		g.waiting--
+	}
+	t.live = append(t.live, run)
+	c.jobStarted(j)
+	return run
+}
+
+// unlisted handles a run that a runner does not list.
+func (c *Cell) unlisted(now, sentAt time.Time, r *runner, run *Run) {
+	switch {
+	case run.Phase == Unsure && run.stopSent.IsZero() && run.unsureAt.Before(sentAt):
+		// A stop keeps an order that is still on its way from being carried out.
+		c.orderStop(now, run)
+	case !run.stopAcked.IsZero() && run.stopAcked.Before(sentAt):
+		c.lostRun(now, r, run)
+	case run.Phase == Active && run.confirmedAt.Before(sentAt):
+		c.lostRun(now, r, run)
+	}
+}
+
+// confirm records that a run exists.
+func (c *Cell) confirm(now time.Time, run *Run) {
+	if run.stopSent.IsZero() {
+		run.Phase = Active
+	} else {
+		run.Phase = Stopping
+	}
+	run.confirmedAt = now
+	if run.group != nil {
+		c.jobStarted(run.group.job)
+	}
+}
+
+func (c *Cell) jobStarted(j *Job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if j.state == Queued {
+		j.state = Running
+	}
+}
+
+// ended handles an end in a runner's list.
+func (c *Cell) ended(now time.Time, r *runner, e *EndRow) {
+	run := r.runs[runKey{e.Task, e.Execution}]
+	j := c.jobs[e.Task.Job]
+	var g *group
+	if j != nil {
+		g = j.group(e.Task.Occurrence, e.Task.Step)
+	}
+	if run != nil {
+		r.remove(run)
+	}
+	if g == nil || e.Task.Index >= len(g.tasks) {
+		r.unsaved = append(r.unsaved, unsavedEnd{number: e.Number})
+		return
+	}
+	c.event(Event{Kind: RunEnded, Task: e.Task, Execution: e.Execution, Runner: r.info.ID, Detail: string(e.How), Age: age(now, run)})
+	c.settle(now, r, g, e)
+	c.release(now, g, e.Task.Index, run)
+	r.unsaved = append(r.unsaved, unsavedEnd{number: e.Number, job: j, version: j.version})
+}
+
+func age(now time.Time, run *Run) time.Duration {
+	if run == nil {
+		return 0
+	}
+	return now.Sub(run.Started)
+}
+
+// settle applies an end to its task.
+func (c *Cell) settle(now time.Time, r *runner, g *group, e *EndRow) {
+	t := &g.tasks[e.Task.Index]
+	t.execution = max(t.execution, e.Execution)
+	if g.job.state.Final() {
+		return
+	}
+	if e.Checkpoint != "" {
+		g.setCheckpoint(e.Task.Index, e.Checkpoint)
+	}
+	switch e.How {
+	case EndDone:
+		r.strikes = 0
+		if g.spec.LongRunning {
+			return
+		}
+		c.taskDone(now, g, e.Task.Index)
+	case EndFailed:
+		c.taskFailed(now, r, g, e)
+	default:
+		if e.Checkpoint != "" {
+			c.markDirty(g.job)
+		}
+	}
+}
+
+func (c *Cell) taskDone(now time.Time, g *group, index int) {
+	if g.tasks[index].done {
+		return
+	}
+	first, last := index, index+1
+	if g.spec.Gang {
+		first, last = 0, len(g.tasks)
+	}
+	for i := first; i < last; i++ {
+		t := &g.tasks[i]
+		if t.done {
+			continue
+		}
+		t.done = true
+		g.open--
+		if len(t.live) == 0 {
+			g.waiting--
+		}
+		if !g.spec.Gang {
+			for _, other := range append([]*Run(nil), t.live...) {
+				if other.Runner != "" && other.Phase != Stopping {
+					c.stopCopy(now, other)
+				}
+			}
+		}
+	}
+	c.markDirty(g.job)
+	if g.open == 0 {
+		c.unblock(now, g.job, g.occurrence, g.step)
+	}
+}
+
+// stopCopy stops a speculative copy whose task is done. The run that ended has
+// been taken from its runner already.
+func (c *Cell) stopCopy(now time.Time, run *Run) {
+	if r := c.runners[run.Runner]; r != nil && r.runs[runKey{run.Task, run.Execution}] == run {
+		c.orderStop(now, run)
+	}
+}
+
+func (c *Cell) taskFailed(now time.Time, r *runner, g *group, e *EndRow) {
+	c.strike(now, r, g)
+	if g.avoid == nil {
+		g.avoid = make(map[string]bool)
+	}
+	g.avoid[r.info.ID] = true
+	if g.spec.LongRunning {
+		return
+	}
+	if g.spec.Gang {
+		if g.gangFailed >= e.Execution {
+			return
+		}
+		g.gangFailed = e.Execution
+		g.gangFailures++
+	} else {
+		g.tasks[e.Task.Index].failures++
+	}
+	c.markDirty(g.job)
+	if g.failures(e.Task.Index) >= max(1, g.queue.MaxAttempts) {
+		c.finish(now, g.job, Failed)
+	}
+}
+
+// release takes a run from its task and lets the task wait again.
+func (c *Cell) release(now time.Time, g *group, index int, run *Run) {
+	if run == nil {
+		return
+	}
+	t := &g.tasks[index]
+	for i, x := range t.live {
+		if x == run {
+			t.live = append(t.live[:i], t.live[i+1:]...)
+			if len(t.live) == 0 && !t.done {
+				g.waiting++
+				c.enlist(now, g)
+			}
+			break
+		}
+	}
+}
+
+// lostRun handles a run that provably no longer exists and left no end.
+func (c *Cell) lostRun(now time.Time, r *runner, run *Run) {
+	r.remove(run)
+	c.event(Event{Kind: RunLost, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: age(now, run)})
+	if run.group == nil {
+		return
+	}
+	if run.saved != "" {
+		run.group.setCheckpoint(run.Task.Index, run.saved)
+	}
+	c.release(now, run.group, run.Task.Index, run)
+	if run.group.spec.Gang && !run.orphan {
+		c.stopGang(now, run.group)
+	}
+}
+
+func (g *group) setCheckpoint(index int, checkpoint string) {
+	if g.spec.Gang {
+		g.gangCheckpoint = checkpoint
+		return
+	}
+	g.tasks[index].checkpoint = checkpoint
+}
+
+func (r *runner) add(run *Run) {
+	r.runs[runKey{run.Task, run.Execution}] = run
+	r.used = r.used.Add(run.claimed)
+}
+
+func (r *runner) remove(run *Run) {
+	k := runKey{run.Task, run.Execution}
+	if r.runs[k] == run {
+		delete(r.runs, k)
+		r.used = r.used.Sub(run.claimed)
+	}
+}
+
+// Replaced records that another incarnation answers at the runner's address:
+// nothing of this one is left, and orders to it are refused there.
+func (c *Cell) Replaced(now time.Time, id string) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.suspect, r.heard = true, false
+	c.dropRuns(now, r)
+	r.leaseBound = now
+}
+
+// Confirmed reports whether the runner ever listed the run or acknowledged its start.
+func (r *Run) Confirmed() bool { return !r.confirmedAt.IsZero() }
--- /dev/null
+++ b/sched/cell/run.go
@@ -0,0 +1,54 @@
+package cell
+
+import (
+	"time"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// RunPhase is what is known of a run.
+type RunPhase int
+
+// The phases of a run.
+const (
+	// Sending means that the start order is on its way.
+	Sending RunPhase = iota
+	// Unsure means that the order got no answer; the run may exist, now or later.
+	Unsure
+	// Active means that the runner confirmed the run.
+	Active
+	// Stopping means that a stop was ordered.
+	Stopping
+)
+
+// runKey names a run on a runner.
+type runKey struct {
+	task      TaskRef
+	execution int64
+}
+
+// Run is one execution of a task on a runner.
+type Run struct {
+	Task      TaskRef
+	Execution int64
+	Runner    string
+	Life      int64
+	Phase     RunPhase
+	Started   time.Time
+
+	group *group
+	// claimed is what the run takes of the runner's capacity.
+	claimed model.Resources
+	// confirmedAt is when the runner first confirmed the run.
+	confirmedAt time.Time
+	percent     float64
+	progressAt  time.Time
+	saved       string
+	// stopAcked is when the runner acknowledged a stop of a run that it did not list.
+	stopAcked time.Time
+	stopSent  time.Time
+	// unsureAt is when the start order was given up without an answer.
+	unsureAt time.Time
+	// orphan marks a run that no task waits for; it only takes room until it ends.
+	orphan bool
+}
--- /dev/null
+++ b/sched/cell/saved.go
@@ -0,0 +1,178 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/bits"
+)
+
+// SavedJob is the part of a job's state that outlives the scheduler.
+type SavedJob struct {
+	State   JobState     `json:"state"`
+	Started bool         `json:"started,omitempty"`
+	Groups  []SavedGroup `json:"groups,omitempty"`
+}
+
+// SavedGroup is the state of one step in one occurrence. Groups without a done
+// task, a failure or a checkpoint are left out.
+type SavedGroup struct {
+	// Index is occurrence times the number of steps plus the step.
+	Index int `json:"i"`
+	// AllDone stands for a Done with every bit set.
+	AllDone bool `json:"all,omitempty"`
+	// Done has one bit a task.
+	Done           []byte         `json:"done,omitempty"`
+	Failures       map[int]int    `json:"fail,omitempty"`
+	Checkpoints    map[int]string `json:"ckpt,omitempty"`
+	GangFailures   int            `json:"gfail,omitempty"`
+	GangCheckpoint string         `json:"gckpt,omitempty"`
+}
+
+// Dirty is a changed job that is to be stored.
+type Dirty struct {
+	ID    string
+	Value []byte
+	// Version is passed to Saved once Value is stored.
+	Version int
+	State   JobState
+}
+
+// TakeDirty returns up to limit changed jobs.
+func (c *Cell) TakeDirty(limit int) ([]Dirty, error) {
+	var out []Dirty
+	for id, j := range c.dirty {
+		if len(out) == limit {
+			break
+		}
+		value, err := json.Marshal(j.save())
+		if err != nil {
+			return out, fmt.Errorf("state of job %s: %w", id, err)
+		}
+		delete(c.dirty, id)
+		out = append(out, Dirty{ID: id, Value: value, Version: j.version, State: j.state})
+	}
+	return out, nil
+}
+
+// HasDirty reports whether a job is to be stored.
+func (c *Cell) HasDirty() bool { return len(c.dirty) > 0 }
+
+// Saved records that a state is stored.
+func (c *Cell) Saved(d Dirty) {
+	if j := c.jobs[d.ID]; j != nil && d.Version > j.savedVersion {
+		j.savedVersion = d.Version
+		j.savedState = d.State
+	}
+}
+
+// Unsaved puts jobs back whose states could not be stored.
+func (c *Cell) Unsaved(d []Dirty) {
+	for _, x := range d {
+		if j := c.jobs[x.ID]; j != nil {
+			c.dirty[x.ID] = j
+		}
+	}
+}
+
+// Acked returns the highest end number of a runner up to which every end is
+// stored, and whether all ends are.
+func (c *Cell) Acked(id string) (number int64, all bool) {
+	r := c.runners[id]
+	if r == nil {
+		return 0, true
+	}
+	n := 0
+	for n < len(r.unsaved) {
+		e := r.unsaved[n]
+		if e.job != nil && e.job.savedVersion < e.version {
+			break
+		}
+		r.acked = e.number
+		n++
+	}
+	r.unsaved = r.unsaved[n:]
+	return r.acked, len(r.unsaved) == 0
+}
+
+func (j *Job) save() SavedJob {
+	s := SavedJob{State: j.state, Started: j.started}
+	if j.state.Final() {
+		return s
+	}
+	for i, g := range j.groups {
+		if x, ok := g.save(i); ok {
+			s.Groups = append(s.Groups, x)
+		}
+	}
+	return s
+}
+
+func (g *group) save(index int) (SavedGroup, bool) {
+	s := SavedGroup{Index: index, GangFailures: g.gangFailures, GangCheckpoint: g.gangCheckpoint}
+	if g.open == 0 {
+		return SavedGroup{Index: index, AllDone: true}, true
+	}
+	if g.open < len(g.tasks) {
+		s.Done = make([]byte, (len(g.tasks)+7)/8)
+	}
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.done {
+			s.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if t.failures > 0 {
+			if s.Failures == nil {
+				s.Failures = make(map[int]int)
+			}
+			s.Failures[i] = t.failures
+		}
+		if t.checkpoint != "" {
+			if s.Checkpoints == nil {
+				s.Checkpoints = make(map[int]string)
+			}
+			s.Checkpoints[i] = t.checkpoint
+		}
+	}
+	empty := s.Done == nil && s.Failures == nil && s.Checkpoints == nil && s.GangFailures == 0 && s.GangCheckpoint == ""
+	return s, !empty
+}
+
+// restore applies a saved state to a new job.
+func (s *SavedJob) restore(j *Job) {
+	j.state, j.savedState, j.started = s.State, s.State, s.Started
+	for _, x := range s.Groups {
+		if x.Index < 0 || x.Index >= len(j.groups) {
+			continue
+		}
+		x.restore(j.groups[x.Index])
+	}
+}
+
+func (s *SavedGroup) restore(g *group) {
+	g.gangFailures, g.gangCheckpoint = s.GangFailures, s.GangCheckpoint
+	done := 0
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		t.failures, t.checkpoint = s.Failures[i], s.Checkpoints[i]
+		t.done = s.AllDone || (i/8 < len(s.Done) && bits.OnesCount8(s.Done[i/8]&(1<<(i%8))) == 1)
+		if t.done {
+			done++
+		}
+	}
+	g.open -= done
+	g.waiting -= done
+}
+
+// ParseSavedJob reads a stored state.
+func ParseSavedJob(value []byte) (*SavedJob, error) {
+	s := new(SavedJob)
+	if err := json.Unmarshal(value, s); err != nil {
+		return nil, fmt.Errorf("stored job state: %w", err)
+	}
+	switch s.State {
+	case Queued, Running, Completed, Failed, Cancelled:
+		return s, nil
+	}
+	return nil, fmt.Errorf("stored job state %q is not known", s.State)
+}
