Load the jobs before the first report of a runner; count a failed run once

Cause: a new scheduler asked the runners before it had read the jobs. Ends of jobs that it did not know were acknowledged without being stored, and their tasks ran again; runs of unknown size took no room. A failed end that was stored but not yet forgotten by its runner was counted again by the next scheduler. Ruled out: lost writes; the store held every state that was reported stored.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -26,11 +26,6 @@
 // load reads the stored jobs and the runners. It returns the revision from which
 // new work is watched.
 func (s *Scheduler) load() (int64, bool) {
-	runnerAt, ok := s.listRunners()
-	if !ok {
-		return 0, false
-	}
-	s.spawn(func() { s.watchRunners(runnerAt) })
 	// Jobs before states: a state is written after its job, so none is missed.
 	work, at, ok := s.list(WorkPrefix)
 	if !ok {
@@ -40,6 +35,19 @@
 	if !ok {
 		return 0, false
 	}
+	s.restore(work, states)
+	// Runners last: an end of a job that is not known yet would be acknowledged
+	// without being stored.
+	runnerAt, ok := s.listRunners()
+	if !ok {
+		return 0, false
+	}
+	s.spawn(func() { s.watchRunners(runnerAt) })
+	return at, true
+}
+
+// restore takes up the stored jobs with their states.
+func (s *Scheduler) restore(work, states []platform.Item) {
 	saved := make(map[string]*cell.SavedJob, len(states))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,7 +63,6 @@
 	}
 	s.addWork(work, saved, true)
 	s.ready = true
-	return at, true
 }
 
 // addWork takes jobs and cancel requests into the cell; s.mu is held.
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -118,6 +118,8 @@
 		g = j.group(row.Task.Occurrence, row.Task.Step)
 	}
 	known := g != nil && row.Task.Index < len(g.tasks)
+	// A run of unknown size may fill its runner.
+	run.claimed = r.info.Capacity
 	if known {
 		run.group = g
 		run.claimed = g.claim()
@@ -281,22 +283,32 @@
 		g.avoid = make(map[string]bool)
 	}
 	g.avoid[r.info.ID] = true
-	if g.spec.LongRunning {
+	if g.spec.LongRunning || !g.countFailure(e) {
 		return
 	}
+	c.markDirty(g.job)
+	if g.failures(e.Task.Index) >= max(1, g.queue.MaxAttempts) {
+		c.finish(now, g.job, Failed)
+	}
+}
+
+// countFailure counts a failed run once; it reports whether it was new.
+func (g *group) countFailure(e *EndRow) bool {
 	if g.spec.Gang {
 		if g.gangFailed >= e.Execution {
-			return
+			return false
 		}
 		g.gangFailed = e.Execution
 		g.gangFailures++
-	} else {
-		g.tasks[e.Task.Index].failures++
+		return true
 	}
-	c.markDirty(g.job)
-	if g.failures(e.Task.Index) >= max(1, g.queue.MaxAttempts) {
-		c.finish(now, g.job, Failed)
+	t := &g.tasks[e.Task.Index]
+	if t.failedExecution >= e.Execution {
+		return false
 	}
+	t.failedExecution = e.Execution
+	t.failures++
+	return true
 }
 
 // release takes a run from its task and lets the task wait again.
--- a/sched/cell/task.go
+++ b/sched/cell/task.go
@@ -4,6 +4,9 @@
 type task struct {
 	done       bool
 	failures   int
+	// failedExecution is the highest execution counted in failures. A runner lists
+	// an end again to the next scheduler if it was stored but not yet forgotten.
+	failedExecution int64
 	checkpoint string
 	// execution is the highest execution number used for the task.
 	execution int64
