Wait briefly in watches, since the store may drop a waiting one without an answer

Cause: while the store drops its history, a waiting watch is neither answered nor closed; with a wait of 8 s a configuration was seen after 5 s, and a vacancy of the scheduler's role after up to 5 s. Ruled out: an empty answer that skips a change; short watches ran into their time limit instead.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -15,8 +15,10 @@
 const (
 	// listTimeout covers all pages of a listing from a slow store.
 	listTimeout = 10 * time.Second
-	// watchWait is how long a watch waits for a change.
-	watchWait = 5 * time.Second
+	// watchWait is how long a watch waits for a change, and watchSlack how much
+	// later its answer may come; the store may drop a waiting watch without an answer.
+	watchWait  = 600 * time.Millisecond
+	watchSlack = 500 * time.Millisecond
 	// watchGap gathers changes between two watches; each call is paid for.
 	watchGap   = 400 * time.Millisecond
 	callTime   = time.Second
@@ -107,7 +109,7 @@
 // lists again and passes the whole listing with full set.
 func (s *Scheduler) watch(prefix string, at int64, apply func(items []platform.Item, full bool)) {
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, watchWait+callTime)
+		ctx, cancel := context.WithTimeout(s.ctx, watchWait+watchSlack)
 		items, next, err := s.store.Watch(ctx, prefix, at, watchWait)
 		cancel()
 		switch {
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -32,7 +32,10 @@
 	// refuse it earlier if another VM has taken over.
 	OutageHold = 8 * time.Second
 	callTime   = time.Second
-	watchWait  = 5 * time.Second
+	// watchWait is how long a watch waits for a change, and watchSlack how much
+	// later its answer may come; the store may drop a waiting watch without an answer.
+	watchWait  = time.Second
+	watchSlack = 500 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	// maxJitter spreads the campaigns of VMs that see the vacancy at the same time.
 	maxJitter = 30 * time.Millisecond
@@ -152,7 +155,7 @@
 // follow waits until the holder's record ends.
 func (e *Elector) follow(ctx context.Context, at int64) error {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+callTime)
+		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		items, next, err := e.store.Watch(callCtx, prefix, at, watchWait)
 		cancel()
 		if err != nil {
--- a/daemon/internal/entryvm/configwatch.go
+++ b/daemon/internal/entryvm/configwatch.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// configWait is how long one watch waits for a change.
-	configWait = 8 * time.Second
+	// configWait is how long one watch waits for a change, and watchSlack how much
+	// later its answer may come. The store may drop a waiting watch without an
+	// answer, so their sum bounds how late a change is seen.
+	configWait = 600 * time.Millisecond
+	watchSlack = 400 * time.Millisecond
 	callTime   = time.Second
 	retryPause = 150 * time.Millisecond
 )
@@ -46,7 +49,7 @@
 }
 
 func nextConfig(ctx context.Context, store *platform.Store, at int64, log *zap.Logger, apply func(*platform.Configuration)) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, configWait+callTime)
+	ctx, cancel := context.WithTimeout(ctx, configWait+watchSlack)
 	defer cancel()
 	items, next, err := store.Watch(ctx, platform.ConfigKey, at, configWait)
 	if err != nil {
