Let a failed task return to the runner it failed on where no other is approved

The new test fails on the commit before. A second test guards the counting of failed ends across schedulers.

--- /dev/null
+++ b/sched/cell/cell_test.go
@@ -0,0 +1,132 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// world drives a cell by hand: it answers orders and reports as runners would.
+type world struct {
+	t    *testing.T
+	now  time.Time
+	cell *Cell
+	// approve tells which runners the advisor approves.
+	approve map[string]bool
+	ends    map[string]int64
+}
+
+func newWorld(t *testing.T, runners int) *world {
+	w := &world{t: t, now: time.Unix(1000, 0), approve: map[string]bool{}, ends: map[string]int64{}}
+	w.cell = New(w.now, Config{Lease: 6 * time.Second, OrderTimeout: 500 * time.Millisecond, InheritWait: 10 * time.Second, FirstExecution: 1})
+	for i := range runners {
+		id := fmt.Sprintf("r%d", i)
+		w.cell.SetRunner(w.now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+		w.report(id, Report{Life: 1})
+		w.approve[id] = true
+	}
+	return w
+}
+
+func (w *world) report(id string, rep Report) { w.cell.Report(w.now, w.now, id, rep) }
+
+// end reports the end of a run, beside the runs that go on.
+func (w *world) end(run *Run, how EndKind) {
+	w.ends[run.Runner]++
+	rep := Report{Life: 1, Ended: []EndRow{{Number: w.ends[run.Runner], Task: run.Task, Execution: run.Execution, How: how}}}
+	for _, other := range w.cell.runners[run.Runner].runs {
+		if other != run {
+			rep.Running = append(rep.Running, RunningRow{Task: other.Task, Execution: other.Execution})
+		}
+	}
+	w.report(run.Runner, rep)
+}
+
+// step lets time pass, decides, and answers advice and starts.
+func (w *world) step(d time.Duration) []Start {
+	w.now = w.now.Add(d)
+	w.cell.Tick(w.now)
+	dec := w.cell.Decide(w.now, w.now)
+	for _, call := range dec.Advice {
+		var approved []Approval
+		for _, id := range call.Runners {
+			if w.approve[id] {
+				approved = append(approved, Approval{Runner: id, Ticket: "t"})
+			}
+		}
+		w.cell.Advised(w.now, call, w.now, approved, nil)
+	}
+	for _, s := range dec.Starts {
+		w.cell.StartAnswered(w.now, s.Run, StartOK, "")
+	}
+	return dec.Starts
+}
+
+// until steps until a start comes, for at most limit.
+func (w *world) until(limit time.Duration) []Start {
+	for range int(limit / (100 * time.Millisecond)) {
+		if s := w.step(100 * time.Millisecond); len(s) > 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+func (w *world) add(id string, steps ...Step) *Job {
+	j := &Job{ID: id, Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: steps}}
+	must.True(w.t, w.cell.AddJob(w.now, j, nil))
+	return j
+}
+
+func advised() Queue {
+	return Queue{
+		Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2,
+		Advice: &AdvicePolicy{Base: 10 * time.Millisecond, Validity: 2 * time.Second},
+	}
+}
+
+func small(n int) Step {
+	return Step{Count: n, Size: model.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}
+}
+
+// Guards against a task that never starts again because the only runner approved
+// for it is the one on which it failed.
+func TestFailedTaskStartsAgainOnOnlyApprovedRunner(t *testing.T) {
+	w := newWorld(t, 8)
+	w.cell.SetQueues([]Queue{advised()})
+	w.approve = map[string]bool{"r1": true}
+	w.add("0000000000000001", small(1))
+	first := w.until(time.Second)
+	must.Len(t, 1, first)
+	must.Eq(t, "r1", first[0].Run.Runner)
+	w.end(first[0].Run, EndFailed)
+	second := w.until(10 * time.Second)
+	must.Len(t, 1, second)
+	must.Greater(t, first[0].Run.Execution, second[0].Run.Execution)
+}
+
+// Guards against counting one failed run twice when the next scheduler reads the
+// same end again, which would fail the job too early.
+func TestFailedEndCountsOnceAcrossSchedulers(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	run := w.until(time.Second)[0].Run
+	w.end(run, EndFailed)
+	dirty, err := w.cell.TakeDirty(10)
+	must.NoError(t, err)
+	must.Len(t, 1, dirty)
+
+	next := newWorld(t, 1)
+	next.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	saved, err := ParseSavedJob(dirty[0].Value)
+	must.NoError(t, err)
+	j := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+	next.cell.AddJob(next.now, j, saved)
+	next.report("r0", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: run.Task, Execution: run.Execution, How: EndFailed}}})
+	must.Eq(t, Running, j.State())
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -301,7 +301,10 @@
 	default:
 		names = c.renewals(now, g)
 		if len(names) == 0 && !c.enoughApproved(now, g) {
-			names = c.nameRunners(now, g)
+			if names = c.nameRunners(now, g); len(names) == 0 {
+				// Every runner is known; those that failed the group are better than none.
+				g.avoid = nil
+			}
 		}
 	}
 	if len(names) == 0 {
@@ -337,7 +340,7 @@
 		need = len(g.tasks)
 	}
 	for _, r := range c.order {
-		if !r.usable(now) || !g.advice.approved[r.info.ID] {
+		if !r.usable(now) || !g.advice.approved[r.info.ID] || g.avoid[r.info.ID] {
 			continue
 		}
 		room := r.info.Capacity
