--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -102,9 +102,13 @@
 	sent := time.Now()
 	s.mu.Lock()
 	acked, all := s.cell.Acked(l.id)
-	s.cell.OrderSent(sent, l.id)
+	h := platform.HoldRequest{Fence: s.term.Number, Seen: acked}
+	if !l.failing {
+		// A silent runner gets no new lease, so that the present one lapses.
+		s.cell.OrderSent(sent, l.id)
+		h.Until = l.leaseEnd()
+	}
 	s.mu.Unlock()
-	h := platform.HoldRequest{Fence: s.term.Number, Seen: acked, Until: l.leaseEnd()}
 	if all && h.Until > 0 {
 		h.Wait = holdWait
 	}
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -39,6 +39,7 @@
 // VM is the process of an entry VM.
 type VM struct {
 	boot     *platform.Boot
+	settings atomic.Pointer[platform.Boot]
 	log      *zap.Logger
 	store    *platform.Store
 	routes   *front.Routes
@@ -57,6 +58,7 @@
 		boot: boot, log: log, store: platform.NewStore(boot.StoreAddr, nil),
 		routes: new(front.Routes), holder: new(cellsched.Holder), peers: peer.NewClient(boot.VM),
 	}
+	v.settings.Store(boot)
 	runners := platform.NewRunners()
 	set := cellsched.Settings{
 		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
@@ -105,6 +107,7 @@
 			}
 		}()
 	}
+	v.spawn(func() { v.watchBoot(base) })
 	v.spawn(func() { watchConfig(base, v.store, v.log, v.applyConfig) })
 	elected := make(chan struct{})
 	go func() {
@@ -139,13 +142,13 @@
 // finishes the requests in progress.
 func (v *VM) shutdown(server *http.Server, resign context.CancelFunc, elected <-chan struct{}) {
 	begin := time.Now()
-	v.log.Info("[vm] draining", zap.Duration("grace", v.boot.Grace))
+	v.log.Info("[vm] draining", zap.Duration("grace", v.settings.Load().Grace))
 	v.draining.Store(true)
 	v.elector.Resign()
 	resign()
 	// Responses from now on close their connections, so that clients move.
 	server.SetKeepAlivesEnabled(false)
-	limit, cancel := context.WithDeadline(context.Background(), begin.Add(v.boot.Grace-exitReserve))
+	limit, cancel := context.WithDeadline(context.Background(), begin.Add(v.settings.Load().Grace-exitReserve))
 	defer cancel()
 	pause(limit, rotationTime)
 	if err := server.Shutdown(limit); err != nil {
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -130,3 +130,15 @@
 	next.report("r0", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: run.Task, Execution: run.Execution, How: EndFailed}}})
 	must.Eq(t, Running, j.State())
 }
+
+// Guards against losing count of failed runs whose ends come in another order than
+// they happened, which lets a task start more often than allowed.
+func TestFailedEndsCountInAnyOrder(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	j := w.add("0000000000000001", small(1))
+	task := TaskRef{Job: j.ID}
+	w.report("r0", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: task, Execution: 2, How: EndFailed}}})
+	w.report("r1", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: task, Execution: 1, How: EndFailed}}})
+	must.Eq(t, Failed, j.State())
+}
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -23,9 +23,8 @@
 	blockers int
 	// gangExecution is the execution of the latest run of a gang.
 	gangExecution int64
-	gangFailures  int
-	// gangFailed is the last execution counted in gangFailures.
-	gangFailed int64
+	// gangFailed holds the executions of a gang that count as failed attempts.
+	gangFailed []int64
 	// gangCheckpoint is the checkpoint that all members start from.
 	gangCheckpoint string
 	// readySince is when the group last became startable.
@@ -53,7 +52,7 @@
 // failures returns the failed runs that count against the limit of a task.
 func (g *group) failures(index int) int {
 	if g.spec.Gang {
-		return g.gangFailures
+		return len(g.gangFailed)
 	}
-	return g.tasks[index].failures
+	return len(g.tasks[index].failed)
 }
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -294,20 +295,14 @@
 
 // countFailure counts a failed run once; it reports whether it was new.
 func (g *group) countFailure(e *EndRow) bool {
+	counted := &g.tasks[e.Task.Index].failed
 	if g.spec.Gang {
-		if g.gangFailed >= e.Execution {
-			return false
-		}
-		g.gangFailed = e.Execution
-		g.gangFailures++
-		return true
+		counted = &g.gangFailed
 	}
-	t := &g.tasks[e.Task.Index]
-	if t.failedExecution >= e.Execution {
+	if slices.Contains(*counted, e.Execution) {
 		return false
 	}
-	t.failedExecution = e.Execution
-	t.failures++
+	*counted = append(*counted, e.Execution)
 	return true
 }
 
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -21,18 +21,12 @@
 	// AllDone stands for a Done with every bit set.
 	AllDone bool `json:"all,omitempty"`
 	// Done has one bit a task.
-	Done           []byte                `json:"done,omitempty"`
-	Failures       map[int]SavedFailures `json:"fail,omitempty"`
-	Checkpoints    map[int]string        `json:"ckpt,omitempty"`
-	GangFailures   SavedFailures         `json:"gfail,omitzero"`
-	GangCheckpoint string                `json:"gckpt,omitempty"`
-}
-
-// SavedFailures counts the failed runs of a task or a gang.
-type SavedFailures struct {
-	Count int `json:"n"`
-	// Execution is the highest one counted.
-	Execution int64 `json:"x"`
+	Done []byte `json:"done,omitempty"`
+	// Failures holds the executions that failed, by task.
+	Failures       map[int][]int64 `json:"fail,omitempty"`
+	Checkpoints    map[int]string  `json:"ckpt,omitempty"`
+	GangFailures   []int64         `json:"gfail,omitempty"`
+	GangCheckpoint string          `json:"gckpt,omitempty"`
 }
 
 // Dirty is a changed job that is to be stored.
@@ -115,7 +109,7 @@
 }
 
 func (g *group) save(index int) (SavedGroup, bool) {
-	s := SavedGroup{Index: index, GangFailures: SavedFailures{g.gangFailures, g.gangFailed}, GangCheckpoint: g.gangCheckpoint}
+	s := SavedGroup{Index: index, GangFailures: g.gangFailed, GangCheckpoint: g.gangCheckpoint}
 	if g.open == 0 {
 		return SavedGroup{Index: index, AllDone: true}, true
 	}
@@ -128,11 +122,11 @@
 			s.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if t.failures > 0 {
+		if len(t.failed) > 0 {
 			if s.Failures == nil {
-				s.Failures = make(map[int]SavedFailures)
+				s.Failures = make(map[int][]int64)
 			}
-			s.Failures[i] = SavedFailures{t.failures, t.failedExecution}
+			s.Failures[i] = t.failed
 		}
 		if t.checkpoint != "" {
 			if s.Checkpoints == nil {
@@ -141,7 +135,7 @@
 			s.Checkpoints[i] = t.checkpoint
 		}
 	}
-	empty := s.Done == nil && s.Failures == nil && s.Checkpoints == nil && s.GangFailures.Count == 0 && s.GangCheckpoint == ""
+	empty := s.Done == nil && s.Failures == nil && s.Checkpoints == nil && s.GangFailures == nil && s.GangCheckpoint == ""
 	return s, !empty
 }
 
@@ -157,12 +151,11 @@
 }
 
 func (s *SavedGroup) restore(g *group) {
-	g.gangFailures, g.gangFailed, g.gangCheckpoint = s.GangFailures.Count, s.GangFailures.Execution, s.GangCheckpoint
+	g.gangFailed, g.gangCheckpoint = s.GangFailures, s.GangCheckpoint
 	done := 0
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		t.failures, t.failedExecution = s.Failures[i].Count, s.Failures[i].Execution
-		t.checkpoint = s.Checkpoints[i]
+		t.failed, t.checkpoint = s.Failures[i], s.Checkpoints[i]
 		t.done = s.AllDone || (i/8 < len(s.Done) && bits.OnesCount8(s.Done[i/8]&(1<<(i%8))) == 1)
 		if t.done {
 			done++
