Refuse at once and leave rotation while the store is out of reach

Change: the outcomes of all store calls tell whether the VM reaches the store. If not, it reports not ready, so that the balancer sends clients elsewhere, and a new job is refused at once as not run unless the scheduler's VM can store it. An attempt without an answer is followed by one through the scheduler's VM.

--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -14,6 +14,7 @@
 // Methods of the scheduler that peers call.
 const (
 	methodSubmit  = "cell.submit"
+	methodPut     = "cell.put"
 	methodState   = "cell.state"
 	methodCancel  = "cell.cancel"
 	methodPending = "cell.pending"
@@ -51,6 +52,10 @@
 	Given bool       `json:"given"`
 }
 
+type putReply struct {
+	Outcome PutOutcome `json:"outcome"`
+}
+
 type none struct{}
 
 // Register offers the scheduler of this VM to its peers.
@@ -59,6 +64,19 @@
 	peer.Handle(server, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*none, error) {
 		return &none{}, local.withLocal(func(s *Scheduler) error { return s.Submit(*a) })
 	})
+	peer.Handle(server, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
+		r := &putReply{Outcome: PutNot}
+		return r, local.withLocal(func(s *Scheduler) (err error) {
+			if r.Outcome, err = Put(ctx, s.store, *a); r.Outcome == PutDone {
+				err = s.Submit(*a)
+			}
+			if r.Outcome == PutOpen {
+				// The outcome has to reach the caller, which an error would hide.
+				err = nil
+			}
+			return err
+		})
+	})
 	peer.Handle(server, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
 		return r, local.withLocal(func(s *Scheduler) error { r.State, r.Known = s.State(a.ID); return nil })
@@ -124,6 +142,18 @@
 	return err
 }
 
+// PutThere lets the scheduler's VM store a job, for a VM that does not reach the store.
+func (c *Client) PutThere(ctx context.Context, sub Submission) (PutOutcome, error) {
+	r, err := remote[Submission, putReply](ctx, c, methodPut, &sub)
+	switch {
+	case err == nil:
+		return r.Outcome, nil
+	case errors.Is(err, peer.ErrNoReply):
+		return PutOpen, err
+	}
+	return PutNot, err
+}
+
 // State returns the stored state of a job; false if the scheduler does not know it.
 func (c *Client) State(ctx context.Context, id string) (cell.JobState, bool, error) {
 	if s := c.holder.Current(); s != nil {
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -17,6 +17,7 @@
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/front"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/storehealth"
 	"rhubarbstall.example/platform"
 )
 
@@ -42,6 +43,7 @@
 	settings atomic.Pointer[platform.Boot]
 	log      *zap.Logger
 	store    *platform.Store
+	health   *storehealth.Tracker
 	routes   *front.Routes
 	holder   *cellsched.Holder
 	elector  *election.Elector
@@ -55,10 +57,18 @@
 // New assembles the process.
 func New(boot *platform.Boot, log *zap.Logger) *VM {
 	v := &VM{
-		boot: boot, log: log, store: platform.NewStore(boot.StoreAddr, nil),
+		boot: boot, log: log,
 		routes: new(front.Routes), holder: new(cellsched.Holder), peers: peer.NewClient(boot.VM),
 	}
 	v.settings.Store(boot)
+	v.health = storehealth.New(time.Now(), func(away bool, since time.Duration) {
+		log.Info("[vm] reach of the store changed", zap.Bool("away", away), zap.Duration("since", since))
+	})
+	v.store = platform.NewStore(boot.StoreAddr, func(c platform.StoreCall) {
+		if !c.Cancelled {
+			v.health.Observe(time.Now(), c.Sent, c.Served)
+		}
+	})
 	runners := platform.NewRunners()
 	set := cellsched.Settings{
 		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
@@ -89,7 +99,7 @@
 	defer resign()
 
 	server := &http.Server{
-		Handler:           front.NewHandler(v.routes, front.NewJobs(v.store, v.client, v.log), v.log),
+		Handler:           front.NewHandler(v.routes, front.NewJobs(v.store, v.health, v.client, v.log), v.log),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(v.ready), ReadHeaderTimeout: headerTimeout}
@@ -178,7 +188,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if v.draining.Load() || !v.routes.Ready() {
+	if v.draining.Load() || !v.routes.Ready() || v.health.Away(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -10,11 +9,15 @@
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/cellsched"
+	"rhubarbstall.example/daemon/internal/storehealth"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
 
 const (
+	// putTime bounds one try to store a job: many round trips to the store, and
+	// short enough for several tries within a client's patience.
+	putTime = 600 * time.Millisecond
 	// storeTime bounds one try of a store call, so that a silent connection leaves
 	// time for another try.
 	storeTime = 900 * time.Millisecond
@@ -31,14 +34,15 @@
 
 // Jobs accepts, tells and cancels jobs.
 type Jobs struct {
-	store *platform.Store
-	sched *cellsched.Client
-	log   *zap.Logger
+	store  *platform.Store
+	health *storehealth.Tracker
+	sched  *cellsched.Client
+	log    *zap.Logger
 }
 
 // NewJobs returns the part that talks to the store and the scheduler.
-func NewJobs(store *platform.Store, sched *cellsched.Client, log *zap.Logger) *Jobs {
-	return &Jobs{store: store, sched: sched, log: log}
+func NewJobs(store *platform.Store, health *storehealth.Tracker, sched *cellsched.Client, log *zap.Logger) *Jobs {
+	return &Jobs{store: store, health: health, sched: sched, log: log}
 }
 
 // Accept stores a job and passes it to the scheduler. OutcomeUnknown means that the
@@ -48,10 +52,11 @@
 	if err != nil {
 		return codes.Internal.Errorf("job not encoded: %w", err)
 	}
-	if err := j.put(ctx, id, value); err != nil {
+	sub := cellsched.Submission{ID: id, Value: value}
+	if err := j.put(ctx, sub); err != nil {
 		return err
 	}
-	go j.passOn(cellsched.Submission{ID: id, Value: value})
+	go j.passOn(sub)
 	return nil
 }
 
@@ -63,37 +68,39 @@
 	}
 }
 
-// put creates the job's record, and tries again while the outcome is open.
-func (j *Jobs) put(ctx context.Context, id string, value []byte) error {
-	txn := platform.Txn{
-		Expected: []platform.Condition{{Key: cellsched.JobKey(id)}},
-		Write:    []platform.Write{{Key: cellsched.JobKey(id), Value: value}},
-	}
+// put creates the job's record, and tries again while the outcome is open. A VM
+// that does not reach the store asks the scheduler's VM to store the job.
+func (j *Jobs) put(ctx context.Context, sub cellsched.Submission) error {
 	open := false
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTime)
-		_, err := j.store.Commit(callCtx, txn)
+	var err error
+	for try := 0; ; try++ {
+		var outcome cellsched.PutOutcome
+		away := j.health.Away(time.Now())
+		callCtx, cancel := context.WithTimeout(ctx, putTime)
+		if away || try%2 == 1 {
+			outcome, err = j.sched.PutThere(callCtx, sub)
+		} else {
+			outcome, err = cellsched.Put(callCtx, j.store, sub)
+		}
 		cancel()
-		var conflict *platform.ConflictError
-		switch {
-		case err == nil:
-			return nil
-		case errors.As(err, &conflict):
-			// The same job came before, here or at another VM, or an earlier try was done.
+		switch outcome {
+		case cellsched.PutDone:
 			return nil
-		case platform.StatusOf(err) == http.StatusTooManyRequests, platform.StatusOf(err) == http.StatusServiceUnavailable,
-			errors.Is(err, platform.ErrNotSent):
-		default:
+		case cellsched.PutOpen:
 			open = true
 		}
-		j.log.Warn("[front] job not stored yet", zap.String("job", id), zap.Bool("open", open), zap.Error(err))
+		j.log.Warn("[front] job not stored yet", zap.String("job", sub.ID), zap.Int("try", try), zap.Bool("open", open), zap.Bool("away", away), zap.Error(err))
+		if away && !open {
+			break
+		}
 		if !pause(ctx, retryPause) || ctx.Err() != nil {
-			if open {
-				return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %w", err)
-			}
-			return codes.PlatformUnavailable.With("the store cannot be reached", codes.RetryAfter(time.Second))
+			break
 		}
 	}
+	if open {
+		return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %w", err)
+	}
+	return codes.PlatformUnavailable.With("the store cannot be reached", codes.RetryAfter(time.Second))
 }
 
 // State returns the state of a job.
