--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -31,9 +31,7 @@
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
-		s.mu.Lock()
-		s.cell.SeenLife(time.Now(), run.Runner, clock.Life)
-		s.mu.Unlock()
+		l.checkClock(clock)
 		s.started(run, cell.StartOK, "", nil)
 	case errors.As(err, &refused):
 		s.checkFence(err)
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,8 @@
 	// interrupt ends a waiting hold.
 	interrupt context.CancelFunc
 	failing   bool
+	// restarted tells whether the runner's clock went back since the last report.
+	restarted atomic.Bool
 }
 
 func newRunnerLoop(s *Scheduler, info cell.RunnerInfo) *runnerLoop {
@@ -74,6 +77,18 @@
 	l.clock, l.clockAt = c.Reading, at
 }
 
+// checkClock learns from the answer to an order whether the runner started anew: its
+// clock then begins at 0.
+func (l *runnerLoop) checkClock(c platform.Clock) {
+	l.mu.Lock()
+	back := c.Reading < l.clock
+	l.mu.Unlock()
+	if back {
+		l.restarted.Store(true)
+		l.poll()
+	}
+}
+
 func (l *runnerLoop) run() {
 	for l.s.ctx.Err() == nil {
 		if l.gone() {
@@ -104,12 +119,16 @@
 	acked, all := s.cell.Acked(l.id)
 	h := platform.HoldRequest{Fence: s.term.Number}
 	if !l.failing {
-		// After a failure the runner may have started anew and count its ends from 1.
-		h.Seen = acked
 		// A silent runner gets no new lease, so that the present one lapses.
 		s.cell.OrderSent(sent, l.id)
 		h.Until = l.leaseEnd()
 	}
+	if !l.failing && !l.restarted.Load() {
+		// A runner that started anew counts its ends from 1.
+		h.Seen = acked
+	} else {
+		all = false
+	}
 	s.mu.Unlock()
 	if all && h.Until > 0 {
 		h.Wait = holdWait
@@ -129,6 +148,7 @@
 	}
 	now := time.Now()
 	l.setClock(now, clock)
+	l.restarted.Store(false)
 	if l.failing {
 		l.failing = false
 		s.log.Info("[sched] runner regained", zap.String("runner", l.id))
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -55,7 +55,10 @@
 	}
 	r.suspect = false
 	r.lastHeard = now
-	c.SeenLife(now, id, rep.Life)
+	if r.life != rep.Life && (r.heard || r.life != 0) {
+		c.reborn(now, r)
+	}
+	r.life = rep.Life
 	r.heard = true
 	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
 	for i := range rep.Ended {
@@ -77,18 +80,6 @@
 	}
 }
 
-// SeenLife takes into account which life of a runner answered.
-func (c *Cell) SeenLife(now time.Time, id string, life int64) {
-	r := c.runners[id]
-	if r == nil || r.life == life {
-		return
-	}
-	if r.heard || r.life != 0 {
-		c.reborn(now, r)
-	}
-	r.life = life
-}
-
 // reborn handles a runner that lost everything. Unanswered orders may still reach
 // the new life, so they are stopped there first.
 func (c *Cell) reborn(now time.Time, r *runner) {
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -76,7 +76,7 @@
 func (r *Runner) clock(now time.Time) int64 { return now.Sub(r.born).Milliseconds() }
 
 func (r *Runner) answer(now time.Time) map[string]any {
-	return map[string]any{"clock_ms": r.clock(now), "born": r.born.UnixMilli()}
+	return map[string]any{"clock_ms": r.clock(now)}
 }
 
 func (r *Runner) refuse(now time.Time, reason string) (int, any) {
@@ -239,7 +239,7 @@
 		finished = append(finished, []any{e.number, e.task, e.execution, e.how, ""})
 	}
 	a := r.answer(now)
-	a["running"], a["finished"] = running, finished
+	a["running"], a["finished"], a["born"] = running, finished, r.born.UnixMilli()
 	return http.StatusOK, a
 }
 
