Act only while the store was reached lately; bound inherited leases by the first report

It now acts for 2.5 s after its last renewal, counted by a clock that includes suspensions, and then waits for the store; runs outlive that by their leases. TestHeardRunnerLapsesAfterOwnLease fails before. Cause 4: the last run of each finished job was ordered to stop once more. Failed try, taken out: treating a silent runner without an entry as gone after 2.5 s; a holder that is cut off with its zone may still hold runs there. The lease of the role is 1 s (1.5 s before).

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -18,7 +18,7 @@
 	l := s.loops[run.Runner]
 	s.cell.OrderSent(time.Now(), run.Runner)
 	s.mu.Unlock()
-	if l == nil || s.ctx.Err() != nil {
+	if l == nil || s.ctx.Err() != nil || !s.term.Valid() {
 		s.started(run, cell.StartRefused, "gone", nil)
 		return
 	}
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -91,6 +91,10 @@
 
 func (l *runnerLoop) run() {
 	for l.s.ctx.Err() == nil {
+		if !l.s.term.Valid() {
+			pause(l.s.ctx, holdPause)
+			continue
+		}
 		if l.gone() {
 			return
 		}
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -152,6 +152,10 @@
 }
 
 func (s *Scheduler) decide() {
+	if !s.term.Valid() {
+		// A successor may have renewed or ended what this scheduler takes for lapsed.
+		return
+	}
 	now := time.Now()
 	s.mu.Lock()
 	s.cell.Tick(now)
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -45,6 +45,7 @@
 	store  *cellstore.Store
 	fleet  *cellrunner.Fleet
 	random *rand.Rand
+	began  time.Time
 	log    *zap.Logger
 	// hosts holds the servers of the store and then of the runners.
 	hosts   []*http.Server
@@ -68,7 +69,8 @@
 
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{
-		t: t, net: memnet.New(), store: cellstore.New(seed), random: rand.New(rand.NewPCG(seed, 3)),
+		began: time.Now(),
+		t:     t, net: memnet.New(), store: cellstore.New(seed), random: rand.New(rand.NewPCG(seed, 3)),
 		log: zap.NewNop(), vms: make(map[string]*simVM), accepted: make(map[string]bool),
 	}
 	if os.Getenv("SIM_LOG") != "" {
@@ -110,7 +112,7 @@
 	elector := election.New(store, name, name, func(ctx context.Context, term election.Term) {
 		set := Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour}
 		vm.holder.Run(ctx, New(set, term, store, runners, s.log.Named(name)))
-	}, s.log.Named(name))
+	}, func() time.Duration { return time.Since(s.began) }, s.log.Named(name))
 	go func() {
 		defer close(vm.done)
 		elector.Run(ctx)
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,15 +24,19 @@
 	holderKey = "lead/holder"
 	termKey   = "lead/term"
 	// leaseTTL bounds the time without a scheduler after its VM is lost; it is
-	// several renewals long, so that a slow store does not end it.
-	leaseTTL   = 1500 * time.Millisecond
-	renewEvery = 400 * time.Millisecond
+	// several renewals long, so that a slow store does not end it. It is the shortest
+	// that the platform grants.
+	leaseTTL   = 1000 * time.Millisecond
+	renewEvery = 300 * time.Millisecond
 	// renewTimeout leaves time for a second try within the lease.
-	renewTimeout = 600 * time.Millisecond
-	// OutageHold is how long a holder goes on without reaching the store. Runners
-	// refuse it earlier if another VM has taken over.
-	OutageHold = 8 * time.Second
-	callTime   = time.Second
+	renewTimeout = 450 * time.Millisecond
+	// OutageHold is how long a holder acts without reaching the store: long enough
+	// for a slow store, and short, since a successor has to wait for what it may have
+	// started. Runs outlive it by their leases.
+	OutageHold = 2500 * time.Millisecond
+	// giveUp is how long a holder waits for the store to return before it ends its term.
+	giveUp   = 12 * time.Second
+	callTime = time.Second
 	// watchWait is how long a watch waits for a change, and watchSlack how much
 	// later its answer may come; the store may drop a waiting watch without an answer.
 	watchWait  = time.Second
@@ -53,6 +58,8 @@
 	Number int64
 	// Guard is the condition under which writes of the term take place.
 	Guard platform.Condition
+	// Valid reports whether the holder may act: it has reached the store lately.
+	Valid func() bool
 }
 
 // Lead is called for each term that this VM wins and returns when ctx ends, or
@@ -65,6 +72,10 @@
 	self  Holder
 	lead  Lead
 	log   *zap.Logger
+	// clock also counts the time for which the VM is suspended.
+	clock Clock
+	// renewed is the clock's reading when the last good renewal was sent.
+	renewed atomic.Int64
 
 	mu       sync.Mutex
 	current  Holder
@@ -73,8 +84,8 @@
 }
 
 // New returns an elector for the VM that peers reach at addr.
-func New(store *platform.Store, vm, addr string, lead Lead, log *zap.Logger) *Elector {
-	return &Elector{store: store, self: Holder{VM: vm, Addr: addr}, lead: lead, log: log}
+func New(store *platform.Store, vm, addr string, lead Lead, clock Clock, log *zap.Logger) *Elector {
+	return &Elector{clock: clock, store: store, self: Holder{VM: vm, Addr: addr}, lead: lead, log: log}
 }
 
 // Current returns the last known holder; its address is empty if there is none.
@@ -182,6 +193,7 @@
 	}
 	next := e.self
 	next.Term = last.number + 1
+	sent := e.clock()
 	revision, err := e.claim(callCtx, next, lease, []platform.Condition{{Key: holderKey}, {Key: termKey, Revision: last.revision}}, true)
 	if err != nil {
 		var conflict *platform.ConflictError
@@ -194,7 +206,8 @@
 	}
 	e.setCurrent(next)
 	e.setLease(lease)
-	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}})
+	e.renewed.Store(int64(sent))
+	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid})
 	return nil
 }
 
@@ -230,15 +243,19 @@
 	e.drop(e.takeLease())
 }
 
+// away returns how long ago the last good renewal was sent.
+func (e *Elector) away() time.Duration { return e.clock() - time.Duration(e.renewed.Load()) }
+
+func (e *Elector) valid() bool { return e.away() < OutageHold }
+
 // renew returns when the term is over.
 func (e *Elector) renew(ctx context.Context, t Term) {
-	last := time.Now()
 	lost := false
 	for {
 		if !pause(ctx, renewEvery) {
 			return
 		}
-		sent := time.Now()
+		sent := e.clock()
 		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := e.store.Renew(callCtx, e.leaseID())
 		cancel()
@@ -253,15 +270,16 @@
 		switch {
 		case err == nil:
 			if lost {
-				e.log.Info("[election] store regained", zap.Duration("away", sent.Sub(last)))
+				e.log.Info("[election] store regained", zap.Duration("away", e.away()))
 			}
-			last, lost = sent, false
-		case time.Since(last) > OutageHold:
+			e.renewed.Store(int64(sent))
+			lost = false
+		case e.away() > giveUp:
 			e.log.Warn("[election] term given up without the store", zap.Int64("term", t.Number), zap.Error(err))
 			return
-		case !lost && time.Since(last) > leaseTTL:
+		case !lost && e.away() > leaseTTL:
 			lost = true
-			e.log.Warn("[election] store lost", zap.Duration("since", time.Since(last)), zap.Error(err))
+			e.log.Warn("[election] store lost", zap.Duration("since", e.away()), zap.Error(err))
 		}
 	}
 }
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -76,7 +76,7 @@
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), func(ctx context.Context, t election.Term) {
 		v.holder.Run(ctx, cellsched.New(set, t, v.store, runners, log))
-	}, log)
+	}, election.BootClock, log)
 	v.client = cellsched.NewClient(boot.VM, v.holder, v.elector, v.peers)
 	return v
 }
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -98,7 +98,8 @@
 		}
 	}
 	if open {
-		return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %w", err)
+		// The cause may have a code of its own that says "not run", so it is not wrapped.
+		return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %v", err)
 	}
 	return codes.PlatformUnavailable.With("the store cannot be reached", codes.RetryAfter(time.Second))
 }
@@ -179,7 +180,7 @@
 			return nil
 		}
 		if !pause(ctx, retryPause) || ctx.Err() != nil {
-			return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the cancel: %w", err)
+			return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the cancel: %v", err)
 		}
 	}
 }
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -159,7 +159,7 @@
 func (c *Cell) checkInherit(now time.Time) {
 	if !now.After(c.took.Add(c.cfg.InheritWait)) {
 		for _, r := range c.order {
-			if !r.heard {
+			if !r.heard && now.Before(r.leaseBound) {
 				return
 			}
 		}
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -142,3 +142,17 @@
 	w.report("r1", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: task, Execution: 1, How: EndFailed}}})
 	must.Eq(t, Failed, j.State())
 }
+
+// Guards against waiting for leases of an earlier scheduler on a runner that has
+// answered this one: it refuses the earlier scheduler from then on.
+func TestHeardRunnerLapsesAfterOwnLease(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	first := w.until(time.Second)
+	must.Len(t, 1, first)
+	w.cell.Unreachable(first[0].Run.Runner)
+	second := w.until(8 * time.Second)
+	must.Len(t, 1, second)
+	must.NotEq(t, first[0].Run.Runner, second[0].Run.Runner)
+}
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -94,7 +94,7 @@
 	for _, g := range j.groups {
 		for i := range g.tasks {
 			for _, run := range append([]*Run(nil), g.tasks[i].live...) {
-				c.orderStop(now, run)
+				c.stopCopy(now, run)
 			}
 		}
 	}
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -59,6 +59,11 @@
 		c.reborn(now, r)
 	}
 	r.life = rep.Life
+	if !r.heard {
+		// From now on the runner refuses earlier schedulers, so that no lease is
+		// longer than one of this scheduler that begins now.
+		r.leaseBound = now.Add(c.cfg.Lease + leaseMargin(c.cfg.Lease))
+	}
 	r.heard = true
 	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
 	for i := range rep.Ended {
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -53,9 +53,14 @@
 	return n.cut[[2]string{host, addr}]
 }
 
+// dialTimeout bounds a dial, as on a real host; HTTP transports do not cancel dials.
+const dialTimeout = 1500 * time.Millisecond
+
 // Dialer returns the dial function of a host.
 func (n *Network) Dialer(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		if n.isCut(host, addr) {
 			<-ctx.Done()
 			return nil, &net.OpError{Op: "dial", Net: "mem", Err: ctx.Err()}
