Name the runners in the store, so that a new scheduler asks those whose entries lapsed

A new scheduler that lists them then knows too few runners, takes the work of its predecessor for unknown and starts it again. Change: cell/runners names all runners; nothing starts on a runner before it stands there. Ruled out: a wait of two seconds after each takeover, which does not cover a runner that is cut off from the store only. TestNoStartOnUnrecordedRunner.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -41,7 +41,7 @@
 	// Runners last: an end of a job that is not known yet would be acknowledged
 	// without being stored.
 	runnerAt, ok := s.listRunners()
-	if !ok {
+	if !ok || !s.loadRoster() {
 		return 0, false
 	}
 	s.spawn(func() { s.watchRunners(runnerAt) })
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -34,7 +34,7 @@
 			return
 		case <-s.dirty:
 		}
-		for s.ctx.Err() == nil && s.persist(s.ctx) {
+		for s.ctx.Err() == nil && (s.recordRoster(s.ctx) || s.persist(s.ctx)) {
 			if !pause(s.ctx, persistGap) {
 				return
 			}
--- a/daemon/internal/cellsched/records.go
+++ b/daemon/internal/cellsched/records.go
@@ -16,6 +16,9 @@
 	jobPrefix    = "work/job/"
 	cancelPrefix = "work/cancel/"
 	statePrefix  = "state/"
+	// rosterKey names the runners that may run something, since their own entries
+	// lapse while the store is away.
+	rosterKey = "cell/runners"
 )
 
 // JobKey is the key of an accepted job.
--- a/daemon/internal/cellsched/runnerlist.go
+++ b/daemon/internal/cellsched/runnerlist.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
 )
 
 // listRunners reads the runners' records and begins a conversation with each.
@@ -53,9 +54,7 @@
 			}
 			continue
 		}
-		l := newRunnerLoop(s, info)
-		s.loops[id] = l
-		s.spawn(l.run)
+		s.converse(info)
 	}
 	if full {
 		for id := range s.loops {
@@ -64,5 +63,13 @@
 			}
 		}
 	}
+	signal(s.dirty)
 	s.wake()
 }
+
+// converse begins the conversation with a runner; s.mu is held.
+func (s *Scheduler) converse(info cell.RunnerInfo) {
+	l := newRunnerLoop(s, info)
+	s.loops[info.ID] = l
+	s.spawn(l.run)
+}
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -191,7 +191,7 @@
 
 // trouble starts one disturbance and returns what ends it.
 func (s *sim) trouble() func() {
-	switch s.random.IntN(11) {
+	switch s.random.IntN(12) {
 	case 0:
 		s.kill(s.anyVM())
 	case 1:
@@ -224,6 +224,22 @@
 		if s.gone == 0 {
 			s.leave(s.random.IntN(simRunners))
 		}
+	case 11:
+		// Entries lapse while the store is away and come back later.
+		s.store.SetFaults(cellstore.Faults{Down: 1})
+		i := s.random.IntN(simRunners)
+		entry := s.store.Value(platform.RunnerPrefix + s.runners[i].ID)
+		s.store.Delete(platform.RunnerPrefix + s.runners[i].ID)
+		if l := s.leader(); l != nil {
+			s.kill(l)
+		}
+		return func() {
+			s.store.SetFaults(cellstore.Faults{})
+			time.Sleep(2 * time.Second)
+			if entry != nil && s.runners[i] != s.left {
+				s.store.Put(platform.RunnerPrefix+s.runners[i].ID, entry)
+			}
+		}
 	case 10:
 		for _, vm := range s.all() {
 			s.kill(vm)
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -82,6 +82,34 @@
 	r.listed = true
 }
 
+// Roster returns the known runners.
+func (c *Cell) Roster() []RunnerInfo {
+	roster := make([]RunnerInfo, len(c.order))
+	for i, r := range c.order {
+		roster[i] = r.info
+	}
+	return roster
+}
+
+// Recorded tells that the store names these runners; work may start on them.
+func (c *Cell) Recorded(roster []RunnerInfo) {
+	for _, info := range roster {
+		if r := c.runners[info.ID]; r != nil {
+			r.recorded = true
+		}
+	}
+}
+
+// Unrecorded reports whether the store lacks a known runner.
+func (c *Cell) Unrecorded() bool {
+	for _, r := range c.order {
+		if !r.recorded {
+			return true
+		}
+	}
+	return false
+}
+
 // UnlistRunner records that the entry of a runner is gone. Its runs count until
 // they end or their lease has lapsed.
 func (c *Cell) UnlistRunner(id string) {
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -29,6 +29,7 @@
 		w.report(id, Report{Life: 1})
 		w.approve[id] = true
 	}
+	w.cell.Recorded(w.cell.Roster())
 	return w
 }
 
@@ -156,3 +157,17 @@
 	must.Len(t, 1, second)
 	must.NotEq(t, first[0].Run.Runner, second[0].Run.Runner)
 }
+
+// Guards against work on a runner that the next scheduler would not know of if the
+// runner's entry lapses with the store.
+func TestNoStartOnUnrecordedRunner(t *testing.T) {
+	w := newWorld(t, 0)
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "r0", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	w.report("r0", Report{Life: 1})
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	must.True(t, w.cell.Unrecorded())
+	w.cell.Recorded(w.cell.Roster())
+	must.Len(t, 1, w.until(time.Second))
+}
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -26,6 +26,9 @@
 	info RunnerInfo
 	// listed tells whether the runner's entry exists.
 	listed bool
+	// recorded tells whether the store names the runner, so that the next scheduler
+	// asks it even if its entry has lapsed.
+	recorded bool
 	// heard tells whether this scheduler has had a report of this life.
 	heard bool
 	life  int64
@@ -70,5 +73,5 @@
 
 // usable reports whether new tasks may start there.
 func (r *runner) usable(now time.Time) bool {
-	return r.listed && r.heard && !r.suspect && !r.info.Draining && !now.Before(r.unhealthyUntil)
+	return r.listed && r.recorded && r.heard && !r.suspect && !r.info.Draining && !now.Before(r.unhealthyUntil)
 }
