Let a gang ask about more runners than barely hold it

Other gangs kept using them for 27 s, and the gang asked no more. Ruled out: a lost answer of the advisor, and a count of long calls that does not come down; later long calls of other gangs were made. Change: no more runners are asked about once the approved ones could hold the group three times. TestGangAsksAgainWhenApprovedRunnersBarelyHoldIt fails on the commit before.

--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -171,3 +171,26 @@
 	w.cell.Recorded(w.cell.Roster())
 	must.Len(t, 1, w.until(time.Second))
 }
+
+// Guards against a gang that waits for its only two approved runners to be empty at
+// once, since few runners were known when it asked, while others stand idle.
+func TestGangAsksAgainWhenApprovedRunnersBarelyHoldIt(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(1)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 1, w.until(time.Second))
+	gang := small(8)
+	gang.Gang = true
+	w.add("0000000000000002", gang)
+	must.SliceEmpty(t, w.until(time.Second))
+	for i := 2; i < 8; i++ {
+		id := fmt.Sprintf("r%d", i)
+		w.cell.SetRunner(w.now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+		w.report(id, Report{Life: 1})
+		w.approve[id] = true
+	}
+	w.cell.Recorded(w.cell.Roster())
+	must.Len(t, 8, w.until(5*time.Second))
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -300,11 +300,12 @@
 		return
 	default:
 		names = c.renewals(now, g)
-		if len(names) == 0 && !c.enoughApproved(now, g) {
-			if names = c.nameRunners(now, g); len(names) == 0 {
-				// Every runner is known; those that failed the group are better than none.
-				g.avoid = nil
-			}
+		if len(names) == 0 && !c.approvedRoom(now, g, spareRoom) {
+			names = c.nameRunners(now, g)
+		}
+		if len(names) == 0 && !c.approvedRoom(now, g, 1) {
+			// Every runner is known; those that failed the group are better than none.
+			g.avoid = nil
 		}
 	}
 	if len(names) == 0 {
@@ -333,11 +334,17 @@
 	return false
 }
 
-// enoughApproved reports whether the approved runners could hold the group if empty.
-func (c *Cell) enoughApproved(now time.Time, g *group) bool {
-	need := 1
+// spareRoom is how many times a group's approved runners should be able to hold it
+// before no more are asked about. A gang that fits onto exactly its approved runners
+// waits until all of them are empty, while smaller work keeps coming.
+const spareRoom = 3
+
+// approvedRoom reports whether the approved runners, if empty, could hold the group
+// the given number of times.
+func (c *Cell) approvedRoom(now time.Time, g *group, times int) bool {
+	need := times
 	if g.spec.Gang {
-		need = len(g.tasks)
+		need *= len(g.tasks)
 	}
 	for _, r := range c.order {
 		if !r.usable(now) || !g.advice.approved[r.info.ID] || g.avoid[r.info.ID] {
