--- a/daemon/cmd/rhubarbstalld/cell.go
+++ b/daemon/cmd/rhubarbstalld/cell.go
@@ -7,6 +7,7 @@
 
 	"rhubarbstall.example/daemon/internal/entryvm"
 	"rhubarbstall.example/daemon/internal/logsink"
+	"rhubarbstall.example/daemon/internal/telemetry"
 	"rhubarbstall.example/platform"
 )
 
@@ -25,7 +26,15 @@
 			defer sink.Close()
 			first, _, stop := shutdownSignals(cmd.Context())
 			defer stop()
-			return entryvm.New(boot, newCellLogger(sink)).Run(first)
+			metrics, err := telemetry.Metrics(boot.VM, boot.AvailabilityZone)
+			if err != nil {
+				return err
+			}
+			vm, err := entryvm.New(boot, newCellLogger(sink))
+			if err != nil {
+				return err
+			}
+			return vm.Run(first, metrics)
 		},
 	}
 }
--- a/daemon/internal/cellsched/advice.go
+++ b/daemon/internal/cellsched/advice.go
@@ -58,6 +58,7 @@
 	s.mu.Lock()
 	s.cell.Advised(now, call, sent, a.Approved, err)
 	s.mu.Unlock()
+	s.metrics.advice.Record(context.Background(), now.Sub(call.Since).Seconds())
 	s.log.Info("[sched] advice", zap.String("step", call.Group), zap.Int("named", len(call.Runners)), zap.Int("approved", len(a.Approved)),
 		zap.Int64("took_ms", a.TookMS), zap.Duration("waited", now.Sub(call.Since)), zap.String("error", a.Error))
 	s.wake()
--- /dev/null
+++ b/daemon/internal/cellsched/metrics.go
@@ -0,0 +1,47 @@
+package cellsched
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+// metrics counts what the scheduler does. The instruments are shared by all terms.
+type metrics struct {
+	starts, events  metric.Int64Counter
+	advice, jobTime metric.Float64Histogram
+}
+
+func newMetrics() (*metrics, error) {
+	meter := otel.Meter("rhubarbstall/cellsched")
+	m := &metrics{}
+	var err error
+	if m.starts, err = meter.Int64Counter("rhubarbstall.cell.starts", metric.WithDescription("Start orders by outcome")); err != nil {
+		return nil, err
+	}
+	if m.events, err = meter.Int64Counter("rhubarbstall.cell.events", metric.WithDescription("Changes of what the scheduler believes, by kind and detail")); err != nil {
+		return nil, err
+	}
+	if m.advice, err = meter.Float64Histogram("rhubarbstall.cell.advice.wait", metric.WithUnit("s"), metric.WithDescription("Time from the wish for advice to its answer")); err != nil {
+		return nil, err
+	}
+	m.jobTime, err = meter.Float64Histogram("rhubarbstall.cell.job.duration", metric.WithUnit("s"), metric.WithDescription("Time from learning of a job to its end, by state"))
+	return m, err
+}
+
+func (m *metrics) started(outcome string) {
+	m.starts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+func (m *metrics) event(e cell.Event) {
+	kind := attribute.String("kind", string(e.Kind))
+	detail := attribute.String("detail", e.Detail)
+	m.events.Add(context.Background(), 1, metric.WithAttributes(kind, detail))
+	if e.Kind == cell.JobFinished {
+		m.jobTime.Record(context.Background(), e.Age.Seconds(), metric.WithAttributes(attribute.String("state", e.Detail)))
+	}
+}
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -49,14 +49,23 @@
 	s.cell.StartAnswered(time.Now(), run, outcome, reason)
 	s.mu.Unlock()
 	if outcome == cell.StartOK {
+		s.metrics.started("ok")
 		s.log.Info("[sched] run started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
 		return
 	}
+	s.metrics.started(outcomeName(outcome, reason))
 	s.log.Warn("[sched] run not started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
 		zap.String("runner", run.Runner), zap.Bool("unknown", outcome == cell.StartUnknown), zap.String("reason", reason), zap.Error(err))
 	s.wake()
 }
 
+func outcomeName(outcome cell.StartOutcome, reason string) string {
+	if outcome == cell.StartUnknown {
+		return "unknown"
+	}
+	return reason
+}
+
 // stop carries out a stop order. Unanswered ones are repeated by the cell.
 func (s *Scheduler) stop(run *cell.Run) {
 	s.mu.Lock()
@@ -86,6 +95,7 @@
 
 func (s *Scheduler) logEvents(events []cell.Event) {
 	for _, e := range events {
+		s.metrics.event(e)
 		fields := []zap.Field{}
 		if e.Task.Job != "" {
 			fields = append(fields, zap.String("job", e.Task.Job), zap.Stringer("task", e.Task), zap.Int64("execution", e.Execution))
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -47,6 +47,7 @@
 	runners *platform.Runners
 	log     *zap.Logger
 	lanes   *lanes
+	metrics *metrics
 	lease   time.Duration
 
 	mu    sync.Mutex
@@ -65,12 +66,16 @@
 	tasks    sync.WaitGroup
 }
 
-// New returns a scheduler for a term.
-func New(set Settings, term election.Term, store *platform.Store, runners *platform.Runners, log *zap.Logger) *Scheduler {
+// New returns a scheduler for a term; it fails if the metrics cannot be set up.
+func New(set Settings, term election.Term, store *platform.Store, runners *platform.Runners, log *zap.Logger) (*Scheduler, error) {
+	m, err := newMetrics()
+	if err != nil {
+		return nil, err
+	}
 	lease := min(set.MaxHold-leaseReserve, maxLease)
 	return &Scheduler{
 		set: set, term: term, store: store, runners: runners, log: log, lease: lease,
-		lanes: newLanes(),
+		lanes: newLanes(), metrics: m,
 		cell: cell.New(time.Now(), cell.Config{
 			Lease: lease, OrderTimeout: orderTimeout,
 			InheritWait:    election.OutageHold + lease + time.Second,
@@ -79,7 +84,7 @@
 		}),
 		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64),
 		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), saved: make(chan struct{}),
-	}
+	}, nil
 }
 
 // Run schedules until the context ends or the term is found to be over.
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -111,7 +111,9 @@
 	vm.holder.SetQueues([]cell.Queue{{Name: "q", Pool: simPool, MaxAttempts: simAttempts, SlackFactor: 2}})
 	elector := election.New(store, name, name, func(ctx context.Context, term election.Term) {
 		set := Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour}
-		vm.holder.Run(ctx, New(set, term, store, runners, s.log.Named(name)))
+		sched, err := New(set, term, store, runners, s.log.Named(name))
+		must.NoError(s.t, err)
+		vm.holder.Run(ctx, sched)
 	}, func() time.Duration { return time.Since(s.began) }, s.log.Named(name))
 	go func() {
 		defer close(vm.done)
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -54,8 +54,12 @@
 	background sync.WaitGroup
 }
 
-// New assembles the process.
-func New(boot *platform.Boot, log *zap.Logger) *VM {
+// New assembles the process; it fails if the metrics cannot be set up.
+func New(boot *platform.Boot, log *zap.Logger) (*VM, error) {
+	times, err := newStoreTimes()
+	if err != nil {
+		return nil, err
+	}
 	v := &VM{
 		boot: boot, log: log,
 		routes: new(front.Routes), holder: new(cellsched.Holder), peers: peer.NewClient(boot.VM),
@@ -65,6 +69,7 @@
 		log.Info("[vm] reach of the store changed", zap.Bool("away", away), zap.Duration("since", since))
 	})
 	v.store = platform.NewStore(platform.TCP(), boot.StoreAddr, func(c platform.StoreCall) {
+		times.record(c, time.Now())
 		if !c.Cancelled {
 			v.health.Observe(time.Now(), c.Sent, c.Served)
 		}
@@ -75,16 +80,22 @@
 		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor,
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), func(ctx context.Context, t election.Term) {
-		v.holder.Run(ctx, cellsched.New(set, t, v.store, runners, log))
+		s, err := cellsched.New(set, t, v.store, runners, log)
+		if err != nil {
+			log.Error("[vm] scheduler not set up", zap.Error(err))
+			return
+		}
+		v.holder.Run(ctx, s)
 	}, election.BootClock, log)
 	v.client = cellsched.NewClient(boot.VM, v.holder, v.elector, v.peers)
-	return v
+	return v, nil
 }
 
 func (v *VM) peerAddr() string { return fmt.Sprintf("%s:%d", v.boot.IP, v.boot.PeerPort) }
 
-// Run serves until ctx ends, then shuts down within the grace period.
-func (v *VM) Run(ctx context.Context) error {
+// Run serves until ctx ends, then shuts down within the grace period. metrics is
+// served on the metrics port.
+func (v *VM) Run(ctx context.Context, metrics http.Handler) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(v.boot.MemoryMB) * memoryShare * (1 << 20)))
 	clients, ready, peers, err := v.listen()
@@ -98,18 +109,24 @@
 	electCtx, resign := context.WithCancel(base)
 	defer resign()
 
+	handler, err := front.NewHandler(v.routes, front.NewJobs(v.store, v.health, v.client, v.log), v.log)
+	if err != nil {
+		return err
+	}
 	server := &http.Server{
-		Handler:           front.NewHandler(v.routes, front.NewJobs(v.store, v.health, v.client, v.log), v.log),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(v.ready), ReadHeaderTimeout: headerTimeout}
 	peerServer := peer.NewServer()
 	cellsched.Register(peerServer, v.holder)
-	failed := make(chan error, 3)
+	metricsServer := v.metricsServer(metrics)
+	failed := make(chan error, 4)
 	for _, serve := range []func() error{
 		func() error { return server.Serve(clients) },
 		func() error { return readiness.Serve(ready) },
 		func() error { return peerServer.Serve(peers) },
+		metricsServer.ListenAndServe,
 	} {
 		go func() {
 			if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -135,6 +152,7 @@
 	v.shutdown(server, resign, elected)
 	stop()
 	_ = readiness.Close()
+	_ = metricsServer.Close()
 	peerServer.CloseConnections()
 	v.log.Info("[vm] stopped", zap.String("vm", v.boot.VM))
 	return nil
--- a/daemon/internal/front/handler.go
+++ b/daemon/internal/front/handler.go
@@ -28,16 +28,38 @@
 type Handler struct {
 	routes *Routes
 	jobs   *Jobs
+	times  requestTimes
 	log    *zap.Logger
 }
 
 // NewHandler returns the handler of the client address.
-func NewHandler(r *Routes, jobs *Jobs, log *zap.Logger) *Handler {
-	return &Handler{routes: r, jobs: jobs, log: log}
+func NewHandler(r *Routes, jobs *Jobs, log *zap.Logger) (*Handler, error) {
+	times, err := newRequestTimes()
+	if err != nil {
+		return nil, err
+	}
+	return &Handler{routes: r, jobs: jobs, times: times, log: log}, nil
 }
 
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begin := time.Now()
+	rec := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+	h.serve(rec, r, begin)
+	h.times.record(r.Method, rec.status, time.Since(begin))
+}
+
+// statusRecorder keeps the status of a response.
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+func (s *statusRecorder) WriteHeader(status int) {
+	s.status = status
+	s.ResponseWriter.WriteHeader(status)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, begin time.Time) {
 	cfg := h.routes.current.Load()
 	if cfg == nil {
 		h.problem(w, r, codes.NotReady.With("no configuration yet", codes.RetryAfter(time.Second)))
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -97,9 +97,15 @@
 			break
 		}
 	}
+	return notStored(open, err)
+}
+
+// notStored is the answer to a client whose job could not be stored. If a try may
+// still take effect, the answer must not say that the job does not run.
+func notStored(open bool, cause error) error {
 	if open {
 		// The cause may have a code of its own that says "not run", so it is not wrapped.
-		return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %v", err)
+		return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the job: %v", cause)
 	}
 	return codes.PlatformUnavailable.With("the store cannot be reached", codes.RetryAfter(time.Second))
 }
--- a/daemon/internal/telemetry/telemetry.go
+++ b/daemon/internal/telemetry/telemetry.go
@@ -39,11 +39,7 @@
 		return nil, err
 	}
 	t := &Telemetry{Logger: logger}
-	res := resource.NewSchemaless(
-		attribute.String("service.name", "rhubarbstalld"),
-		attribute.String("service.instance.id", cfg.ID),
-		attribute.String("cloud.availability_zone", cfg.AvailabilityZone),
-	)
+	res := newResource(cfg.ID, cfg.AvailabilityZone)
 	if err := t.setupMetrics(res); err != nil {
 		return nil, err
 	}
@@ -53,6 +49,24 @@
 	return t, nil
 }
 
+// Metrics installs the global meter provider of an entry VM without logs and traces,
+// and returns the handler that serves the Prometheus text format.
+func Metrics(id, zone string) (http.Handler, error) {
+	t := &Telemetry{}
+	if err := t.setupMetrics(newResource(id, zone)); err != nil {
+		return nil, err
+	}
+	return t.Metrics, nil
+}
+
+func newResource(id, zone string) *resource.Resource {
+	return resource.NewSchemaless(
+		attribute.String("service.name", "rhubarbstalld"),
+		attribute.String("service.instance.id", id),
+		attribute.String("cloud.availability_zone", zone),
+	)
+}
+
 // Close flushes and ends the providers.
 func (t *Telemetry) Close(ctx context.Context) error {
 	var errs []error
