--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -139,6 +139,9 @@
 // watchWork takes up jobs and cancel requests of entry VMs that do not reach this one.
 func (s *Scheduler) watchWork(at int64) {
 	s.watch(WorkPrefix, at, func(items []platform.Item, _ bool) {
+		for !s.term.Fresh() && pause(s.ctx, retryPause) {
+			// A successor may have taken the same jobs up.
+		}
 		s.mu.Lock()
 		s.addWork(items, nil, false)
 		s.mu.Unlock()
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
@@ -67,14 +69,19 @@
 	peer.Handle(server, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
 		r := &putReply{Outcome: PutNot}
 		return r, local.withLocal(func(s *Scheduler) (err error) {
-			if r.Outcome, err = Put(ctx, s.store, *a); r.Outcome == PutDone {
-				err = s.Submit(*a)
+			r.Outcome, err = Put(ctx, s.store, *a)
+			switch r.Outcome {
+			case PutNot:
+				return err
+			case PutOpen:
+				return nil
 			}
-			if r.Outcome == PutOpen {
-				// The outcome has to reach the caller, which an error would hide.
-				err = nil
+			// The outcome has to reach the caller, which an error would hide; a job that
+			// is not taken up here is found in the store.
+			if submitErr := s.Submit(*a); submitErr != nil {
+				s.log.Info("[sched] job left to the watch", zap.String("job", a.ID), zap.Error(submitErr))
 			}
-			return err
+			return nil
 		})
 	})
 	peer.Handle(server, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -185,15 +185,20 @@
 	defer cancel()
 	if outcome, _ := Put(ctx, vm.store, Submission{ID: id, Value: value}); outcome == PutDone {
 		s.accepted[id] = true
-		if l := s.leader(); l != nil {
-			must.NoError(s.t, l.holder.Current().Submit(Submission{ID: id, Value: value}))
+		// Several VMs may take themselves for the scheduler; all of them are told.
+		for _, l := range s.all() {
+			if sched := l.holder.Current(); sched != nil {
+				if err := sched.Submit(Submission{ID: id, Value: value}); err != nil {
+					s.log.Info("[sim] job left to the watch", zap.Error(err))
+				}
+			}
 		}
 	}
 }
 
 // trouble starts one disturbance and returns what ends it.
 func (s *sim) trouble() func() {
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0:
 		s.kill(s.anyVM())
 	case 1:
@@ -226,6 +231,9 @@
 		if s.gone == 0 {
 			s.leave(s.random.IntN(simRunners))
 		}
+	case 12:
+		// The holder's record is taken away while the holder works on.
+		s.store.Delete("lead/holder")
 	case 11:
 		// Entries lapse while the store is away and come back later.
 		s.store.SetFaults(cellstore.Faults{Down: 1})
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -23,13 +23,12 @@
 	prefix    = "lead/"
 	holderKey = "lead/holder"
 	termKey   = "lead/term"
-	// leaseTTL bounds the time without a scheduler after its VM is lost; it is
-	// several renewals long, so that a slow store does not end it. It is the shortest
-	// that the platform grants.
-	leaseTTL   = 1000 * time.Millisecond
+	// LeaseTTL bounds the time without a scheduler after its VM is lost. It is several
+	// renewals at a slow store, whose answers take about 300 ms.
+	LeaseTTL   = 1500 * time.Millisecond
 	renewEvery = 300 * time.Millisecond
 	// renewTimeout leaves time for a second try within the lease.
-	renewTimeout = 450 * time.Millisecond
+	renewTimeout = 600 * time.Millisecond
 	// OutageHold is how long a holder acts without reaching the store: long enough
 	// for a slow store, and short, since a successor has to wait for what it may have
 	// started. Runs outlive it by their leases.
@@ -60,6 +59,9 @@
 	Guard platform.Condition
 	// Valid reports whether the holder may act: it has reached the store lately.
 	Valid func() bool
+	// Fresh reports whether no successor can have begun unless the holder's record was
+	// taken away; only then may the holder take up new work.
+	Fresh func() bool
 }
 
 // Lead is called for each term that this VM wins and returns when ctx ends, or
@@ -187,7 +189,7 @@
 func (e *Elector) campaign(ctx context.Context, last termRecord) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	lease, _, err := e.store.Grant(callCtx, leaseTTL)
+	lease, _, err := e.store.Grant(callCtx, LeaseTTL)
 	if err != nil {
 		return err
 	}
@@ -207,7 +209,7 @@
 	e.setCurrent(next)
 	e.setLease(lease)
 	e.renewed.Store(int64(sent))
-	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid})
+	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid, Fresh: e.fresh})
 	return nil
 }
 
@@ -248,6 +250,8 @@
 
 func (e *Elector) valid() bool { return e.away() < OutageHold }
 
+func (e *Elector) fresh() bool { return e.away() < LeaseTTL }
+
 // renew returns when the term is over.
 func (e *Elector) renew(ctx context.Context, t Term) {
 	lost := false
@@ -277,7 +281,7 @@
 		case e.away() > giveUp:
 			e.log.Warn("[election] term given up without the store", zap.Int64("term", t.Number), zap.Error(err))
 			return
-		case !lost && e.away() > leaseTTL:
+		case !lost && e.away() > LeaseTTL:
 			lost = true
 			e.log.Warn("[election] store lost", zap.Duration("since", e.away()), zap.Error(err))
 		}
@@ -289,7 +293,7 @@
 func (e *Elector) reclaim(ctx context.Context, t Term) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	lease, _, err := e.store.Grant(callCtx, leaseTTL)
+	lease, _, err := e.store.Grant(callCtx, LeaseTTL)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/storehealth/tracker_test.go
+++ b/daemon/internal/storehealth/tracker_test.go
@@ -16,8 +16,9 @@
 	tr.Observe(at(600), at(0), true)
 	tr.Observe(at(1000), at(700), false)
 	must.False(t, tr.Away(at(1000)))
-	must.False(t, tr.Away(at(1800)))
-	must.True(t, tr.Away(at(2000)))
+	patience := int(Patience.Milliseconds())
+	must.False(t, tr.Away(at(600+patience)))
+	must.True(t, tr.Away(at(600+patience+1)))
 	tr.Observe(at(2100), at(2050), true)
 	must.False(t, tr.Away(at(2100)))
 }
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -14,6 +14,9 @@
 	// InheritWait is how long runs of an earlier scheduler may exist on a runner
 	// that cannot be reached, counted from the takeover.
 	InheritWait time.Duration
+	// Overlap is how long after the takeover an earlier scheduler may still learn of
+	// new jobs, or this one of jobs that it has learned of.
+	Overlap time.Duration
 	// FirstExecution is above every execution of earlier schedulers.
 	FirstExecution int64
 	// RemoteFactor is the slowdown of tasks away from their data or rack.
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -194,3 +194,20 @@
 	w.cell.Recorded(w.cell.Roster())
 	must.Len(t, 8, w.until(5*time.Second))
 }
+
+// Guards against starting a new job that an earlier scheduler, which still acts for a
+// moment, has learned of too and started on a runner that has not seen this one.
+func TestNewJobWaitsDuringOverlap(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.cfg.Overlap = 3 * time.Second
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	must.SliceEmpty(t, w.until(3*time.Second))
+	w.add("0000000000000002", small(1))
+	starts := w.until(time.Second)
+	must.Len(t, 1, starts)
+	must.Eq(t, "0000000000000002", starts[0].Run.Task.Job)
+	w.report("silent", Report{Life: 1})
+	must.Len(t, 1, w.until(time.Second))
+}
