--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -225,26 +225,6 @@
 	return e.store.Commit(ctx, txn)
 }
 
-// serve runs the term and renews its lease until the term is over.
-func (e *Elector) serve(ctx context.Context, t Term) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	e.log.Info("[election] term begins", zap.Int64("term", t.Number))
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.lead(ctx, t)
-	}()
-	go func() {
-		e.renew(ctx, t)
-		cancel()
-	}()
-	<-done
-	e.log.Info("[election] term ends", zap.Int64("term", t.Number))
-	e.setCurrent(Holder{})
-	e.drop(e.takeLease())
-}
-
 // away returns how long ago the last good renewal was sent.
 func (e *Elector) away() time.Duration { return e.clock() - time.Duration(e.renewed.Load()) }
 
@@ -252,62 +232,6 @@
 
 func (e *Elector) fresh() bool { return e.away() < LeaseTTL }
 
-// renew returns when the term is over.
-func (e *Elector) renew(ctx context.Context, t Term) {
-	lost := false
-	for {
-		if !pause(ctx, renewEvery) {
-			return
-		}
-		sent := e.clock()
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := e.store.Renew(callCtx, e.leaseID())
-		cancel()
-		if platform.StatusOf(err) == http.StatusNotFound {
-			err = e.reclaim(ctx, t)
-			var conflict *platform.ConflictError
-			if errors.As(err, &conflict) {
-				e.log.Warn("[election] another term has begun", zap.Int64("term", t.Number))
-				return
-			}
-		}
-		switch {
-		case err == nil:
-			if lost {
-				e.log.Info("[election] store regained", zap.Duration("away", e.away()))
-			}
-			e.renewed.Store(int64(sent))
-			lost = false
-		case e.away() > giveUp:
-			e.log.Warn("[election] term given up without the store", zap.Int64("term", t.Number), zap.Error(err))
-			return
-		case !lost && e.away() > LeaseTTL:
-			lost = true
-			e.log.Warn("[election] store lost", zap.Duration("since", e.away()), zap.Error(err))
-		}
-	}
-}
-
-// reclaim sets the holder's record again after its lease has ended, if no other
-// term has begun since.
-func (e *Elector) reclaim(ctx context.Context, t Term) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	lease, _, err := e.store.Grant(callCtx, LeaseTTL)
-	if err != nil {
-		return err
-	}
-	h := e.self
-	h.Term = t.Number
-	if _, err := e.claim(callCtx, h, lease, []platform.Condition{{Key: holderKey}, t.Guard}, false); err != nil {
-		e.drop(lease)
-		return err
-	}
-	e.setLease(lease)
-	e.log.Info("[election] lease ended and was claimed again", zap.Int64("term", t.Number))
-	return nil
-}
-
 // Resign keeps this VM out of further campaigns.
 func (e *Elector) Resign() {
 	e.mu.Lock()
--- /dev/null
+++ b/sched/cell/ask.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// advise asks for permissions: first for enough runners to know where the group
+// may run, then again for the planned ones when their tickets have run out.
+func (c *Cell) advise(now time.Time, g *group, d *Decisions) {
+	a := &g.advice
+	if g.queue.Advice == nil || a.inFlight || now.Before(a.next) {
+		return
+	}
+	var names []string
+	switch {
+	case a.asked == nil:
+		names = c.nameRunners(now, g)
+	case g.hasTickets(now):
+		return
+	default:
+		names = c.renewals(now, g)
+		if len(names) == 0 && !c.approvedRoom(now, g, spareRoom) {
+			names = c.nameRunners(now, g)
+		}
+		if len(names) == 0 && !c.approvedRoom(now, g, 1) {
+			// Every runner is known; those that failed the group are better than none.
+			g.avoid = nil
+		}
+	}
+	if len(names) == 0 {
+		a.next = now.Add(adviceRetry)
+		return
+	}
+	a.inFlight = true
+	call := AdviceCall{
+		Group: g.key(), Runners: names, Expected: g.queue.Advice.CallTime(len(names)),
+		Urgent: g.queue.Priority == 0, Rank: g.rank, Since: now,
+		group: g, lives: make(map[string]int64, len(names)),
+	}
+	for _, id := range names {
+		call.lives[id] = c.runners[id].life
+	}
+	d.Advice = append(d.Advice, call)
+}
+
+// hasTickets reports whether a ticket of the group is valid for a runner with room.
+func (g *group) hasTickets(now time.Time) bool {
+	for _, t := range g.advice.tickets {
+		if now.Before(t.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// spareRoom is how many times a group's approved runners should be able to hold it
+// before no more are asked about. A gang that fits onto exactly its approved runners
+// waits until all of them are empty, while smaller work keeps coming.
+const spareRoom = 3
+
+// approvedRoom reports whether the approved runners, if empty, could hold the group
+// the given number of times.
+func (c *Cell) approvedRoom(now time.Time, g *group, times int) bool {
+	need := times
+	if g.spec.Gang {
+		need *= len(g.tasks)
+	}
+	for _, r := range c.order {
+		if !r.usable(now) || !g.advice.approved[r.info.ID] || g.avoid[r.info.ID] {
+			continue
+		}
+		room := r.info.Capacity
+		for need > 0 && g.claim().Fits(room) {
+			room = room.Sub(g.claim())
+			need--
+		}
+	}
+	return need <= 0
+}
+
+// renewals returns the approved runners for which new tickets would let the group
+// start now.
+func (c *Cell) renewals(now time.Time, g *group) []string {
+	permitted := func(r *runner) bool { return g.advice.approved[r.info.ID] }
+	var chosen []*runner
+	if g.spec.Gang {
+		if g.waiting < len(g.tasks) {
+			return nil
+		}
+		chosen = c.planGang(now, g, permitted)
+	} else {
+		chosen = c.eligible(now, g, permitted)
+		sort.SliceStable(chosen, func(i, k int) bool { return chosen[i].avail.MilliCPU > chosen[k].avail.MilliCPU })
+		chosen = chosen[:min(len(chosen), g.waiting+2)]
+	}
+	var ids []string
+	seen := make(map[string]bool)
+	for _, r := range chosen {
+		if !seen[r.info.ID] {
+			seen[r.info.ID] = true
+			ids = append(ids, r.info.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/standin/cellstore/leases.go
@@ -0,0 +1,66 @@
+package cellstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var in struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := s.revision
+	ttl := time.Duration(in.TTL) * time.Millisecond
+	s.leases[id] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	return http.StatusOK, map[string]int64{"lease": id, "ttl_ms": in.TTL}
+}
+
+func (s *Store) keep(name string) (int, any) {
+	id, _ := strconv.ParseInt(name, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	l := s.leases[id]
+	if l == nil {
+		return http.StatusNotFound, nil
+	}
+	l.end = time.Now().Add(l.ttl)
+	return http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()}
+}
+
+func (s *Store) end(name string) (int, any) {
+	id, _ := strconv.ParseInt(name, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+	return http.StatusOK, map[string]int64{}
+}
+
+// expire removes the records of leases that have ended.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.end) {
+			continue
+		}
+		s.endLease(id)
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.Lease == id {
+			s.revision++
+			s.remove(key)
+			s.notify()
+		}
+	}
+}
--- a/standin/cellstore/store.go
+++ b/standin/cellstore/store.go
@@ -142,27 +142,6 @@
 	s.changed = make(chan struct{})
 }
 
-// expire removes the records of leases that have ended.
-func (s *Store) expire(now time.Time) {
-	for id, l := range s.leases {
-		if now.Before(l.end) {
-			continue
-		}
-		s.endLease(id)
-	}
-}
-
-func (s *Store) endLease(id int64) {
-	delete(s.leases, id)
-	for key, it := range s.items {
-		if it.Lease == id {
-			s.revision++
-			s.remove(key)
-			s.notify()
-		}
-	}
-}
-
 func (s *Store) chance(p float64) bool { return p > 0 && s.random.Float64() < p }
 
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -199,17 +178,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Store) lateWrite(r *http.Request, delay time.Duration) {
-	if r.URL.Path != "/-/kv-txn" {
-		return
-	}
-	var t txn
-	if json.NewDecoder(r.Body).Decode(&t) != nil {
-		return
-	}
-	time.AfterFunc(delay, func() { s.commit(t) })
-}
-
 func reply(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -316,89 +284,4 @@
 	}
 }
 
-type txn struct {
-	Expected []struct {
-		Key      string `json:"key"`
-		Revision int64  `json:"revision"`
-	} `json:"expected"`
-	Write []struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-		Lease int64  `json:"lease"`
-	} `json:"write"`
-	Remove []string `json:"remove"`
-}
-
 const maxEntries = 32
-
-func (s *Store) commit(t txn) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire(time.Now())
-	if len(t.Expected)+len(t.Write)+len(t.Remove) > maxEntries {
-		return http.StatusBadRequest, nil
-	}
-	held := true
-	current := []item{}
-	for _, e := range t.Expected {
-		it := s.items[e.Key]
-		held = held && it.Revision == e.Revision
-		if it.Key != "" {
-			current = append(current, it)
-		}
-	}
-	if !held {
-		return http.StatusPreconditionFailed, map[string]any{"items": current}
-	}
-	for _, w := range t.Write {
-		if w.Lease != 0 && s.leases[w.Lease] == nil {
-			return http.StatusNotFound, nil
-		}
-	}
-	s.revision++
-	for _, w := range t.Write {
-		s.set(w.Key, w.Value, w.Lease)
-	}
-	for _, k := range t.Remove {
-		s.remove(k)
-	}
-	s.notify()
-	return http.StatusOK, map[string]int64{"revision": s.revision}
-}
-
-func (s *Store) grant(r *http.Request) (int, any) {
-	var in struct {
-		TTL int64 `json:"ttl_ms"`
-	}
-	if json.NewDecoder(r.Body).Decode(&in) != nil {
-		return http.StatusBadRequest, nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	id := s.revision
-	ttl := time.Duration(in.TTL) * time.Millisecond
-	s.leases[id] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
-	return http.StatusOK, map[string]int64{"lease": id, "ttl_ms": in.TTL}
-}
-
-func (s *Store) keep(name string) (int, any) {
-	id, _ := strconv.ParseInt(name, 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire(time.Now())
-	l := s.leases[id]
-	if l == nil {
-		return http.StatusNotFound, nil
-	}
-	l.end = time.Now().Add(l.ttl)
-	return http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()}
-}
-
-func (s *Store) end(name string) (int, any) {
-	id, _ := strconv.ParseInt(name, 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endLease(id)
-	return http.StatusOK, map[string]int64{}
-}
--- /dev/null
+++ b/standin/cellstore/txn.go
@@ -0,0 +1,66 @@
+package cellstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+type txn struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected"`
+	Write []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"write"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) commit(t txn) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if len(t.Expected)+len(t.Write)+len(t.Remove) > maxEntries {
+		return http.StatusBadRequest, nil
+	}
+	held := true
+	current := []item{}
+	for _, e := range t.Expected {
+		it := s.items[e.Key]
+		held = held && it.Revision == e.Revision
+		if it.Key != "" {
+			current = append(current, it)
+		}
+	}
+	if !held {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, w := range t.Write {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return http.StatusNotFound, nil
+		}
+	}
+	s.revision++
+	for _, w := range t.Write {
+		s.set(w.Key, w.Value, w.Lease)
+	}
+	for _, k := range t.Remove {
+		s.remove(k)
+	}
+	s.notify()
+	return http.StatusOK, map[string]int64{"revision": s.revision}
+}
+
+func (s *Store) lateWrite(r *http.Request, delay time.Duration) {
+	if r.URL.Path != "/-/kv-txn" {
+		return
+	}
+	var t txn
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		return
+	}
+	time.AfterFunc(delay, func() { s.commit(t) })
+}
