Ask about more runners when the approved ones are few or stay full

Each runner now counts at most once for a plain step and for at most one whole gang. Besides, a step whose approved runners are all full for a second asks about runners that have room. Ruled out: the advisor (it would have approved others) and the runner's own health (it worked all the while). Tests: TestSmallStepAsksAgainWhenItsOnlyRunnerIsBusy and TestStepAsksAgainWhenAllItsRunnersStayBusy failed before.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -23,6 +23,8 @@
 	inFlight bool
 	// next is when a failed call may be repeated.
 	next time.Time
+	// fullSince is when the group was first found without room on its approved runners.
+	fullSince time.Time
 }
 
 // AdviceCall asks which of the runners may run a group.
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -20,7 +20,7 @@
 		return
 	default:
 		names = c.renewals(now, g)
-		if len(names) == 0 && !c.approvedRoom(now, g, spareRoom) {
+		if len(names) == 0 && (!c.approvedRoom(now, g, spareRoom) || c.heldUp(now, g)) {
 			names = c.nameRunners(now, g)
 		}
 		if len(names) == 0 && !c.approvedRoom(now, g, 1) {
@@ -32,7 +32,7 @@
 		a.next = now.Add(adviceRetry)
 		return
 	}
-	a.inFlight = true
+	a.inFlight, a.fullSince = true, time.Time{}
 	call := AdviceCall{
 		Group: g.key(), Runners: names, Expected: g.queue.Advice.CallTime(len(names)),
 		Urgent: g.queue.Priority == 0, Rank: g.rank, Since: now,
@@ -60,18 +60,19 @@
 const spareRoom = 3
 
 // approvedRoom reports whether the approved runners, if empty, could hold the group
-// the given number of times.
+// the given number of times. Several tasks on one runner count once for a plain step:
+// a single runner can be busy for long.
 func (c *Cell) approvedRoom(now time.Time, g *group, times int) bool {
-	need := times
+	need, perRunner := times, 1
 	if g.spec.Gang {
-		need *= len(g.tasks)
+		need, perRunner = times*len(g.tasks), len(g.tasks)
 	}
 	for _, r := range c.order {
 		if !r.usable(now) || !g.advice.approved[r.info.ID] || g.avoid[r.info.ID] {
 			continue
 		}
 		room := r.info.Capacity
-		for need > 0 && g.claim().Fits(room) {
+		for n := 0; n < perRunner && need > 0 && g.claim().Fits(room); n++ {
 			room = room.Sub(g.claim())
 			need--
 		}
@@ -79,6 +80,28 @@
 	return need <= 0
 }
 
+// fullPatience is how long a group waits for room on the runners that it may use
+// before it asks about others; it is a few times as long as an urgent task takes.
+const fullPatience = time.Second
+
+// heldUp reports whether the group has waited for its approved runners for a while,
+// although a runner that it has not asked about has room now.
+func (c *Cell) heldUp(now time.Time, g *group) bool {
+	a := &g.advice
+	if a.fullSince.IsZero() {
+		a.fullSince = now
+	}
+	if now.Sub(a.fullSince) < fullPatience {
+		return false
+	}
+	for _, r := range c.order {
+		if r.info.Pool == g.job.Pool && r.usable(now) && !a.asked[r.info.ID] && g.fitsEmpty(r) && g.claim().Fits(r.avail) {
+			return true
+		}
+	}
+	return false
+}
+
 // renewals returns the approved runners for which new tickets would let the group
 // start now.
 func (c *Cell) renewals(now time.Time, g *group) []string {
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -23,14 +23,19 @@
 func newWorld(t *testing.T, runners int) *world {
 	w := &world{t: t, now: time.Unix(1000, 0), approve: map[string]bool{}, ends: map[string]int64{}}
 	w.cell = New(w.now, Config{Lease: 6 * time.Second, OrderTimeout: 500 * time.Millisecond, InheritWait: 10 * time.Second, FirstExecution: 1})
-	for i := range runners {
+	w.join(0, runners)
+	return w
+}
+
+// join adds the approved runners with the numbers from first to below last.
+func (w *world) join(first, last int) {
+	for i := first; i < last; i++ {
 		id := fmt.Sprintf("r%d", i)
 		w.cell.SetRunner(w.now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
 		w.report(id, Report{Life: 1})
 		w.approve[id] = true
 	}
 	w.cell.Recorded(w.cell.Roster())
-	return w
 }
 
 func (w *world) report(id string, rep Report) { w.cell.Report(w.now, w.now, id, rep) }
@@ -185,13 +190,7 @@
 	gang.Gang = true
 	w.add("0000000000000002", gang)
 	must.SliceEmpty(t, w.until(time.Second))
-	for i := 2; i < 8; i++ {
-		id := fmt.Sprintf("r%d", i)
-		w.cell.SetRunner(w.now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
-		w.report(id, Report{Life: 1})
-		w.approve[id] = true
-	}
-	w.cell.Recorded(w.cell.Roster())
+	w.join(2, 8)
 	must.Len(t, 8, w.until(5*time.Second))
 }
 
@@ -211,3 +210,33 @@
 	w.report("silent", Report{Life: 1})
 	must.Len(t, 1, w.until(time.Second))
 }
+
+// Guards against a small step that waits for the one busy runner that it may use,
+// since that one could hold it several times over, while others stand idle.
+func TestSmallStepAsksAgainWhenItsOnlyRunnerIsBusy(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(4)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 4, w.until(time.Second))
+	w.add("0000000000000002", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.join(1, 4)
+	must.Len(t, 1, w.until(3*time.Second))
+}
+
+// Guards against a step whose approved runners, though several, all stay busy with
+// other work while runners that it has not asked about have room.
+func TestStepAsksAgainWhenAllItsRunnersStayBusy(t *testing.T) {
+	w := newWorld(t, 4)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(16)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 16, w.until(time.Second))
+	w.add("0000000000000002", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.join(4, 6)
+	must.Len(t, 1, w.until(3*time.Second))
+}
