Mark a step as begun in the store before its first start

Cause: after a takeover every open job waited until each runner had answered or 9.3 s had passed, and so did all jobs of the first 3.5 s. Change: the state of a job holds which steps have begun; the mark is stored under the condition of the term before the first start, mostly while the advisor is asked. A successor lets only marked steps wait. The overlap and the rule to take up new jobs in a fresh term only are needless with it: an earlier scheduler cannot store a mark any more. Ruled out: shorter leases (runs would not outlive an outage of the store); a record of each start (three times the writes). TestNewJobWaitsDuringOverlap goes with the overlap; the first of the new tests guards the same doubling without relying on time.

--- a/daemon/internal/cellsched/api.go
+++ b/daemon/internal/cellsched/api.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/sched/cell"
 )
 
@@ -14,12 +13,8 @@
 	Value []byte `json:"value"`
 }
 
-// Submit takes up a job that lies in the store. It fails while a successor may have
-// begun; that one, or this one later, finds the job in the store.
+// Submit takes up a job that lies in the store. It fails for a job that cannot be read.
 func (s *Scheduler) Submit(sub Submission) error {
-	if !s.term.Fresh() {
-		return codes.NoZoneScheduler.Errorf("the term may be over")
-	}
 	j, err := DecodeJob(sub.ID, sub.Value)
 	if err != nil {
 		return err
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -63,12 +63,12 @@
 		}
 		saved[id] = state
 	}
-	s.addWork(work, saved, true)
+	s.addWork(work, saved)
 	s.ready = true
 }
 
 // addWork takes jobs and cancel requests into the cell; s.mu is held.
-func (s *Scheduler) addWork(items []platform.Item, saved map[string]*cell.SavedJob, inherited bool) {
+func (s *Scheduler) addWork(items []platform.Item, saved map[string]*cell.SavedJob) {
 	now := time.Now()
 	for _, item := range items {
 		id, ok := strings.CutPrefix(item.Key, jobPrefix)
@@ -80,7 +80,6 @@
 			s.log.Error("[sched] stored job unreadable", zap.String("job", id), zap.Error(err))
 			continue
 		}
-		j.Inherited = inherited
 		s.cell.AddJob(now, j, saved[id])
 	}
 	for _, item := range items {
@@ -139,11 +138,8 @@
 // watchWork takes up jobs and cancel requests of entry VMs that do not reach this one.
 func (s *Scheduler) watchWork(at int64) {
 	s.watch(WorkPrefix, at, func(items []platform.Item, _ bool) {
-		for !s.term.Fresh() && pause(s.ctx, retryPause) {
-			// A successor may have taken the same jobs up.
-		}
 		s.mu.Lock()
-		s.addWork(items, nil, false)
+		s.addWork(items, nil)
 		s.mu.Unlock()
 		s.wake()
 	})
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -24,9 +24,6 @@
 	leaseReserve = 200 * time.Millisecond
 	// executionsPerTerm separates the execution numbers of terms.
 	executionsPerTerm = 1 << 20
-	// workDelay is how long a job may take from one scheduler's sight to the other's:
-	// a watch that is not answered, and the pause before the next.
-	workDelay = 2 * time.Second
 	// decideGap bounds how often decisions are taken.
 	decideGap = 4 * time.Millisecond
 	// tickEvery bounds how late a timeout is noticed.
@@ -82,7 +79,6 @@
 		cell: cell.New(time.Now(), cell.Config{
 			Lease: lease, OrderTimeout: orderTimeout,
 			InheritWait:    election.OutageHold + lease + time.Second,
-			Overlap:        election.LeaseTTL + workDelay,
 			FirstExecution: (term.Number-1)*executionsPerTerm + 1,
 			RemoteFactor:   set.RemoteFactor,
 		}),
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -59,9 +59,6 @@
 	Guard platform.Condition
 	// Valid reports whether the holder may act: it has reached the store lately.
 	Valid func() bool
-	// Fresh reports whether no successor can have begun unless the holder's record was
-	// taken away; only then may the holder take up new work.
-	Fresh func() bool
 }
 
 // Lead is called for each term that this VM wins and returns when ctx ends, or
@@ -209,7 +206,7 @@
 	e.setCurrent(next)
 	e.setLease(lease)
 	e.renewed.Store(int64(sent))
-	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid, Fresh: e.fresh})
+	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid})
 	return nil
 }
 
@@ -230,8 +227,6 @@
 
 func (e *Elector) valid() bool { return e.away() < OutageHold }
 
-func (e *Elector) fresh() bool { return e.away() < LeaseTTL }
-
 // Resign keeps this VM out of further campaigns.
 func (e *Elector) Resign() {
 	e.mu.Lock()
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -16,7 +16,7 @@
 	switch {
 	case a.asked == nil:
 		names = c.nameRunners(now, g)
-	case g.hasTickets(now):
+	case !g.marked(), g.hasTickets(now):
 		return
 	default:
 		names = c.renewals(now, g)
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -14,9 +14,6 @@
 	// InheritWait is how long runs of an earlier scheduler may exist on a runner
 	// that cannot be reached, counted from the takeover.
 	InheritWait time.Duration
-	// Overlap is how long after the takeover an earlier scheduler may still learn of
-	// new jobs, or this one of jobs that it has learned of.
-	Overlap time.Duration
 	// FirstExecution is above every execution of earlier schedulers.
 	FirstExecution int64
 	// RemoteFactor is the slowdown of tasks away from their data or rack.
@@ -202,10 +199,6 @@
 	c.event(Event{Kind: InheritedClear, Age: now.Sub(c.took)})
 }
 
-// mayStart reports whether the tasks of a job may be started without doubling a
-// run of an earlier scheduler.
-func (c *Cell) mayStart(j *Job) bool { return !j.Inherited || c.inheritClear }
-
 func (r *runner) sortedRuns() []*Run {
 	runs := make([]*Run, 0, len(r.runs))
 	for _, run := range r.runs {
--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -18,10 +18,13 @@
 	// approve tells which runners the advisor approves.
 	approve map[string]bool
 	ends    map[string]int64
+	// stored holds the states that were written, refuseWrites keeps them from it.
+	stored       map[string][]byte
+	refuseWrites bool
 }
 
 func newWorld(t *testing.T, runners int) *world {
-	w := &world{t: t, now: time.Unix(1000, 0), approve: map[string]bool{}, ends: map[string]int64{}}
+	w := &world{t: t, now: time.Unix(1000, 0), approve: map[string]bool{}, ends: map[string]int64{}, stored: map[string][]byte{}}
 	w.cell = New(w.now, Config{Lease: 6 * time.Second, OrderTimeout: 500 * time.Millisecond, InheritWait: 10 * time.Second, FirstExecution: 1})
 	w.join(0, runners)
 	return w
@@ -69,9 +72,24 @@
 	for _, s := range dec.Starts {
 		w.cell.StartAnswered(w.now, s.Run, StartOK, "")
 	}
+	w.write()
 	return dec.Starts
 }
 
+// write stores the changed states.
+func (w *world) write() {
+	dirty, err := w.cell.TakeDirty(1000)
+	must.NoError(w.t, err)
+	if w.refuseWrites {
+		w.cell.Unsaved(dirty)
+		return
+	}
+	for _, d := range dirty {
+		w.stored[d.ID] = d.Value
+		w.cell.Saved(d)
+	}
+}
+
 // until steps until a start comes, for at most limit.
 func (w *world) until(limit time.Duration) []Start {
 	for range int(limit / (100 * time.Millisecond)) {
@@ -194,19 +212,37 @@
 	must.Len(t, 8, w.until(5*time.Second))
 }
 
-// Guards against starting a new job that an earlier scheduler, which still acts for a
-// moment, has learned of too and started on a runner that has not seen this one.
-func TestNewJobWaitsDuringOverlap(t *testing.T) {
+// Guards against a start that the next scheduler would not know of: it takes a group
+// without a stored mark for one that has no runs.
+func TestNothingStartsBeforeItsMarkIsStored(t *testing.T) {
 	w := newWorld(t, 2)
-	w.cell.cfg.Overlap = 3 * time.Second
-	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	w.refuseWrites = true
 	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
 	w.add("0000000000000001", small(1))
-	must.SliceEmpty(t, w.until(3*time.Second))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.refuseWrites = false
+	must.Len(t, 1, w.until(time.Second))
+}
+
+// Guards against holding up the whole queue after a takeover because one runner does
+// not answer: only work that may have begun has to wait for it.
+func TestOnlyBegunWorkWaitsForSilentRunner(t *testing.T) {
+	old := newWorld(t, 2)
+	old.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	begun := old.add("0000000000000001", small(1))
+	must.Len(t, 1, old.until(time.Second))
+
+	w := newWorld(t, 2)
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	saved, err := ParseSavedJob(old.stored[begun.ID])
+	must.NoError(t, err)
+	must.True(t, w.cell.AddJob(w.now, &Job{ID: begun.ID, Queue: "q", Pool: "pool", Spec: begun.Spec}, saved))
 	w.add("0000000000000002", small(1))
 	starts := w.until(time.Second)
 	must.Len(t, 1, starts)
 	must.Eq(t, "0000000000000002", starts[0].Run.Task.Job)
+	must.SliceEmpty(t, w.until(5*time.Second))
 	w.report("silent", Report{Life: 1})
 	must.Len(t, 1, w.until(time.Second))
 }
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -38,6 +38,13 @@
 	listed bool
 	// readyAt is the steady time from which the group may start again.
 	readyAt time.Time
+	// begun tells whether the group is marked as one of which runs may exist. The
+	// mark is stored before the first start, so that the next scheduler knows.
+	begun bool
+	// begunVersion is the version of the job that holds the mark.
+	begunVersion int
+	// inherited tells whether an earlier scheduler has set the mark.
+	inherited bool
 }
 
 // key names the group as advice calls do.
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -25,8 +25,6 @@
 	Spec  Spec
 	// Accepted is when this scheduler learned of the job.
 	Accepted time.Time
-	// Inherited marks a job that an earlier scheduler may have started.
-	Inherited bool
 
 	state JobState
 	// version counts changes of the stored part; savedVersion is what the store has.
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -11,9 +11,6 @@
 		return false
 	}
 	j.Accepted = now
-	if now.Before(c.took.Add(c.cfg.Overlap)) {
-		j.Inherited = true
-	}
 	j.state, j.savedState = Queued, Queued
 	c.jobs[j.ID] = j
 	q := c.queue(j)
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -41,10 +41,17 @@
 			continue
 		}
 		keep = append(keep, g)
-		if !c.mayStart(g.job) || now.Before(g.readyAt) || wall.Before(g.due) {
+		if !c.settled(g) || now.Before(g.readyAt) || wall.Before(g.due.Add(-beginLead)) {
+			continue
+		}
+		c.begin(g)
+		if wall.Before(g.due) {
 			continue
 		}
 		c.advise(now, g, &d)
+		if !g.marked() {
+			continue
+		}
 		if g.spec.Gang {
 			if c.placeGang(now, g, &d) {
 				continue
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -13,13 +13,15 @@
 	Groups  []SavedGroup `json:"groups,omitempty"`
 }
 
-// SavedGroup is the state of one step in one occurrence. Groups without a done
-// task, a failure or a checkpoint are left out.
+// SavedGroup is the state of one step in one occurrence. Groups that have not begun
+// are left out.
 type SavedGroup struct {
 	// Index is occurrence times the number of steps plus the step.
 	Index int `json:"i"`
 	// AllDone stands for a Done with every bit set.
 	AllDone bool `json:"all,omitempty"`
+	// Begun means that runs of the group may exist.
+	Begun bool `json:"begun,omitempty"`
 	// Done has one bit a task.
 	Done []byte `json:"done,omitempty"`
 	// Failures holds the executions that failed, by task.
@@ -109,7 +111,7 @@
 }
 
 func (g *group) save(index int) (SavedGroup, bool) {
-	s := SavedGroup{Index: index, GangFailures: g.gangFailed, GangCheckpoint: g.gangCheckpoint}
+	s := SavedGroup{Index: index, Begun: g.begun, GangFailures: g.gangFailed, GangCheckpoint: g.gangCheckpoint}
 	if g.open == 0 {
 		return SavedGroup{Index: index, AllDone: true}, true
 	}
@@ -135,7 +137,7 @@
 			s.Checkpoints[i] = t.checkpoint
 		}
 	}
-	empty := s.Done == nil && s.Failures == nil && s.Checkpoints == nil && s.GangFailures == nil && s.GangCheckpoint == ""
+	empty := !s.Begun && s.Done == nil && s.Failures == nil && s.Checkpoints == nil && s.GangFailures == nil && s.GangCheckpoint == ""
 	return s, !empty
 }
 
@@ -152,6 +154,7 @@
 
 func (s *SavedGroup) restore(g *group) {
 	g.gangFailed, g.gangCheckpoint = s.GangFailures, s.GangCheckpoint
+	g.begun, g.inherited = s.Begun, s.Begun
 	done := 0
 	for i := range g.tasks {
 		t := &g.tasks[i]
