Let the time limits of store calls follow the answers that came

Cause: a write without an answer was waited for a second by the scheduler and 0.6 s by the front, also while the store answered others within 4 ms. With 30 to 45% of the answers lost that adds up to the whole objective of a short job. The limit is now four times the slowest recent answer, at least 200 ms and at most 1 s, and doubles while calls run into it. Ruled out: a fixed shorter limit (a slow store answers after 240 to 300 ms).

--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -69,7 +69,9 @@
 	peer.Handle(server, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
 		r := &putReply{Outcome: PutNot}
 		return r, local.withLocal(func(s *Scheduler) (err error) {
-			r.Outcome, err = Put(ctx, s.store, *a)
+			callCtx, cancel := context.WithTimeout(ctx, s.set.storeLimit())
+			r.Outcome, err = Put(callCtx, s.store, *a)
+			cancel()
 			switch r.Outcome {
 			case PutNot:
 				return err
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -58,7 +58,7 @@
 	if len(batch) == 0 {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	callCtx, cancel := context.WithTimeout(ctx, s.set.storeLimit())
 	revision, err := s.store.Commit(callCtx, txn)
 	cancel()
 	s.mu.Lock()
@@ -129,7 +129,7 @@
 	for _, id := range ids {
 		txn.Remove = append(txn.Remove, JobKey(id), CancelKey(id), StateKey(id))
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTime)
+	ctx, cancel := context.WithTimeout(s.ctx, s.set.storeLimit())
 	defer cancel()
 	if _, err := s.store.Commit(ctx, txn); err != nil {
 		s.log.Warn("[sched] finished jobs not removed", zap.Int("jobs", len(ids)), zap.Error(err))
--- a/daemon/internal/cellsched/roster.go
+++ b/daemon/internal/cellsched/roster.go
@@ -67,7 +67,7 @@
 		s.log.Error("[sched] roster not encoded", zap.Error(err))
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	callCtx, cancel := context.WithTimeout(ctx, s.set.storeLimit())
 	_, err = s.store.Commit(callCtx, platform.Txn{
 		Expected: []platform.Condition{s.term.Guard},
 		Write:    []platform.Write{{Key: rosterKey, Value: value}},
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -37,6 +37,16 @@
 	EarlyStart   time.Duration
 	StatusKept   time.Duration
 	RemoteFactor float64
+	// StoreLimit returns the time limit for a write to the store; nil for a fixed one.
+	StoreLimit func() time.Duration
+}
+
+// storeLimit is the time limit for a write to the store.
+func (s *Settings) storeLimit() time.Duration {
+	if s.StoreLimit == nil {
+		return callTime
+	}
+	return s.StoreLimit()
 }
 
 // Scheduler holds the state of one term.
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -44,6 +44,7 @@
 	log      *zap.Logger
 	store    *platform.Store
 	health   *storehealth.Tracker
+	pace     *storehealth.Pace
 	routes   *front.Routes
 	holder   *cellsched.Holder
 	elector  *election.Elector
@@ -65,19 +66,29 @@
 		routes: new(front.Routes), holder: new(cellsched.Holder), peers: peer.NewClient(boot.VM),
 	}
 	v.settings.Store(boot)
+	v.pace = new(storehealth.Pace)
 	v.health = storehealth.New(time.Now(), func(away bool, since time.Duration) {
 		log.Info("[vm] reach of the store changed", zap.Bool("away", away), zap.Duration("since", since))
 	})
 	v.store = platform.NewStore(platform.TCP(), boot.StoreAddr, func(c platform.StoreCall) {
-		times.record(c, time.Now())
-		if !c.Cancelled {
-			v.health.Observe(time.Now(), c.Sent, c.Served)
+		now := time.Now()
+		times.record(c, now)
+		if c.Cancelled {
+			return
+		}
+		v.health.Observe(now, c.Sent, c.Served)
+		switch {
+		case c.Waits:
+		case c.Served:
+			v.pace.Answered(now.Sub(c.Sent))
+		case c.TimedOut:
+			v.pace.Missed(now, c.Sent)
 		}
 	})
 	runners := platform.NewRunners(platform.TCP())
 	set := cellsched.Settings{
 		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
-		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor,
+		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreLimit: v.pace.Limit,
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
@@ -109,7 +120,7 @@
 	electCtx, resign := context.WithCancel(base)
 	defer resign()
 
-	handler, err := front.NewHandler(v.routes, front.NewJobs(v.store, v.health, v.client, v.log), v.log)
+	handler, err := front.NewHandler(v.routes, front.NewJobs(v.store, v.health, v.pace, v.client, v.log), v.log)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -15,12 +15,8 @@
 )
 
 const (
-	// putTime bounds one try to store a job: many round trips to the store, and
-	// short enough for several tries within a client's patience.
+	// putTime bounds one try to store a job, so that several fit into a client's patience.
 	putTime = 600 * time.Millisecond
-	// storeTime bounds one try of a store call, so that a silent connection leaves
-	// time for another try.
-	storeTime = 900 * time.Millisecond
 	// retryPause is kept between tries.
 	retryPause = 60 * time.Millisecond
 	// schedulerTime bounds a call to the scheduler, so that the store can be asked instead.
@@ -36,13 +32,14 @@
 type Jobs struct {
 	store  *platform.Store
 	health *storehealth.Tracker
+	pace   *storehealth.Pace
 	sched  *cellsched.Client
 	log    *zap.Logger
 }
 
 // NewJobs returns the part that talks to the store and the scheduler.
-func NewJobs(store *platform.Store, health *storehealth.Tracker, sched *cellsched.Client, log *zap.Logger) *Jobs {
-	return &Jobs{store: store, health: health, sched: sched, log: log}
+func NewJobs(store *platform.Store, health *storehealth.Tracker, pace *storehealth.Pace, sched *cellsched.Client, log *zap.Logger) *Jobs {
+	return &Jobs{store: store, health: health, pace: pace, sched: sched, log: log}
 }
 
 // Accept stores a job and passes it to the scheduler. OutcomeUnknown means that the
@@ -76,7 +73,7 @@
 	for try := 0; ; try++ {
 		var outcome cellsched.PutOutcome
 		away := j.health.Away(time.Now())
-		callCtx, cancel := context.WithTimeout(ctx, putTime)
+		callCtx, cancel := context.WithTimeout(ctx, min(putTime, j.pace.Limit()))
 		if away || try%2 == 1 {
 			outcome, err = j.sched.PutThere(callCtx, sub)
 		} else {
@@ -154,7 +151,7 @@
 
 func (j *Jobs) get(ctx context.Context, key string) (platform.Item, error) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTime)
+		callCtx, cancel := context.WithTimeout(ctx, j.pace.Limit())
 		item, err := j.store.Get(callCtx, key)
 		cancel()
 		if err == nil || platform.StatusOf(err) == http.StatusNotFound {
@@ -179,7 +176,7 @@
 	}
 	txn := platform.Txn{Write: []platform.Write{{Key: cellsched.CancelKey(id), Value: []byte("{}")}}}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTime)
+		callCtx, cancel := context.WithTimeout(ctx, j.pace.Limit())
 		_, err := j.store.Commit(callCtx, txn)
 		cancel()
 		if err == nil {
