Do not take a gang member that waits for the others as stalled

Ruled out: a runner that stands still (it listed the run and answered all the while; the same happened on two runners). Test: TestGangMemberThatWaitsForOthersIsNotStalled failed before; it also checks that a member that stands still below 100% is stopped.

--- a/sched/cell/health.go
+++ b/sched/cell/health.go
@@ -11,6 +11,8 @@
 	// stallTime is how long a run may show no progress. Runs report whole
 	// percents, so the time grows with their estimate.
 	stallTime = 2500 * time.Millisecond
+	// fullPercent is the progress of a run that has done its work.
+	fullPercent = 100
 )
 
 // strike records a failure on a runner.
@@ -46,7 +48,8 @@
 			continue
 		}
 		g := run.group
-		if g.spec.Gang && !g.allActive() {
+		if g.spec.Gang && (run.percent >= fullPercent || !g.allActive()) {
+			// A member that has done its share waits for the others.
 			continue
 		}
 		c.event(Event{Kind: RunStalled, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: now.Sub(run.progressAt)})
