Let VMs help one another while the store refuses some of them

Change: VMs call one another (cell.hello), learn of all others, of a later term and of who reaches the store. Any VM stores a job for one that does not reach it. A request whose job cannot be stored is given back after a third of the client's time. A slow answer of a peer no longer closes the connection for all other calls; only a connection that has brought nothing for 600 ms is replaced. Ruled out: a record of each VM in the store (8 to 44 renewals a second, and unreadable just when it is needed). Tests: TestVMWithoutStoreIsHelpedByAnyOther, TestVMLearnsOfNewScheduler.

--- /dev/null
+++ b/daemon/internal/cellsched/acquaint.go
@@ -0,0 +1,97 @@
+package cellsched
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/peer"
+)
+
+const (
+	// helloEvery is how often a VM calls the scheduler's VM, so that each learns of all
+	// others and of a new scheduler while it does not reach the store.
+	helloEvery = time.Second
+	// searchEvery is the pause between calls while no scheduler is reached.
+	searchEvery = 200 * time.Millisecond
+	// helloTime bounds one such call.
+	helloTime = 300 * time.Millisecond
+)
+
+type helloArgs struct {
+	From VMAddr `json:"from"`
+	Away bool   `json:"away"`
+}
+
+type helloReply struct {
+	Holder election.Holder `json:"holder"`
+	Away   bool            `json:"away"`
+	VMs    []VMAddr        `json:"vms"`
+}
+
+// hello answers the call of another VM.
+func (c *Client) hello(a *helloArgs) *helloReply {
+	now := time.Now()
+	c.directory.Heard(now, a.From, a.Away)
+	return &helloReply{
+		Holder: c.elector.Current(), Away: c.away(),
+		VMs: append(c.directory.All(now), VMAddr{VM: c.vm, Addr: c.addr}),
+	}
+}
+
+// Acquaint keeps the directory up to date until the context ends. A VM that does not
+// reach the store learns of a new scheduler in this way only.
+func (c *Client) Acquaint(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		wait := helloEvery
+		if !c.greet(ctx, n) {
+			wait = searchEvery
+		}
+		pause(ctx, wait)
+	}
+}
+
+// greet calls the scheduler's VM, and another one while that is not reached or does not
+// reach the store itself. It reports whether there is no hurry to call again.
+func (c *Client) greet(ctx context.Context, n int) bool {
+	away := c.away()
+	holder := c.elector.Current()
+	switch {
+	case holder.VM == c.vm && !away:
+		return true
+	case holder.Addr != "" && holder.VM != c.vm:
+		if r, err := c.greetVM(ctx, VMAddr{VM: holder.VM, Addr: holder.Addr}, away); err == nil && !r.Away {
+			return true
+		}
+	}
+	others := c.directory.Helpers(time.Now())
+	if len(others) == 0 {
+		return false
+	}
+	if to := others[n%len(others)]; to.VM != holder.VM {
+		// Its failure is not told: the next VM is asked soon.
+		_, _ = c.greetVM(ctx, to, away)
+	}
+	return false
+}
+
+// greetVM calls one VM and takes in what it tells.
+func (c *Client) greetVM(ctx context.Context, to VMAddr, away bool) (*helloReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTime)
+	defer cancel()
+	r, err := peer.Call[helloArgs, helloReply](ctx, c.peers, to.Addr, methodHello, &helloArgs{From: VMAddr{VM: c.vm, Addr: c.addr}, Away: away})
+	if err != nil {
+		c.peers.DropSilent(to.Addr, silentAfter)
+		return nil, err
+	}
+	now := time.Now()
+	c.directory.Heard(now, to, r.Away)
+	c.directory.Learn(now, r.VMs)
+	if current := c.elector.Current(); r.Holder.Term > current.Term {
+		c.log.Info("[peers] scheduler learned of", zap.String("holder", r.Holder.VM), zap.Int64("term", r.Holder.Term), zap.String("from", to.VM))
+		c.elector.Learn(r.Holder)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/daemon/internal/cellsched/directory.go
@@ -0,0 +1,90 @@
+package cellsched
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// VMAddr names an entry VM and where its peers reach it.
+type VMAddr struct {
+	VM   string `json:"vm"`
+	Addr string `json:"addr"`
+}
+
+// peerMemory is how long an entry VM stays in the directory after it was last heard
+// of; longer than an outage or a cut usually lasts.
+const peerMemory = 30 * time.Second
+
+// Directory holds the other entry VMs as far as this one knows them. It is safe for
+// concurrent use.
+type Directory struct {
+	self string
+
+	mu    sync.Mutex
+	peers map[string]*knownPeer
+}
+
+type knownPeer struct {
+	addr string
+	// heard is when the VM was last heard of.
+	heard time.Time
+	// away tells whether the VM said that it does not reach the store.
+	away bool
+}
+
+// NewDirectory returns an empty directory of the VM named self.
+func NewDirectory(self string) *Directory {
+	return &Directory{self: self, peers: make(map[string]*knownPeer)}
+}
+
+// Heard records that a VM called, and whether it reaches the store.
+func (d *Directory) Heard(now time.Time, a VMAddr, away bool) {
+	if a.VM == "" || a.VM == d.self || a.Addr == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers[a.VM] = &knownPeer{addr: a.Addr, heard: now, away: away}
+}
+
+// Learn records VMs of which another VM told.
+func (d *Directory) Learn(now time.Time, told []VMAddr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range told {
+		if a.VM == d.self || a.Addr == "" {
+			continue
+		}
+		if p := d.peers[a.VM]; p == nil || p.addr != a.Addr {
+			d.peers[a.VM] = &knownPeer{addr: a.Addr, heard: now}
+		}
+	}
+}
+
+// All returns the VMs heard of lately, by name.
+func (d *Directory) All(now time.Time) []VMAddr {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]VMAddr, 0, len(d.peers))
+	for vm, p := range d.peers {
+		if now.Sub(p.heard) > peerMemory {
+			delete(d.peers, vm)
+			continue
+		}
+		out = append(out, VMAddr{VM: vm, Addr: p.addr})
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].VM < out[k].VM })
+	return out
+}
+
+// Helpers returns the VMs that may reach the store for this one, those that said they
+// do not last.
+func (d *Directory) Helpers(now time.Time) []VMAddr {
+	all := d.All(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	away := func(a VMAddr) bool { p := d.peers[a.VM]; return p != nil && p.away }
+	sort.SliceStable(all, func(i, k int) bool { return !away(all[i]) && away(all[k]) })
+	return all
+}
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -10,11 +10,13 @@
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
 
 // Methods of the scheduler that peers call.
 const (
+	methodHello   = "cell.hello"
 	methodSubmit  = "cell.submit"
 	methodPut     = "cell.put"
 	methodState   = "cell.state"
@@ -54,70 +56,78 @@
 	Given bool       `json:"given"`
 }
 
-type putReply struct {
-	Outcome PutOutcome `json:"outcome"`
-}
-
 type none struct{}
 
-// Register offers the scheduler of this VM to its peers.
-func Register(server *peer.Server, h *Holder) {
-	local := &Client{holder: h}
+// Register offers what this VM does for its peers.
+func Register(server *peer.Server, c *Client) {
 	peer.Handle(server, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*none, error) {
-		return &none{}, local.withLocal(func(s *Scheduler) error { return s.Submit(*a) })
+		return &none{}, c.withLocal(func(s *Scheduler) error { return s.Submit(*a) })
+	})
+	peer.Handle(server, methodHello, func(_ context.Context, _ string, a *helloArgs) (*helloReply, error) {
+		return c.hello(a), nil
 	})
 	peer.Handle(server, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
-		r := &putReply{Outcome: PutNot}
-		return r, local.withLocal(func(s *Scheduler) (err error) {
-			callCtx, cancel := context.WithTimeout(ctx, s.set.storeLimit())
-			r.Outcome, err = Put(callCtx, s.store, *a)
-			cancel()
-			switch r.Outcome {
-			case PutNot:
-				return err
-			case PutOpen:
-				return nil
-			}
-			// The outcome has to reach the caller, which an error would hide; a job that
-			// is not taken up here is found in the store.
-			if submitErr := s.Submit(*a); submitErr != nil {
-				s.log.Info("[sched] job left to the watch", zap.String("job", a.ID), zap.Error(submitErr))
-			}
-			return nil
-		})
+		return c.put(ctx, *a)
 	})
 	peer.Handle(server, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
-		return r, local.withLocal(func(s *Scheduler) error { r.State, r.Known = s.State(a.ID); return nil })
+		return r, c.withLocal(func(s *Scheduler) error { r.State, r.Known = s.State(a.ID); return nil })
 	})
 	peer.Handle(server, methodCancel, func(ctx context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
-		return r, local.withLocal(func(s *Scheduler) (err error) { r.Known, err = s.Cancel(ctx, a.ID); return err })
+		return r, c.withLocal(func(s *Scheduler) (err error) { r.Known, err = s.Cancel(ctx, a.ID); return err })
 	})
 	peer.Handle(server, methodPending, func(_ context.Context, _ string, a *pendingArgs) (*pendingReply, error) {
 		r := &pendingReply{}
-		return r, local.withLocal(func(s *Scheduler) error { r.Count, r.Ready = s.Pending(a.Queue); return nil })
+		return r, c.withLocal(func(s *Scheduler) error { r.Count, r.Ready = s.Pending(a.Queue); return nil })
 	})
 	peer.Handle(server, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
 		r := &adviceReply{}
-		return r, local.withLocal(func(s *Scheduler) error { r.Task, r.Given = s.NextAdvice(ctx, a.VM); return nil })
+		return r, c.withLocal(func(s *Scheduler) error { r.Task, r.Given = s.NextAdvice(ctx, a.VM); return nil })
 	})
 	peer.Handle(server, methodAdvised, func(_ context.Context, _ string, a *AdviceAnswer) (*none, error) {
-		return &none{}, local.withLocal(func(s *Scheduler) error { s.Advised(*a); return nil })
+		return &none{}, c.withLocal(func(s *Scheduler) error { s.Advised(*a); return nil })
 	})
 }
 
-// Client reaches the scheduler of the cell, on this VM or another.
-type Client struct {
-	holder  *Holder
-	elector *election.Elector
-	peers   *peer.Client
-	vm      string
-}
+// silentAfter is how long a connection may bring no reply before it is replaced: a few
+// times as long as a reply usually takes.
+const silentAfter = 600 * time.Millisecond
 
-// NewClient returns a client for the VM named vm.
-func NewClient(vm string, h *Holder, e *election.Elector, peers *peer.Client) *Client {
-	return &Client{holder: h, elector: e, peers: peers, vm: vm}
+// Client reaches the scheduler of the cell, on this VM or another, and the other VMs.
+type Client struct {
+	holder    *Holder
+	elector   *election.Elector
+	peers     *peer.Client
+	directory *Directory
+	store     *platform.Store
+	// vm and addr name this VM.
+	vm, addr string
+	// away reports whether this VM does not reach the store.
+	away func() bool
+	// storeLimit is the time limit for a write to the store.
+	storeLimit func() time.Duration
+	log        *zap.Logger
+}
+
+// ClientParts are what a client is made of.
+type ClientParts struct {
+	Self       VMAddr
+	Holder     *Holder
+	Elector    *election.Elector
+	Peers      *peer.Client
+	Store      *platform.Store
+	Away       func() bool
+	StoreLimit func() time.Duration
+	Log        *zap.Logger
+}
+
+// NewClient returns a client for a VM.
+func NewClient(p ClientParts) *Client {
+	return &Client{
+		holder: p.Holder, elector: p.Elector, peers: p.Peers, directory: NewDirectory(p.Self.VM), store: p.Store,
+		vm: p.Self.VM, addr: p.Self.Addr, away: p.Away, storeLimit: p.StoreLimit, log: p.Log,
+	}
 }
 
 func (c *Client) withLocal(f func(*Scheduler) error) error {
@@ -137,7 +147,7 @@
 	}
 	r, err := peer.Call[A, R](ctx, c.peers, to.Addr, method, args)
 	if errors.Is(err, peer.ErrNoReply) && !errors.Is(ctx.Err(), context.Canceled) {
-		c.peers.Reset(to.Addr)
+		c.peers.DropSilent(to.Addr, silentAfter)
 	}
 	return r, err
 }
@@ -151,18 +161,6 @@
 	return err
 }
 
-// PutThere lets the scheduler's VM store a job, for a VM that does not reach the store.
-func (c *Client) PutThere(ctx context.Context, sub Submission) (PutOutcome, error) {
-	r, err := remote[Submission, putReply](ctx, c, methodPut, &sub)
-	switch {
-	case err == nil:
-		return r.Outcome, nil
-	case errors.Is(err, peer.ErrNoReply):
-		return PutOpen, err
-	}
-	return PutNot, err
-}
-
 // State returns the stored state of a job; false if the scheduler does not know it.
 func (c *Client) State(ctx context.Context, id string) (cell.JobState, bool, error) {
 	if s := c.holder.Current(); s != nil {
--- /dev/null
+++ b/daemon/internal/cellsched/proxy.go
@@ -0,0 +1,77 @@
+package cellsched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/peer"
+)
+
+// ErrNoHelper means that no other VM is known to reach the store.
+var ErrNoHelper = errors.New("no other VM is known to reach the store")
+
+type putReply struct {
+	Outcome PutOutcome `json:"outcome"`
+	// Away tells that the VM asked does not reach the store either.
+	Away bool `json:"away"`
+}
+
+// put stores a job for a VM that does not reach the store.
+func (c *Client) put(ctx context.Context, sub Submission) (*putReply, error) {
+	if c.away() {
+		return &putReply{Outcome: PutNot, Away: true}, nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, c.storeLimit())
+	outcome, err := Put(callCtx, c.store, sub)
+	cancel()
+	c.log.Info("[peers] job stored for another VM", zap.String("job", sub.ID), zap.Int("outcome", int(outcome)), zap.Error(err))
+	if s := c.holder.Current(); s != nil && outcome == PutDone {
+		// A job that is not taken up here is found in the store.
+		if err := s.Submit(sub); err != nil {
+			c.log.Info("[peers] job left to the watch", zap.String("job", sub.ID), zap.Error(err))
+		}
+	}
+	return &putReply{Outcome: outcome}, nil
+}
+
+// helper returns the n-th VM to ask for help: first the scheduler's, then the others.
+func (c *Client) helper(n int) (VMAddr, bool) {
+	var all []VMAddr
+	holder := c.elector.Current()
+	if holder.Addr != "" && holder.VM != c.vm {
+		all = append(all, VMAddr{VM: holder.VM, Addr: holder.Addr})
+	}
+	for _, a := range c.directory.Helpers(time.Now()) {
+		if a.VM != holder.VM {
+			all = append(all, a)
+		}
+	}
+	if len(all) == 0 {
+		return VMAddr{}, false
+	}
+	return all[n%len(all)], true
+}
+
+// PutThere lets another VM store a job, for one that does not reach the store; each n
+// names another VM.
+func (c *Client) PutThere(ctx context.Context, sub Submission, n int) (PutOutcome, error) {
+	to, ok := c.helper(n)
+	if !ok {
+		return PutNot, ErrNoHelper
+	}
+	r, err := peer.Call[Submission, putReply](ctx, c.peers, to.Addr, methodPut, &sub)
+	switch {
+	case err == nil:
+		c.directory.Heard(time.Now(), to, r.Away)
+		return r.Outcome, nil
+	case errors.Is(err, peer.ErrNoReply):
+		c.peers.DropSilent(to.Addr, silentAfter)
+		c.directory.Heard(time.Now(), to, true)
+		return PutOpen, err
+	}
+	c.directory.Heard(time.Now(), to, true)
+	return PutNot, err
+}
--- /dev/null
+++ b/daemon/internal/cellsched/proxy_test.go
@@ -0,0 +1,96 @@
+package cellsched
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/standin/cellstore"
+	"rhubarbstall.example/standin/memnet"
+)
+
+// testVM is an entry VM as its peers see it, with a store in memory.
+type testVM struct {
+	*Client
+	elector *election.Elector
+}
+
+func newTestVM(t *testing.T, network *memnet.Network, name string, away bool) *testVM {
+	store := platform.NewStore(network.Dialer(name), simStore, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := listener.Addr().String()
+	elector := election.New(store, name, addr, nil, func() time.Duration { return 0 }, zap.NewNop())
+	peers := peer.NewClient(name)
+	c := NewClient(ClientParts{
+		Self: VMAddr{VM: name, Addr: addr}, Holder: new(Holder), Elector: elector, Peers: peers, Store: store,
+		Away: func() bool { return away }, StoreLimit: func() time.Duration { return time.Second }, Log: zap.NewNop(),
+	})
+	server := peer.NewServer()
+	Register(server, c)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.CloseConnections()
+		peers.Close()
+		store.Close()
+	})
+	return &testVM{Client: c, elector: elector}
+}
+
+// Guards against a VM that the store refuses, and that knows only a scheduler which the
+// store refuses too: it has to store jobs through any VM that reaches the store, and to
+// learn from it who schedules now.
+func TestVMWithoutStoreIsHelpedByAnyOther(t *testing.T) {
+	network := memnet.New()
+	store := cellstore.New(1)
+	server := &http.Server{Handler: store}
+	go func() { _ = server.Serve(network.Listen(simStore)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	refused := newTestVM(t, network, "refused", true)
+	old := newTestVM(t, network, "old", true)
+	sound := newTestVM(t, network, "sound", false)
+	next := election.Holder{VM: "next", Addr: "127.0.0.1:1", Term: 2}
+	sound.elector.Learn(next)
+	refused.elector.Learn(election.Holder{VM: "old", Addr: old.addr, Term: 1})
+	old.directory.Learn(time.Now(), []VMAddr{{VM: "sound", Addr: sound.addr}})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	// The old scheduler's VM tells of the others; one of them tells of the new one.
+	for n := range 4 {
+		refused.greet(ctx, n)
+	}
+	must.Eq(t, next, refused.elector.Current())
+	must.SliceContains(t, refused.directory.All(time.Now()), VMAddr{VM: "sound", Addr: sound.addr})
+	sub := Submission{ID: "0000000000000001", Value: []byte("x")}
+	outcome := PutNot
+	for n := 0; outcome != PutDone && n < 3; n++ {
+		outcome, _ = refused.PutThere(ctx, sub, n)
+	}
+	must.Eq(t, PutDone, outcome)
+	must.Eq(t, "x", string(store.Value(JobKey(sub.ID))))
+}
+
+// Guards against a VM that goes on calling a scheduler which has been replaced.
+func TestVMLearnsOfNewScheduler(t *testing.T) {
+	network := memnet.New()
+	refused := newTestVM(t, network, "refused", true)
+	sound := newTestVM(t, network, "sound", false)
+	next := election.Holder{VM: "next", Addr: "127.0.0.1:1", Term: 2}
+	sound.elector.Learn(next)
+	refused.elector.Learn(election.Holder{VM: "gone", Addr: "127.0.0.1:1", Term: 1})
+	refused.directory.Learn(time.Now(), []VMAddr{{VM: "sound", Addr: sound.addr}})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	refused.greet(ctx, 0)
+	must.Eq(t, next, refused.elector.Current())
+}
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// forget records that the holder of a term is gone.
+func (e *Elector) forget(term int64) {
+	if e.Current().Term <= term {
+		e.setCurrent(Holder{})
+	}
+}
+
+// Learn takes in what another VM told of the holder; a later term ends one of this VM.
+func (e *Elector) Learn(h Holder) {
+	if h.Term > e.Current().Term {
+		e.setCurrent(h)
+	}
+}
+
 // Run takes part until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/daemon/internal/election/renew.go
+++ b/daemon/internal/election/renew.go
@@ -25,7 +25,7 @@
 	}()
 	<-done
 	e.log.Info("[election] term ends", zap.Int64("term", t.Number))
-	e.setCurrent(Holder{})
+	e.forget(t.Number)
 	e.drop(e.takeLease())
 }
 
@@ -36,6 +36,10 @@
 		if !pause(ctx, renewEvery) {
 			return
 		}
+		if now := e.Current(); now.Term > t.Number {
+			e.log.Warn("[election] another VM tells of a later term", zap.Int64("term", t.Number), zap.Int64("later", now.Term))
+			return
+		}
 		sent := e.clock()
 		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := e.store.Renew(callCtx, e.leaseID())
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -98,7 +98,10 @@
 		}
 		v.holder.Run(ctx, s)
 	}, election.BootClock, log)
-	v.client = cellsched.NewClient(boot.VM, v.holder, v.elector, v.peers)
+	v.client = cellsched.NewClient(cellsched.ClientParts{
+		Self: cellsched.VMAddr{VM: boot.VM, Addr: v.peerAddr()}, Holder: v.holder, Elector: v.elector, Peers: v.peers,
+		Store: v.store, Away: func() bool { return v.health.Away(time.Now()) }, StoreLimit: v.pace.Limit, Log: log,
+	})
 	return v, nil
 }
 
@@ -130,7 +133,7 @@
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(v.ready), ReadHeaderTimeout: headerTimeout}
 	peerServer := peer.NewServer()
-	cellsched.Register(peerServer, v.holder)
+	cellsched.Register(peerServer, v.client)
 	metricsServer := v.metricsServer(metrics)
 	failed := make(chan error, 4)
 	for _, serve := range []func() error{
@@ -152,6 +155,7 @@
 		defer close(elected)
 		v.elector.Run(electCtx)
 	}()
+	v.spawn(func() { v.client.Acquaint(base) })
 	if v.boot.AdvisorAddr != "" {
 		v.spawn(func() { v.client.Ask(base, platform.NewAdvisor(platform.TCP(), v.boot.AdvisorAddr), v.log) })
 	}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -17,6 +17,11 @@
 const (
 	// putTime bounds one try to store a job, so that several fit into a client's patience.
 	putTime = 600 * time.Millisecond
+	// putParts is into how many tries on VMs the client's time is divided.
+	putParts = 3
+	// maxHelpers is how many other VMs are asked to store a job by one that does not
+	// reach the store; if that many fail, the store is probably away for all.
+	maxHelpers = 3
 	// retryPause is kept between tries.
 	retryPause = 60 * time.Millisecond
 	// schedulerTime bounds a call to the scheduler, so that the store can be asked instead.
@@ -66,16 +71,20 @@
 }
 
 // put creates the job's record, and tries again while the outcome is open. A VM
-// that does not reach the store asks the scheduler's VM to store the job.
+// that does not reach the store asks others to store the job. It gives up while the
+// client has time left to try another VM.
 func (j *Jobs) put(ctx context.Context, sub cellsched.Submission) error {
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
+	defer cancel()
 	open := false
 	var err error
-	for try := 0; ; try++ {
+	for try, asked := 0, 0; ; try++ {
 		var outcome cellsched.PutOutcome
 		away := j.health.Away(time.Now())
 		callCtx, cancel := context.WithTimeout(ctx, min(putTime, j.pace.Limit()))
 		if away || try%2 == 1 {
-			outcome, err = j.sched.PutThere(callCtx, sub)
+			outcome, err = j.sched.PutThere(callCtx, sub, asked)
+			asked++
 		} else {
 			outcome, err = cellsched.Put(callCtx, j.store, sub)
 		}
@@ -87,7 +96,7 @@
 			open = true
 		}
 		j.log.Warn("[front] job not stored yet", zap.String("job", sub.ID), zap.Int("try", try), zap.Bool("open", open), zap.Bool("away", away), zap.Error(err))
-		if away && !open {
+		if away && asked >= maxHelpers {
 			break
 		}
 		if !pause(ctx, retryPause) || ctx.Err() != nil {
@@ -97,6 +106,16 @@
 	return notStored(open, err)
 }
 
+// patience returns how long a VM tries to store a job: the part of the client's time
+// that leaves it two tries on other VMs.
+func patience(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return defaultDeadline / putParts
+	}
+	return time.Until(deadline) / putParts
+}
+
 // notStored is the answer to a client whose job could not be stored. If a try may
 // still take effect, the answer must not say that the job does not run.
 func notStored(open bool, cause error) error {
--- a/daemon/internal/peer/client.go
+++ b/daemon/internal/peer/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -111,6 +112,7 @@
 			cn.drop(client)
 			return nil, fmt.Errorf("%w: %w", ErrNoReply, call.Error)
 		}
+		cn.heard.Store(time.Now().UnixNano())
 		return resp, nil
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, ctx.Err())
@@ -128,6 +130,18 @@
 	}
 }
 
+// DropSilent closes the connection to addr if no reply has come over it for the given
+// time: it may have gone silent, while calls that only take long need it.
+func (c *Client) DropSilent(addr string, silent time.Duration) {
+	cn := c.conn(addr)
+	cn.mu.Lock()
+	client := cn.client
+	cn.mu.Unlock()
+	if client != nil && time.Since(time.Unix(0, cn.heard.Load())) > silent {
+		cn.drop(client)
+	}
+}
+
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -158,6 +172,8 @@
 	slots  chan struct{}
 	mu     sync.Mutex
 	client *rpc.Client
+	// heard is when the connection was made or last brought a reply, in Unix ns.
+	heard atomic.Int64
 }
 
 func (cn *conn) get(ctx context.Context) (*rpc.Client, error) {
@@ -171,6 +187,7 @@
 		return nil, err
 	}
 	cn.client = rpc.NewClient(nc)
+	cn.heard.Store(time.Now().UnixNano())
 	return cn.client, nil
 }
 
