Shorten the lease of the scheduler's role to one second

The platform grants 1 s. A renewal that runs into its limit (400 ms, growing while the store is slow) is repeated at once, so that a silent connection does not cost the role.

--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -23,12 +23,15 @@
 	prefix    = "lead/"
 	holderKey = "lead/holder"
 	termKey   = "lead/term"
-	// LeaseTTL bounds the time without a scheduler after its VM is lost. It is several
-	// renewals at a slow store, whose answers take about 300 ms.
-	LeaseTTL   = 1500 * time.Millisecond
-	renewEvery = 300 * time.Millisecond
-	// renewTimeout leaves time for a second try within the lease.
-	renewTimeout = 600 * time.Millisecond
+	// LeaseTTL bounds the time without a scheduler after its VM is lost. It is the
+	// shortest that the platform grants, and covers a renewal at a slow store, whose
+	// answers take about 300 ms.
+	LeaseTTL   = time.Second
+	renewEvery = 250 * time.Millisecond
+	// renewTimeout leaves time for a second try within the lease. It doubles with each
+	// failure in a row, up to maxRenewTimeout, for a store that has turned slow.
+	renewTimeout    = 400 * time.Millisecond
+	maxRenewTimeout = 1600 * time.Millisecond
 	// OutageHold is how long a holder acts without reaching the store: long enough
 	// for a slow store, and short, since a successor has to wait for what it may have
 	// started. Runs outlive it by their leases.
--- a/daemon/internal/election/renew.go
+++ b/daemon/internal/election/renew.go
@@ -29,11 +29,16 @@
 	e.drop(e.takeLease())
 }
 
+// maxFailures bounds the count of failed renewals, past which their limit stays.
+const maxFailures = 4
+
 // renew returns when the term is over.
 func (e *Elector) renew(ctx context.Context, t Term) {
 	lost := false
+	failures := 0
 	for {
-		if !pause(ctx, renewEvery) {
+		// A renewal that ran into its limit is repeated at once.
+		if failures != 1 && !pause(ctx, renewEvery) {
 			return
 		}
 		if now := e.Current(); now.Term > t.Number {
@@ -41,9 +46,17 @@
 			return
 		}
 		sent := e.clock()
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, min(renewTimeout<<failures, maxRenewTimeout))
 		err := e.store.Renew(callCtx, e.leaseID())
 		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			failures = min(failures+1, maxFailures)
+		} else {
+			failures = 0
+		}
 		if platform.StatusOf(err) == http.StatusNotFound {
 			err = e.reclaim(ctx, t)
 			var conflict *platform.ConflictError
