Put work that can still come in time before late work

Cause: groups waited in the order of the time left, so that after a burst or a takeover the work that was late already went first and made the rest late. Only the step itself counted, not the steps behind it, and after a takeover every job counted as new. Change: tiers (in time, doubtful, late, no longer expected) within a priority; the longest chain of steps and the time since acceptance count; a minute past the expected time a group goes first. The order is a file of its own. Repetitions are bounded (a count of a billion filled the memory of the scheduler). With it the states are gathered for 40 ms instead of 20 ms (not measured by itself yet).

--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -17,7 +17,7 @@
 	// and a write for each state, and the guard of the term.
 	statesPerWrite = (platform.MaxTxnEntries - 1) / 2
 	// persistGap gathers changes between the beginnings of two writes.
-	persistGap = 20 * time.Millisecond
+	persistGap = 40 * time.Millisecond
 	// persistLanes writes at a time cover the marks and ends of 60 jobs a second at a
 	// store that takes 300 ms.
 	persistLanes = 4
--- a/daemon/internal/cellsched/records.go
+++ b/daemon/internal/cellsched/records.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
@@ -34,6 +35,20 @@
 type JobHeader struct {
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
+	// AcceptedMS is the Unix time in ms at which the job was accepted, by the clock of
+	// the VM that took it; 0 if unknown.
+	AcceptedMS int64 `json:"accepted_ms,omitempty"`
+}
+
+// maxWaited bounds the time since acceptance against clocks that have jumped.
+const maxWaited = time.Hour
+
+// waited returns how long ago the job was accepted.
+func (h JobHeader) waited(wall time.Time) time.Duration {
+	if h.AcceptedMS == 0 {
+		return 0
+	}
+	return min(max(wall.Sub(time.UnixMilli(h.AcceptedMS)), 0), maxWaited)
 }
 
 // EncodeJob returns the stored form of a job: the header, a newline, the body as
@@ -60,5 +75,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("stored job %s: %w", id, err)
 	}
-	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, Spec: *spec}, nil
+	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, Spec: *spec, Waited: h.waited(time.Now().Round(0))}, nil
 }
--- a/daemon/internal/front/handler.go
+++ b/daemon/internal/front/handler.go
@@ -82,7 +82,7 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		h.submit(ctx, w, r, cfg, route, id)
+		h.submit(ctx, w, r, begin, cfg, route, id)
 	case http.MethodGet:
 		h.state(ctx, w, r, id)
 	case http.MethodDelete:
@@ -101,7 +101,7 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, cfg *routes, route platform.Route, id string) {
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, begin time.Time, cfg *routes, route platform.Route, id string) {
 	limit := cfg.maxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -120,7 +120,7 @@
 		return
 	}
 	q := cfg.queues[route.Queue]
-	if err := h.jobs.Accept(ctx, id, cellsched.JobHeader{Queue: q.Name, Pool: q.Pool}, body); err != nil {
+	if err := h.jobs.Accept(ctx, id, cellsched.JobHeader{Queue: q.Name, Pool: q.Pool, AcceptedMS: begin.UnixMilli()}, body); err != nil {
 		h.problem(w, r, err)
 		return
 	}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -28,8 +28,10 @@
 
 // Cell is the state of the scheduler.
 type Cell struct {
-	cfg     Config
-	took    time.Time
+	cfg  Config
+	took time.Time
+	// rank orders the startable groups; the lowest gets room first.
+	rank    func(g *group, now, wall time.Time) float64
 	queues  map[string]*Queue
 	jobs    map[string]*Job
 	runners map[string]*runner
@@ -48,7 +50,7 @@
 // New returns an empty cell at the time of the takeover.
 func New(now time.Time, cfg Config) *Cell {
 	return &Cell{
-		cfg: cfg, took: now,
+		cfg: cfg, took: now, rank: rankOf,
 		queues:  make(map[string]*Queue),
 		jobs:    make(map[string]*Job),
 		runners: make(map[string]*runner),
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -23,7 +23,9 @@
 	Queue string
 	Pool  string
 	Spec  Spec
-	// Accepted is when this scheduler learned of the job.
+	// Waited is how long before this scheduler learned of it the job was accepted.
+	Waited time.Duration
+	// Accepted is when the job was accepted, on the clock of this scheduler.
 	Accepted time.Time
 
 	state JobState
@@ -32,8 +34,10 @@
 	savedState            JobState
 	started               bool
 	groups                []*group
-	openGroups            int
-	finishedAt            time.Time
+	// tails holds the estimated time from the start of each step to the job's end.
+	tails      []time.Duration
+	openGroups int
+	finishedAt time.Time
 	// writing tells whether a write of the state is under way.
 	writing bool
 }
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -10,7 +10,8 @@
 	if c.jobs[j.ID] != nil {
 		return false
 	}
-	j.Accepted = now
+	j.Accepted = now.Add(-j.Waited)
+	j.tails = j.Spec.tails()
 	j.state, j.savedState = Queued, Queued
 	c.jobs[j.ID] = j
 	q := c.queue(j)
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"sort"
 	"time"
 
 	"rhubarbstall.example/sched/model"
@@ -32,7 +31,7 @@
 	for _, r := range c.order {
 		r.avail = r.free()
 	}
-	c.sortReady(now)
+	c.sortReady(now, wall)
 	keep := c.ready[:0]
 	held := 0
 	for _, g := range c.ready {
@@ -68,22 +67,6 @@
 	return d
 }
 
-// sortReady puts the groups in the order in which they get room.
-func (c *Cell) sortReady(now time.Time) {
-	for _, g := range c.ready {
-		g.rank = g.rankAt(now)
-	}
-	sort.SliceStable(c.ready, func(i, k int) bool { return c.ready[i].rank < c.ready[k].rank })
-}
-
-// rankAt orders groups by priority, then by the time in which they are expected.
-func (g *group) rankAt(now time.Time) float64 {
-	q := g.queue
-	slack := q.TargetLatency.Seconds() + q.SlackFactor*g.spec.Estimate.Seconds()
-	left := slack - now.Sub(g.job.Accepted).Seconds()
-	return float64(q.Priority)*1000 + left
-}
-
 // claim is the room that a task of the group takes.
 func (g *group) claim() model.Resources {
 	size := g.spec.Size
--- /dev/null
+++ b/sched/cell/rank.go
@@ -0,0 +1,108 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// The load pattern that this order answers is a burst that the cell cannot serve in
+// time: with the earliest deadline first, work that is late already would go first and
+// make everything behind it late as well. Work that can still come in time goes before
+// work that is late, and that before work that nobody expects any more.
+
+// tier says what finishing a group now is worth to its caller; lower tiers go first.
+type tier int
+
+const (
+	inTime tier = iota
+	// doubtful work comes in time only if its estimate is too long.
+	doubtful
+	late
+	unexpected
+)
+
+const (
+	// lateFactor times the expected time is when callers have given a job up.
+	lateFactor = 3
+	// estimateError is the part of an estimate that a task may be quicker.
+	estimateError = 0.3
+	// starvation is how long a group may wait behind others of its queue's priority.
+	starvation = time.Minute
+	// priorityWeight and tierWeight keep priorities and tiers apart; both are longer
+	// than any slack in seconds that they order.
+	priorityWeight = 1e9
+	tierWeight     = 1e7
+	maxSlack       = 1e6
+)
+
+// sortReady puts the groups in the order in which they get room.
+func (c *Cell) sortReady(now, wall time.Time) {
+	for _, g := range c.ready {
+		g.rank = c.rank(g, now, wall)
+	}
+	sort.SliceStable(c.ready, func(i, k int) bool { return c.ready[i].rank < c.ready[k].rank })
+}
+
+// rankOf orders groups by priority, then by what they are still worth, then by the
+// time that is left.
+func rankOf(g *group, now, wall time.Time) float64 {
+	t, slack := g.standing(g.age(now, wall))
+	slack = min(max(slack, -maxSlack), maxSlack)
+	return float64(g.queue.Priority)*priorityWeight + float64(t)*tierWeight + slack
+}
+
+// age returns how long the caller has waited for the group's occurrence.
+func (g *group) age(now, wall time.Time) time.Duration {
+	if !g.due.IsZero() {
+		return wall.Sub(g.due)
+	}
+	return now.Sub(g.job.Accepted)
+}
+
+// standing returns the tier of a group and the seconds that are left until it has to
+// start.
+func (g *group) standing(age time.Duration) (tier, float64) {
+	if g.spec.LongRunning {
+		// Its caller misses it in each moment in which it does not run.
+		return inTime, -age.Seconds()
+	}
+	q := g.queue
+	expected := q.TargetLatency + time.Duration(q.SlackFactor*float64(g.job.chain()))
+	rest := g.job.tails[g.step]
+	slack := expected - age - rest
+	if age > expected+starvation {
+		return inTime, slack.Seconds()
+	}
+	quickest := time.Duration(float64(rest) * (1 - estimateError))
+	switch {
+	case slack >= 0:
+		return inTime, slack.Seconds()
+	case age+quickest <= expected:
+		return doubtful, slack.Seconds()
+	case age+quickest <= lateFactor*expected:
+		return late, slack.Seconds()
+	}
+	return unexpected, slack.Seconds()
+}
+
+// chain returns the estimated time of the longest chain of steps.
+func (j *Job) chain() time.Duration {
+	var longest time.Duration
+	for _, t := range j.tails {
+		longest = max(longest, t)
+	}
+	return longest
+}
+
+// tails returns for each step the estimated time from its start to the end of the
+// longest chain of steps that begins with it.
+func (s *Spec) tails() []time.Duration {
+	out := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		out[i] += s.Steps[i].Estimate
+		for _, a := range s.Steps[i].After {
+			out[a] = max(out[a], out[i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/sched/cell/rank_test.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against serving late work first in a burst, which makes all that follows late.
+// The load: one runner for four tasks of 1 s, 40 such tasks at once and 3 more each
+// second, all expected within 2 s. The baseline, earliest deadline first, is run along.
+func TestBurstKeepsNewWorkInTime(t *testing.T) {
+	served := func(rank func(g *group, now, wall time.Time) float64) int {
+		w := newWorld(t, 1)
+		q := Queue{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 1, TargetLatency: time.Second}
+		w.cell.SetQueues([]Queue{q})
+		if rank != nil {
+			w.cell.rank = rank
+		}
+		n, inTime := 0, 0
+		accepted := make(map[string]time.Time)
+		submit := func(count int) {
+			for range count {
+				n++
+				id := fmt.Sprintf("%016x", n)
+				w.add(id, small(1))
+				accepted[id] = w.now
+			}
+		}
+		submit(40)
+		started := make(map[*Run]time.Time)
+		for tick := range 300 {
+			if tick > 0 && tick%10 == 0 && tick < 200 {
+				submit(3)
+			}
+			for run, at := range started {
+				if w.now.Sub(at) >= time.Second {
+					delete(started, run)
+					w.end(run, EndDone)
+					if w.now.Sub(accepted[run.Task.Job]) <= 2*time.Second {
+						inTime++
+					}
+				}
+			}
+			w.cell.OrderSent(w.now, "r0")
+			for _, s := range w.step(100 * time.Millisecond) {
+				started[s.Run] = w.now
+			}
+		}
+		return inTime
+	}
+	baseline := served(func(g *group, now, _ time.Time) float64 { return -now.Sub(g.job.Accepted).Seconds() })
+	got := served(nil)
+	t.Logf("in time: %d, earliest deadline first: %d", got, baseline)
+	// Nine tenths of the 57 tasks that come second by second are to be served in time.
+	must.GreaterEq(t, 51, got)
+	must.Greater(t, baseline, got)
+}
+
+// Guards against counting only a job's next step: a chain has to start in time for all
+// the steps behind it.
+func TestChainCountsForSlack(t *testing.T) {
+	first := small(1)
+	second := small(1)
+	second.After = []int{0}
+	second.Estimate = 5 * time.Second
+	s := Spec{Steps: []Step{first, second}}
+	must.Eq(t, []time.Duration{6 * time.Second, 5 * time.Second}, s.tails())
+}
+
+// Guards against a group that waits for ever behind newer work.
+func TestOldestWorkIsNotStarved(t *testing.T) {
+	g := &group{queue: &Queue{SlackFactor: 1}, spec: &Step{Estimate: time.Second}, job: &Job{tails: []time.Duration{time.Second}}}
+	now, _ := g.standing(0)
+	must.Eq(t, inTime, now)
+	soon, _ := g.standing(2 * time.Second)
+	must.Eq(t, late, soon)
+	later, _ := g.standing(10 * time.Second)
+	must.Eq(t, unexpected, later)
+	last, slack := g.standing(62 * time.Second)
+	must.Eq(t, inTime, last)
+	must.Less(t, 0, slack)
+}
+
+// Guards against a count of repetitions that fills the memory of the scheduler.
+func TestRepetitionsAreBounded(t *testing.T) {
+	s := Spec{Payload: "p", Steps: []Step{small(2)}, Repetitions: 8}
+	must.NoError(t, s.Validate())
+	s.Repetitions = 1 << 30
+	must.ErrorContains(t, s.Validate(), "repetitions")
+}
--- a/sched/cell/spec.go
+++ b/sched/cell/spec.go
@@ -13,6 +13,8 @@
 	MaxTasksPerStep = 4096
 	MaxTasksPerJob  = 8192
 	MaxSpecBytes    = 4000
+	// MaxTasksInAll bounds the tasks of all occurrences together.
+	MaxTasksInAll = 4 * MaxTasksPerJob
 )
 
 // Step is a set of equal tasks of a job.
@@ -83,6 +85,9 @@
 	if total > MaxTasksPerJob {
 		return fmt.Errorf("%d tasks exceed %d", total, MaxTasksPerJob)
 	}
+	if s.Repetitions > MaxTasksInAll/total {
+		return fmt.Errorf("%d repetitions of %d tasks exceed %d tasks", s.Repetitions, total, MaxTasksInAll)
+	}
 	return nil
 }
 
