--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -19,12 +19,15 @@
 	asked map[string]bool
 	// approved holds the runners that may run the group.
 	approved map[string]bool
+	// order lists the approved runners by id.
+	order    []string
 	tickets  map[string]ticket
 	inFlight bool
 	// next is when a failed call may be repeated.
 	next time.Time
-	// fullSince is when the group was first found without room on its approved runners.
-	fullSince time.Time
+	// fullSince is when the group was first found without room on its approved runners,
+	// fullNext when the others are looked at again.
+	fullSince, fullNext time.Time
 }
 
 // AdviceCall asks which of the runners may run a group.
@@ -80,9 +83,29 @@
 	issued := sentAt.Add(min(call.Expected, now.Sub(sentAt)))
 	until := issued.Add(call.group.queue.Advice.Validity - ticketMargin)
 	for _, p := range approvals {
-		a.approved[p.Runner] = true
+		if !a.approved[p.Runner] {
+			a.approved[p.Runner] = true
+			a.order = append(a.order, p.Runner)
+		}
 		a.tickets[p.Runner] = ticket{value: p.Ticket, life: call.lives[p.Runner], until: until}
 	}
+	sort.Strings(a.order)
+}
+
+// mayRunOn returns the runners that may run a group as far as is known, by id. Most
+// groups may use a small part of a large pool, and looking at all runners for each
+// waiting group is what a decision costs most.
+func (c *Cell) mayRunOn(g *group) []*runner {
+	if g.queue.Advice == nil {
+		return c.order
+	}
+	out := make([]*runner, 0, len(g.advice.order))
+	for _, id := range g.advice.order {
+		if r := c.runners[id]; r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // allowed reports whether a group may start on a runner now, and the ticket.
@@ -97,11 +120,6 @@
 	return t.value, true
 }
 
-// hopeful reports whether a group may start on a runner, as far as is known.
-func (g *group) hopeful(r *runner) bool {
-	return g.queue.Advice == nil || g.advice.approved[r.info.ID]
-}
-
 // nameRunners chooses the runners that a first call names: those with the most
 // room, as many as the group may need, since a good part is refused.
 func (c *Cell) nameRunners(now time.Time, g *group) []string {
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -67,8 +67,8 @@
 	if g.spec.Gang {
 		need, perRunner = times*len(g.tasks), len(g.tasks)
 	}
-	for _, r := range c.order {
-		if !r.usable(now) || !g.advice.approved[r.info.ID] || g.avoid[r.info.ID] {
+	for _, r := range c.mayRunOn(g) {
+		if !r.usable(now) || g.avoid[r.info.ID] {
 			continue
 		}
 		room := r.info.Capacity
@@ -91,9 +91,10 @@
 	if a.fullSince.IsZero() {
 		a.fullSince = now
 	}
-	if now.Sub(a.fullSince) < fullPatience {
+	if now.Sub(a.fullSince) < fullPatience || now.Before(a.fullNext) {
 		return false
 	}
+	a.fullNext = now.Add(adviceRetry)
 	for _, r := range c.order {
 		if r.info.Pool == g.job.Pool && r.usable(now) && !a.asked[r.info.ID] && g.fitsEmpty(r) && g.claim().Fits(r.avail) {
 			return true
@@ -105,7 +106,7 @@
 // renewals returns the approved runners for which new tickets would let the group
 // start now.
 func (c *Cell) renewals(now time.Time, g *group) []string {
-	permitted := func(r *runner) bool { return g.advice.approved[r.info.ID] }
+	permitted := func(*runner) bool { return true }
 	var chosen []*runner
 	if g.spec.Gang {
 		if g.waiting < len(g.tasks) {
--- /dev/null
+++ b/sched/cell/bench_test.go
@@ -0,0 +1,118 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// benchCell is a cell that is three quarters full, with a backlog of wide steps that
+// wait for room.
+type benchCell struct {
+	cell    *Cell
+	now     time.Time
+	jobs    int
+	running []*Run
+	ends    map[string]int64
+}
+
+func newBenchCell(b *testing.B, runners, backlog int) *benchCell {
+	now := time.Unix(1000, 0)
+	c := New(now, Config{Lease: 6 * time.Second, OrderTimeout: 500 * time.Millisecond, FirstExecution: 1})
+	q := Queue{
+		Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second,
+		Advice: &AdvicePolicy{Base: 10 * time.Millisecond, Validity: time.Hour},
+	}
+	c.SetQueues([]Queue{q})
+	for i := range runners {
+		id := fmt.Sprintf("r%03d", i)
+		c.SetRunner(now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 64000}, Life: 1})
+		c.Report(now, now, id, Report{Life: 1})
+	}
+	c.Recorded(c.Roster())
+	w := &benchCell{cell: c, now: now, ends: make(map[string]int64)}
+	// Tasks of 8 cores fill three of four places on each runner.
+	for range runners * 3 {
+		w.submit(b, 1, 8000)
+	}
+	for range 20 {
+		w.decide(b)
+	}
+	for range backlog {
+		w.submit(b, 20, 30000)
+	}
+	for range 5 {
+		w.decide(b)
+	}
+	return w
+}
+
+func (w *benchCell) submit(b *testing.B, tasks int, cpu int64) {
+	w.jobs++
+	step := Step{Count: tasks, Size: model.Resources{MilliCPU: cpu, MemoryMB: 100}, Estimate: time.Second}
+	j := &Job{ID: fmt.Sprintf("%016x", w.jobs), Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: []Step{step}}}
+	if !w.cell.AddJob(w.now, j, nil) {
+		b.Fatal("job known")
+	}
+}
+
+// decide decides once and answers at once what that asks for.
+func (w *benchCell) decide(b *testing.B) {
+	w.now = w.now.Add(4 * time.Millisecond)
+	w.cell.Tick(w.now)
+	d := w.cell.Decide(w.now, w.now)
+	for _, call := range d.Advice {
+		var approved []Approval
+		for i, id := range call.Runners {
+			if i%3 == 0 {
+				approved = append(approved, Approval{Runner: id, Ticket: "t"})
+			}
+		}
+		w.cell.Advised(w.now, call, w.now, approved, nil)
+	}
+	for _, s := range d.Starts {
+		w.cell.StartAnswered(w.now, s.Run, StartOK, "")
+		w.running = append(w.running, s.Run)
+	}
+	dirty, err := w.cell.TakeDirty(1 << 20)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, x := range dirty {
+		w.cell.Saved(x)
+	}
+	w.cell.TakeEvents()
+}
+
+// endOldest reports the end of the run that has run longest.
+func (w *benchCell) endOldest() {
+	run := w.running[0]
+	w.running = w.running[1:]
+	w.ends[run.Runner]++
+	rep := Report{Life: 1, Ended: []EndRow{{Number: w.ends[run.Runner], Task: run.Task, Execution: run.Execution, How: EndDone}}}
+	for _, other := range w.cell.runners[run.Runner].runs {
+		if other != run {
+			rep.Running = append(rep.Running, RunningRow{Task: other.Task, Execution: other.Execution})
+		}
+	}
+	w.cell.Report(w.now, w.now, run.Runner, rep)
+}
+
+// BenchmarkJob measures what one short job costs the scheduler, from its arrival over
+// its start to its end, with two decisions.
+func BenchmarkJob(b *testing.B) {
+	for _, size := range []struct{ runners, backlog int }{{48, 0}, {48, 100}, {350, 0}, {350, 300}} {
+		b.Run(fmt.Sprintf("runners=%d/backlog=%d", size.runners, size.backlog), func(b *testing.B) {
+			w := newBenchCell(b, size.runners, size.backlog)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.submit(b, 1, 8000)
+				w.decide(b)
+				w.decide(b)
+				w.endOldest()
+			}
+		})
+	}
+}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -42,6 +42,8 @@
 	dirty map[string]*Job
 	// inheritClear is set once no unknown run of an earlier scheduler can exist.
 	inheritClear bool
+	// nextScan is when Tick looks through the runs again.
+	nextScan time.Time
 	// rosterStale tells whether the store names a runner that was removed.
 	rosterStale bool
 	events      []Event
@@ -168,8 +170,16 @@
 	}
 }
 
+// scanEvery is how often the runs are looked through for what time has changed; it is
+// short against every time limit of a run.
+const scanEvery = 50 * time.Millisecond
+
 // Tick handles everything that follows from the passing of time.
 func (c *Cell) Tick(now time.Time) {
+	if now.Before(c.nextScan) {
+		return
+	}
+	c.nextScan = now.Add(scanEvery)
 	for _, r := range c.order {
 		if now.After(r.leaseBound) && now.Sub(r.lastHeard) > c.cfg.OrderTimeout && (len(r.runs) > 0 || !r.heard) {
 			c.dropRuns(now, r)
--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -72,8 +72,8 @@
 		return false
 	}
 	var cands []*runner
-	for _, r := range c.order {
-		if r.info.Pool == g.job.Pool && r.usable(now) && g.fitsEmpty(r) && g.hopeful(r) && !g.avoid[r.info.ID] {
+	for _, r := range c.mayRunOn(g) {
+		if r.info.Pool == g.job.Pool && r.usable(now) && g.fitsEmpty(r) && !g.avoid[r.info.ID] {
 			cands = append(cands, r)
 		}
 	}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -85,7 +85,7 @@
 // eligible returns the runners on which a task of the group may start now.
 func (c *Cell) eligible(now time.Time, g *group, permitted func(*runner) bool) []*runner {
 	var out []*runner
-	for _, r := range c.order {
+	for _, r := range c.mayRunOn(g) {
 		if r.info.Pool != g.job.Pool || !r.usable(now) || !g.claim().Fits(r.avail) || !g.fitsEmpty(r) {
 			continue
 		}
@@ -115,12 +115,11 @@
 // placeTasks starts waiting tasks of a group one by one, each where it leaves the
 // least room, so that large tasks find room elsewhere.
 func (c *Cell) placeTasks(now time.Time, g *group, d *Decisions) {
-	waiting := g.waitingTasks()
-	if len(waiting) == 0 {
+	cands := c.eligible(now, g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
+	if len(cands) == 0 {
 		return
 	}
-	cands := c.eligible(now, g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
-	for _, index := range waiting {
+	for _, index := range g.waitingTasks() {
 		r := c.bestFit(g, cands)
 		if r == nil {
 			return
