Bound the memory of waiting jobs; drop what ended jobs no longer need

Cause: nothing bounded the jobs that wait. A flood would fill the memory of the scheduler's VM, and of each successor, since all jobs are loaded again. One that was accepted before is not rejected. Ended jobs keep their state only. Ruled out: a limit by count (jobs differ a thousandfold in size).

--- a/daemon/internal/cellsched/acquaint.go
+++ b/daemon/internal/cellsched/acquaint.go
@@ -8,6 +8,7 @@
 
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/sched/cell"
 )
 
 const (
@@ -29,16 +30,23 @@
 	Holder election.Holder `json:"holder"`
 	Away   bool            `json:"away"`
 	VMs    []VMAddr        `json:"vms"`
+	// Load is set by the scheduler's VM only.
+	Load *cell.Load `json:"load,omitempty"`
 }
 
 // hello answers the call of another VM.
 func (c *Client) hello(a *helloArgs) *helloReply {
 	now := time.Now()
 	c.directory.Heard(now, a.From, a.Away)
-	return &helloReply{
+	r := &helloReply{
 		Holder: c.elector.Current(), Away: c.away(),
 		VMs: append(c.directory.All(now), VMAddr{VM: c.vm, Addr: c.addr}),
 	}
+	if s := c.holder.Current(); s != nil {
+		load := s.Load(now)
+		r.Load = &load
+	}
+	return r
 }
 
 // Acquaint keeps the directory up to date until the context ends. A VM that does not
@@ -89,6 +97,9 @@
 	now := time.Now()
 	c.directory.Heard(now, to, r.Away)
 	c.directory.Learn(now, r.VMs)
+	if r.Load != nil {
+		c.load.Store(&loadReading{*r.Load, now})
+	}
 	if current := c.elector.Current(); r.Holder.Term > current.Term {
 		c.log.Info("[peers] scheduler learned of", zap.String("holder", r.Holder.VM), zap.Int64("term", r.Holder.Term), zap.String("from", to.VM))
 		c.elector.Learn(r.Holder)
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,6 +109,10 @@
 	// storeLimit is the time limit for a write to the store.
 	storeLimit func() time.Duration
 	log        *zap.Logger
+	// jobMemory is the memory in bytes that known jobs may take; 0 for no limit.
+	jobMemory int64
+	// load is the last reading of the load of another VM's scheduler.
+	load atomic.Pointer[loadReading]
 }
 
 // ClientParts are what a client is made of.
@@ -119,14 +124,16 @@
 	Store      *platform.Store
 	Away       func() bool
 	StoreLimit func() time.Duration
-	Log        *zap.Logger
+	// JobMemory is the memory in bytes that known jobs may take; 0 for no limit.
+	JobMemory int64
+	Log       *zap.Logger
 }
 
 // NewClient returns a client for a VM.
 func NewClient(p ClientParts) *Client {
 	return &Client{
 		holder: p.Holder, elector: p.Elector, peers: p.Peers, directory: NewDirectory(p.Self.VM), store: p.Store,
-		vm: p.Self.VM, addr: p.Self.Addr, away: p.Away, storeLimit: p.StoreLimit, log: p.Log,
+		vm: p.Self.VM, addr: p.Self.Addr, away: p.Away, storeLimit: p.StoreLimit, log: p.Log, jobMemory: p.JobMemory,
 	}
 }
 
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -100,7 +100,7 @@
 	}, election.BootClock, log)
 	v.client = cellsched.NewClient(cellsched.ClientParts{
 		Self: cellsched.VMAddr{VM: boot.VM, Addr: v.peerAddr()}, Holder: v.holder, Elector: v.elector, Peers: v.peers,
-		Store: v.store, Away: func() bool { return v.health.Away(time.Now()) }, StoreLimit: v.pace.Limit, Log: log,
+		Store: v.store, Away: func() bool { return v.health.Away(time.Now()) }, StoreLimit: v.pace.Limit, Log: log, JobMemory: cellsched.JobMemory(boot.MemoryMB),
 	})
 	return v, nil
 }
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -54,6 +54,13 @@
 	if err != nil {
 		return codes.Internal.Errorf("job not encoded: %w", err)
 	}
+	if ok, wait := j.sched.Admits(time.Now()); !ok {
+		// A job that was accepted before must not be told that it never runs.
+		if j.exists(ctx, id) == nil {
+			return nil
+		}
+		return codes.QueueFull.With("the cell has more jobs waiting than it can keep", codes.RetryAfter(wait))
+	}
 	sub := cellsched.Submission{ID: id, Value: value}
 	if err := j.put(ctx, sub); err != nil {
 		return err
--- /dev/null
+++ b/sched/cell/admit.go
@@ -0,0 +1,96 @@
+package cell
+
+import "time"
+
+// The load pattern that these rules answer is a flood of jobs far beyond what the cell
+// serves: the records of the waiting jobs would fill the scheduler's memory, and that of
+// each successor after it.
+
+const (
+	// jobBytes and taskBytes are what a known job and each of its tasks take in memory
+	// beside the payload; see BenchmarkKnownTasks.
+	jobBytes  = 1200
+	taskBytes = 180
+	// rateWindow is the time over which the rate of finished jobs is taken.
+	rateWindow = 5 * time.Second
+	// minReturn and maxReturn bound the time after which a rejected caller is to return.
+	minReturn = time.Second
+	maxReturn = 30 * time.Second
+)
+
+// Load is what the scheduler knows and serves.
+type Load struct {
+	// Open is the number of jobs that have not ended.
+	Open int `json:"open"`
+	// Bytes is the memory for all known jobs.
+	Bytes int64 `json:"bytes"`
+	// EndedPerSecond is the recent rate of finished jobs.
+	EndedPerSecond float64 `json:"ended_per_second"`
+}
+
+// Admits reports whether a further job may be accepted under a limit in bytes; if not,
+// after what time a caller should return. A rejected job has not run and will not.
+func (l Load) Admits(limit int64) (bool, time.Duration) {
+	if limit <= 0 || l.Bytes < limit {
+		return true, 0
+	}
+	excess := float64(l.Bytes-limit) / float64(l.Bytes) * float64(l.Open)
+	if l.EndedPerSecond <= 0 {
+		return false, maxReturn
+	}
+	wait := time.Duration(excess / l.EndedPerSecond * float64(time.Second))
+	return false, min(max(wait, minReturn), maxReturn)
+}
+
+// Load returns the present load.
+func (c *Cell) Load(now time.Time) Load {
+	c.finished.advance(now)
+	return Load{Open: c.open, Bytes: c.bytes, EndedPerSecond: c.finished.perSecond()}
+}
+
+// weight returns the memory for a job.
+func (j *Job) weight() int64 {
+	tasks := 0
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].Count
+	}
+	return jobBytes + int64(len(j.Spec.Payload)) + int64(tasks*j.Spec.Occurrences())*taskBytes
+}
+
+// shrink drops what a job no longer needs once its final state is stored; only its state
+// is told from then on.
+func (c *Cell) shrink(j *Job) {
+	for _, g := range j.groups {
+		g.tasks = nil
+	}
+	j.Spec.Payload = ""
+	c.bytes -= j.bytes - jobBytes
+	j.bytes = jobBytes
+}
+
+// endRate counts finished jobs in two halves of a window.
+type endRate struct {
+	begin     time.Time
+	now, last int
+}
+
+func (e *endRate) advance(now time.Time) {
+	const half = rateWindow / 2
+	for now.Sub(e.begin) >= half {
+		e.last, e.now = e.now, 0
+		e.begin = e.begin.Add(half)
+		if now.Sub(e.begin) >= rateWindow {
+			e.begin, e.last = now, 0
+		}
+	}
+}
+
+func (e *endRate) add(now time.Time) {
+	e.advance(now)
+	e.now++
+}
+
+// perSecond returns the higher of the rates of the last full half and of the present one.
+func (e *endRate) perSecond() float64 {
+	return float64(max(e.last, e.now)) / (rateWindow / 2).Seconds()
+}
--- /dev/null
+++ b/sched/cell/admit_test.go
@@ -0,0 +1,78 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a flood whose records fill the memory of the scheduler and of each
+// successor. The load: jobs of two tasks come ten times as fast as they are served. The
+// baseline, which accepts all, is run along.
+func TestFloodIsBounded(t *testing.T) {
+	const limit = 200_000
+	flood := func(admission bool) (known int64, rejected int, wait time.Duration) {
+		w := newWorld(t, 1)
+		w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+		n := 0
+		var running []*Run
+		for range 100 {
+			for range 20 {
+				ok, after := w.cell.Load(w.now).Admits(limit)
+				if admission && !ok {
+					rejected++
+					wait = after
+					continue
+				}
+				n++
+				w.add(fmt.Sprintf("%016x", n), small(2))
+			}
+			w.cell.OrderSent(w.now, "r0")
+			for _, run := range running {
+				w.end(run, EndDone)
+			}
+			running = nil
+			for _, s := range w.step(time.Second) {
+				running = append(running, s.Run)
+			}
+		}
+		return w.cell.Load(w.now).Bytes, rejected, wait
+	}
+	all, _, _ := flood(false)
+	known, rejected, wait := flood(true)
+	t.Logf("bytes known: %d, without admission %d; %d rejected, last to return after %s", known, all, rejected, wait)
+	must.LessEq(t, limit+2*jobBytes, known)
+	must.Greater(t, limit, all)
+	must.Positive(t, rejected)
+	must.Between(t, minReturn, wait, maxReturn)
+}
+
+// Guards against a job that keeps the memory of its tasks for as long as its state is
+// told, and against a crash when a late report still names it.
+func TestEndedJobKeepsItsStateOnly(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	j := w.add("0000000000000001", small(2))
+	starts := w.until(time.Second)
+	must.Len(t, 2, starts)
+	before := w.cell.Load(w.now)
+	must.Eq(t, 1, before.Open)
+	must.True(t, w.cell.Cancel(w.now, j.ID))
+	w.write()
+	after := w.cell.Load(w.now)
+	must.Eq(t, 0, after.Open)
+	must.Less(t, before.Bytes, after.Bytes)
+	// The runner still lists one run, has ended the other, and knows a third.
+	w.report("r0", Report{Life: 1, Running: []RunningRow{
+		{Task: starts[0].Run.Task, Execution: starts[0].Run.Execution, Checkpoint: "c"},
+		{Task: TaskRef{Job: j.ID, Index: 1}, Execution: 77},
+	}, Ended: []EndRow{{Number: 1, Task: starts[1].Run.Task, Execution: starts[1].Run.Execution, How: EndStopped}}})
+	w.step(100 * time.Millisecond)
+	w.report("r0", Report{Life: 1})
+	w.step(10 * time.Second)
+	must.Eq(t, Cancelled, j.SavedState())
+	w.cell.RemoveJob(j.ID)
+	must.Eq(t, 0, w.cell.Load(w.now).Bytes)
+}
--- a/sched/cell/bench_test.go
+++ b/sched/cell/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -116,3 +117,29 @@
 		})
 	}
 }
+
+// BenchmarkKnownTasks measures the memory that the scheduler needs for each task that
+// it knows, in jobs of two steps.
+func BenchmarkKnownTasks(b *testing.B) {
+	const jobs, tasks = 12_500, 10
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := New(time.Unix(1000, 0), Config{})
+		c.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 3}})
+		payload := make([]byte, 200)
+		for i := range jobs {
+			first := Step{Count: tasks, Size: model.Resources{MilliCPU: 1000}, Estimate: time.Second}
+			second := first
+			second.After = []int{0}
+			j := &Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Pool: "pool", Spec: Spec{Payload: string(payload), Steps: []Step{first, second}}}
+			c.AddJob(time.Unix(1000, 0), j, nil)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/jobs/tasks/2, "B/task")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/jobs, "B/job")
+		runtime.KeepAlive(c)
+	}
+}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -42,6 +42,10 @@
 	dirty map[string]*Job
 	// inheritClear is set once no unknown run of an earlier scheduler can exist.
 	inheritClear bool
+	// open counts the jobs that have not ended, bytes the memory for all known ones.
+	open     int
+	bytes    int64
+	finished endRate
 	// nextScan is when Tick looks through the runs again.
 	nextScan time.Time
 	// rosterStale tells whether the store names a runner that was removed.
--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -132,6 +132,10 @@
 	if run == nil {
 		return
 	}
+	if len(g.tasks) == 0 {
+		// The job has ended and is stored.
+		return
+	}
 	t := &g.tasks[index]
 	for i, x := range t.live {
 		if x == run {
@@ -166,5 +170,7 @@
 		g.gangCheckpoint = checkpoint
 		return
 	}
-	g.tasks[index].checkpoint = checkpoint
+	if len(g.tasks) > 0 {
+		g.tasks[index].checkpoint = checkpoint
+	}
 }
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -37,6 +37,8 @@
 	// tails holds the estimated time from the start of each step to the job's end.
 	tails      []time.Duration
 	openGroups int
+	// bytes is the memory that is counted for the job.
+	bytes      int64
 	finishedAt time.Time
 	// writing tells whether a write of the state is under way.
 	writing bool
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -14,6 +14,8 @@
 	j.tails = j.Spec.tails()
 	j.state, j.savedState = Queued, Queued
 	c.jobs[j.ID] = j
+	j.bytes = j.weight()
+	c.bytes += j.bytes
 	q := c.queue(j)
 	steps := len(j.Spec.Steps)
 	for k := range j.Spec.Occurrences() {
@@ -39,8 +41,10 @@
 	}
 	if j.state.Final() {
 		j.finishedAt = now
+		c.shrink(j)
 		return true
 	}
+	c.open++
 	for _, g := range j.groups {
 		c.enlist(now, g)
 	}
@@ -90,6 +94,8 @@
 func (c *Cell) finish(now time.Time, j *Job, state JobState) {
 	j.state = state
 	j.finishedAt = now
+	c.open--
+	c.finished.add(now)
 	c.markDirty(j)
 	c.event(Event{Kind: JobFinished, Task: TaskRef{Job: j.ID}, Detail: string(state), Age: now.Sub(j.Accepted)})
 	for _, g := range j.groups {
@@ -147,6 +153,10 @@
 // RemoveJob forgets a job.
 func (c *Cell) RemoveJob(id string) {
 	if j := c.jobs[id]; j != nil {
+		if !j.state.Final() {
+			c.open--
+		}
+		c.bytes -= j.bytes
 		j.state = Cancelled
 		delete(c.jobs, id)
 		delete(c.dirty, id)
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -122,7 +122,7 @@
 	if j != nil {
 		g = j.group(row.Task.Occurrence, row.Task.Step)
 	}
-	known := g != nil && row.Task.Index < len(g.tasks)
+	known := g != nil && row.Task.Index < g.spec.Count
 	// A run of unknown size may fill its runner.
 	run.claimed = r.info.Capacity
 	if known {
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -82,6 +82,9 @@
 	if d.Version > j.savedVersion {
 		j.savedVersion = d.Version
 		j.savedState = d.State
+		if d.State.Final() {
+			c.shrink(j)
+		}
 	}
 }
 
