--- a/daemon/internal/cellsched/acquaint.go
+++ b/daemon/internal/cellsched/acquaint.go
@@ -8,6 +8,7 @@
 
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/sched/cell"
 )
 
@@ -53,11 +54,11 @@
 // reach the store learns of a new scheduler in this way only.
 func (c *Client) Acquaint(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		wait := helloEvery
+		gap := helloEvery
 		if !c.greet(ctx, n) {
-			wait = searchEvery
+			gap = searchEvery
 		}
-		pause(ctx, wait)
+		wait.For(ctx, gap)
 	}
 }
 
--- a/daemon/internal/cellsched/asker.go
+++ b/daemon/internal/cellsched/asker.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 )
 
@@ -18,7 +19,7 @@
 	for ctx.Err() == nil {
 		task, ok, err := c.nextAdvice(ctx)
 		if err != nil {
-			pause(ctx, askPause)
+			wait.For(ctx, askPause)
 			continue
 		}
 		if !ok {
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -98,7 +99,7 @@
 			return items, at, true
 		}
 		s.log.Warn("[sched] listing failed", zap.String("prefix", prefix), zap.Error(err))
-		if !pause(s.ctx, retryPause) {
+		if !wait.For(s.ctx, retryPause) {
 			return nil, 0, false
 		}
 	}
@@ -117,7 +118,7 @@
 			if len(items) > 0 {
 				apply(items, false)
 			}
-			pause(s.ctx, watchGap)
+			wait.For(s.ctx, watchGap)
 		case platform.StatusOf(err) == http.StatusGone:
 			s.log.Warn("[sched] history dropped; listing again", zap.String("prefix", prefix))
 			all, from, ok := s.list(prefix)
@@ -130,7 +131,7 @@
 			if s.ctx.Err() == nil {
 				s.log.Warn("[sched] watch failed", zap.String("prefix", prefix), zap.Error(err))
 			}
-			pause(s.ctx, retryPause)
+			wait.For(s.ctx, retryPause)
 		}
 	}
 }
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -38,7 +39,7 @@
 			return
 		case <-s.dirty:
 		}
-		if !pause(s.ctx, s.writes.wait(time.Now())) {
+		if !wait.For(s.ctx, s.writes.wait(time.Now())) {
 			return
 		}
 		s.persist(s.ctx)
@@ -115,13 +116,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	for s.persist(ctx) && ctx.Err() == nil {
-		pause(ctx, time.Millisecond)
+		wait.For(ctx, time.Millisecond)
 	}
 }
 
 // sweepLoop removes jobs whose states no longer need to be told.
 func (s *Scheduler) sweepLoop() {
-	for pause(s.ctx, sweepEvery) {
+	for wait.For(s.ctx, sweepEvery) {
 		for s.sweep() {
 		}
 	}
--- a/daemon/internal/cellsched/roster.go
+++ b/daemon/internal/cellsched/roster.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -27,7 +28,7 @@
 			return true
 		}
 		s.log.Warn("[sched] roster not read", zap.Error(err))
-		if !pause(s.ctx, retryPause) {
+		if !wait.For(s.ctx, retryPause) {
 			return false
 		}
 	}
@@ -61,7 +62,7 @@
 			return
 		case <-s.unrecorded:
 		}
-		for s.recordRoster(s.ctx) && pause(s.ctx, persistGap) {
+		for s.recordRoster(s.ctx) && wait.For(s.ctx, persistGap) {
 		}
 	}
 }
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -92,7 +93,7 @@
 func (l *runnerLoop) run() {
 	for l.s.ctx.Err() == nil {
 		if !l.s.term.Valid() {
-			pause(l.s.ctx, holdPause)
+			wait.For(l.s.ctx, holdPause)
 			continue
 		}
 		if l.gone() {
@@ -203,7 +204,7 @@
 		s.cell.Unreachable(l.id)
 	}
 	s.mu.Unlock()
-	pause(s.ctx, holdPause)
+	wait.For(s.ctx, holdPause)
 }
 
 // checkFence ends the term if a runner has seen a later one.
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -169,7 +170,7 @@
 		case <-tick.C:
 		}
 		s.decide()
-		if !pause(s.ctx, decideGap) {
+		if !wait.For(s.ctx, decideGap) {
 			return
 		}
 	}
@@ -201,14 +202,3 @@
 		signal(s.dirty)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 )
 
@@ -125,7 +126,7 @@
 	for ctx.Err() == nil {
 		if err := e.round(ctx); err != nil && ctx.Err() == nil {
 			e.log.Warn("[election] store not reached", zap.Error(err))
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -138,10 +139,10 @@
 	}
 	if holder.VM == "" {
 		if e.isResigned() {
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 			return nil
 		}
-		pause(ctx, rand.N(maxJitter))
+		wait.For(ctx, rand.N(maxJitter))
 		return e.campaign(ctx, term)
 	}
 	e.setCurrent(holder)
@@ -288,15 +289,3 @@
 		e.log.Debug("[election] lease left to lapse", zap.Int64("lease", lease), zap.Error(err))
 	}
 }
-
-// pause waits; it reports false if the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/internal/election/renew.go
+++ b/daemon/internal/election/renew.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 )
 
@@ -38,7 +40,7 @@
 	failures := 0
 	for {
 		// A renewal that ran into its limit is repeated at once.
-		if failures != 1 && !pause(ctx, renewEvery) {
+		if failures != 1 && !wait.For(ctx, renewEvery) {
 			return
 		}
 		if now := e.Current(); now.Term > t.Number {
--- a/daemon/internal/entryvm/configwatch.go
+++ b/daemon/internal/entryvm/configwatch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 )
 
@@ -32,7 +33,7 @@
 			if platform.StatusOf(err) != http.StatusGone {
 				log.Warn("[config] store not reached", zap.Error(err))
 			}
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -72,14 +73,3 @@
 		apply(c)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -18,6 +18,7 @@
 	"rhubarbstall.example/daemon/internal/front"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/daemon/internal/storehealth"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 )
 
@@ -193,7 +194,7 @@
 	server.SetKeepAlivesEnabled(false)
 	limit, cancel := context.WithDeadline(context.Background(), begin.Add(v.settings.Load().Grace-exitReserve))
 	defer cancel()
-	pause(limit, rotationTime)
+	wait.For(limit, rotationTime)
 	if err := server.Shutdown(limit); err != nil {
 		v.log.Warn("[vm] requests in progress were given up", zap.Error(err))
 	}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -10,6 +10,7 @@
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/cellsched"
 	"rhubarbstall.example/daemon/internal/storehealth"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -106,7 +107,7 @@
 		if away && asked >= maxHelpers {
 			break
 		}
-		if !pause(ctx, retryPause) || ctx.Err() != nil {
+		if !wait.For(ctx, retryPause) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -183,7 +184,7 @@
 		if err == nil || platform.StatusOf(err) == http.StatusNotFound {
 			return item, err
 		}
-		if !pause(ctx, retryPause) || ctx.Err() != nil {
+		if !wait.For(ctx, retryPause) || ctx.Err() != nil {
 			return item, err
 		}
 	}
@@ -208,7 +209,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, retryPause) || ctx.Err() != nil {
+		if !wait.For(ctx, retryPause) || ctx.Err() != nil {
 			return codes.OutcomeUnknown.Errorf("the store did not tell whether it has the cancel: %v", err)
 		}
 	}
@@ -223,19 +224,8 @@
 		if err == nil {
 			return n, nil
 		}
-		if !pause(ctx, retryPause) || ctx.Err() != nil {
+		if !wait.For(ctx, retryPause) || ctx.Err() != nil {
 			return 0, codes.NoZoneScheduler.With("the scheduler cannot be reached", codes.RetryAfter(time.Second))
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/internal/jobs/clients_test.go
+++ b/daemon/internal/jobs/clients_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/standin/history"
 )
 
@@ -64,7 +65,7 @@
 		} else if sp.IdempotencyKey == "" {
 			return
 		}
-		if !sleep(ctx, c.s.random(3*time.Second)) {
+		if !wait.For(ctx, c.s.random(3*time.Second)) {
 			return
 		}
 	}
@@ -108,7 +109,7 @@
 			c.mu.Unlock()
 			return
 		}
-		if !sleep(ctx, c.s.random(2*time.Second)) {
+		if !wait.For(ctx, c.s.random(2*time.Second)) {
 			return
 		}
 	}
--- a/daemon/internal/jobs/commit.go
+++ b/daemon/internal/jobs/commit.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbstall.example/daemon/internal/platform"
+	"rhubarbstall.example/daemon/internal/wait"
 )
 
 const (
@@ -32,9 +33,9 @@
 	limiter := rate.NewLimiter(writesPerSecond, 1)
 	slots := make(chan struct{}, maxWritesInFlight)
 	for {
-		s, wait := g.next(time.Now())
+		s, delay := g.next(time.Now())
 		if s == nil {
-			t := time.NewTimer(wait)
+			t := time.NewTimer(delay)
 			select {
 			case <-ctx.Done():
 				t.Stop()
@@ -61,7 +62,7 @@
 		go func() {
 			defer func() { <-slots }()
 			if !g.write(ctx, s) {
-				sleep(ctx, outageDelay)
+				wait.For(ctx, outageDelay)
 			}
 			g.release(s)
 			g.kick()
@@ -256,14 +257,3 @@
 		w.done(errLost)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/internal/jobs/fakestore_test.go
+++ b/daemon/internal/jobs/fakestore_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rhubarbstall.example/daemon/internal/platform"
+	"rhubarbstall.example/daemon/internal/wait"
 	wire "rhubarbstall.example/wire/platform"
 )
 
@@ -75,8 +76,8 @@
 	s.calls[op]++
 	d := time.Duration(s.rng.Int64N(int64(2*s.delay) + 1))
 	s.mu.Unlock()
-	if !sleep(ctx, d) || s.n.cutFrom("platform") {
-		sleep(ctx, 300*time.Millisecond)
+	if !wait.For(ctx, d) || s.n.cutFrom("platform") {
+		wait.For(ctx, 300*time.Millisecond)
 		return platform.ErrUnavailable
 	}
 	s.mu.Lock()
--- a/daemon/internal/jobs/faults_test.go
+++ b/daemon/internal/jobs/faults_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/standin/check"
 	"rhubarbstall.example/standin/history"
 	wire "rhubarbstall.example/wire/worker"
@@ -26,7 +27,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			sleep(ctx, d)
+			wait.For(ctx, d)
 			f()
 		}()
 	}
@@ -134,7 +135,7 @@
 	for i := range 60 {
 		c.wg.Add(1)
 		go c.submit(s.ctx, i)
-		sleep(s.ctx, s.random(3*time.Second))
+		wait.For(s.ctx, s.random(3*time.Second))
 		if i%5 == 4 {
 			c.wg.Add(1)
 			go c.cancel(s.ctx)
--- a/daemon/internal/jobs/simnode_test.go
+++ b/daemon/internal/jobs/simnode_test.go
@@ -9,6 +9,7 @@
 	"rhubarbstall.example/daemon/internal/dispatch"
 	"rhubarbstall.example/daemon/internal/membership"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/sched/engine"
 	"rhubarbstall.example/sched/model"
 	"rhubarbstall.example/settings"
@@ -196,7 +197,7 @@
 			<-ctx.Done()
 			return zero, dispatch.ErrNoReply
 		}
-		sleep(ctx, s.random(4*time.Millisecond))
+		wait.For(ctx, s.random(4*time.Millisecond))
 		if a.refusal != nil {
 			return zero, &dispatch.RefusedError{Refusal: *a.refusal}
 		}
--- a/daemon/internal/jobs/term.go
+++ b/daemon/internal/jobs/term.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/daemon/internal/dispatch"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/daemon/internal/zonelead"
 	"rhubarbstall.example/sched/model"
 )
@@ -72,7 +73,7 @@
 		return
 	}
 	for !s.load(ctx, t) {
-		if !sleep(ctx, loadRetry) {
+		if !wait.For(ctx, loadRetry) {
 			return
 		}
 	}
@@ -84,7 +85,7 @@
 	defer func() { <-written }()
 	close(t.loaded)
 	for !t.loop.Ready() {
-		if !sleep(ctx, readyPoll) {
+		if !wait.For(ctx, readyPoll) {
 			return
 		}
 	}
@@ -93,7 +94,7 @@
 	}
 	s.recover(t)
 	s.metrics.recovery.Record(ctx, time.Since(t.campaign.HeldAt()).Seconds())
-	for sleep(ctx, sweepPeriod) {
+	for wait.For(ctx, sweepPeriod) {
 		for _, id := range t.ledger.sweep(time.Now(), t.loop.Active) {
 			t.loop.RemoveJob(id)
 		}
--- a/daemon/internal/settingsync/follow.go
+++ b/daemon/internal/settingsync/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/daemon/internal/membership"
+	"rhubarbstall.example/daemon/internal/wait"
 )
 
 // followInterval is how often the revisions in the heartbeats are compared. The
@@ -17,7 +18,7 @@
 
 // followPeers pulls the settings from a peer that reports a higher revision.
 func (s *Syncer) followPeers(ctx context.Context) error {
-	for sleep(ctx, followInterval) {
+	for wait.For(ctx, followInterval) {
 		if s.Ready() {
 			s.catchUp(ctx)
 		}
@@ -67,15 +68,3 @@
 	}
 	return 1
 }
-
-// sleep waits for d; false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/internal/settingsync/startup.go
+++ b/daemon/internal/settingsync/startup.go
@@ -10,6 +10,7 @@
 
 	"rhubarbstall.example/daemon/internal/membership"
 	"rhubarbstall.example/daemon/internal/platform"
+	"rhubarbstall.example/daemon/internal/wait"
 )
 
 // startUpInterval is the time between two rounds of questions at the start.
@@ -24,7 +25,7 @@
 		if s.startUpRound(ctx, time.Since(begin) >= s.cfg.StartupWait) {
 			return nil
 		}
-		sleep(ctx, startUpInterval)
+		wait.For(ctx, startUpInterval)
 	}
 	return nil
 }
--- a/daemon/internal/settingsync/watch.go
+++ b/daemon/internal/settingsync/watch.go
@@ -11,6 +11,7 @@
 	"rhubarbstall.example/daemon/internal/membership"
 	"rhubarbstall.example/daemon/internal/platform"
 	"rhubarbstall.example/daemon/internal/rendezvous"
+	"rhubarbstall.example/daemon/internal/wait"
 	wire "rhubarbstall.example/wire/platform"
 )
 
@@ -45,7 +46,7 @@
 	backoff := roleInterval
 	for ctx.Err() == nil {
 		if !s.Ready() || !s.holdsWatch() {
-			sleep(ctx, roleInterval)
+			wait.For(ctx, roleInterval)
 			continue
 		}
 		started := time.Now()
@@ -55,12 +56,12 @@
 			if time.Since(started) > maxWatchBackoff*2 {
 				backoff = roleInterval
 			}
-			sleep(ctx, backoff)
+			wait.For(ctx, backoff)
 			backoff = min(2*backoff, maxWatchBackoff)
 			continue
 		}
 		// Bounds the calls to a platform that keeps forgetting its history.
-		sleep(ctx, roleInterval)
+		wait.For(ctx, roleInterval)
 	}
 	return nil
 }
@@ -90,7 +91,7 @@
 		}
 		if len(resp.Events) == 0 && time.Since(started) < watchWait/2 {
 			// Bounds the calls to a platform that answers before the wait is over.
-			sleep(ctx, roleInterval)
+			wait.For(ctx, roleInterval)
 		}
 	}
 	return nil
@@ -135,7 +136,7 @@
 // pollPlatform reads the record now and then, which repairs what watches and
 // peers missed.
 func (s *Syncer) pollPlatform(ctx context.Context) error {
-	for sleep(ctx, pollInterval/2+rand.N(pollInterval)) {
+	for wait.For(ctx, pollInterval/2+rand.N(pollInterval)) {
 		if _, err := s.read(ctx); err != nil && !errors.Is(err, platform.ErrNotFound) && ctx.Err() == nil {
 			s.metrics.countError("read")
 		}
--- a/daemon/internal/settingsync/write.go
+++ b/daemon/internal/settingsync/write.go
@@ -10,6 +10,7 @@
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/platform"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/settings"
 	wire "rhubarbstall.example/wire/platform"
 )
@@ -58,7 +59,7 @@
 				return Result{}, err
 			}
 		}
-		if !sleep(ctx, delay) {
+		if !wait.For(ctx, delay) {
 			return Result{}, w.gaveUp(ctx)
 		}
 		delay = min(2*delay, maxSettleInterval)
