Let operators ask any VM of a cell what a job waits for

Cause: why a job waits, which runners are used and who schedules could only be read from logs afterwards; a settings file of the platform was checked at the start only. Ruled out: a second interface of its own; the command line works unchanged.

--- a/daemon/cmd/rhubarbstalld/root.go
+++ b/daemon/cmd/rhubarbstalld/root.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"rhubarbstall.example/daemon/internal/config"
+	"rhubarbstall.example/platform"
 )
 
 func rootCommand() *cobra.Command {
@@ -21,12 +22,15 @@
 }
 
 func checkCommand() *cobra.Command {
-	var path string
+	var path, cell string
 	cmd := &cobra.Command{
 		Use:   "check",
 		Short: "Check a settings file without starting",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cell != "" {
+				return checkCell(cmd, cell)
+			}
 			cfg, err := config.Load(path)
 			if err != nil {
 				return err
@@ -35,10 +39,24 @@
 			return nil
 		},
 	}
-	configFlag(cmd, &path)
+	cmd.Flags().StringVar(&path, configFlagName, "", configFlagUsage)
+	cmd.Flags().StringVar(&cell, "cell", "", "settings file in the format of the users' platform")
+	cmd.MarkFlagsOneRequired(configFlagName, "cell")
+	cmd.MarkFlagsMutuallyExclusive(configFlagName, "cell")
 	return cmd
 }
 
+// checkCell checks a settings file in the platform's format.
+func checkCell(cmd *cobra.Command, path string) error {
+	boot, err := platform.ReadBoot(path)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: entry VM %s in availability zone %s; clients %s, readiness %s, peers on port %d, operators and metrics on port %d, store %s\n",
+		path, boot.VM, boot.AvailabilityZone, boot.ClientAddr, boot.ReadyAddr, boot.PeerPort, boot.MetricsPort, boot.StoreAddr)
+	return err
+}
+
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
@@ -54,9 +72,14 @@
 	}
 }
 
+const (
+	configFlagName  = "config"
+	configFlagUsage = "settings file of this entry VM, JSON with comments"
+)
+
 func configFlag(cmd *cobra.Command, path *string) {
-	cmd.Flags().StringVar(path, "config", "", "settings file of this entry VM, JSON with comments")
-	if err := cmd.MarkFlagRequired("config"); err != nil {
+	cmd.Flags().StringVar(path, configFlagName, "", configFlagUsage)
+	if err := cmd.MarkFlagRequired(configFlagName); err != nil {
 		panic(err) // The flag was defined one line above.
 	}
 }
--- a/daemon/internal/cellsched/directory.go
+++ b/daemon/internal/cellsched/directory.go
@@ -78,6 +78,20 @@
 	return out
 }
 
+// views returns the VMs heard of lately, by name.
+func (d *Directory) views(now time.Time) []VMView {
+	all := d.All(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]VMView, 0, len(all))
+	for _, a := range all {
+		if p := d.peers[a.VM]; p != nil {
+			out = append(out, VMView{VM: a.VM, Away: p.away})
+		}
+	}
+	return out
+}
+
 // Helpers returns the VMs that may reach the store for this one, those that said they
 // do not last.
 func (d *Directory) Helpers(now time.Time) []VMAddr {
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -82,6 +82,14 @@
 		r := &pendingReply{}
 		return r, c.withLocal(func(s *Scheduler) error { r.Count, r.Ready = s.Pending(a.Queue); return nil })
 	})
+	peer.Handle(server, methodView, func(_ context.Context, _ string, a *idArgs) (*viewReply, error) {
+		r := &viewReply{}
+		return r, c.withLocal(func(s *Scheduler) error { r.View, r.Known = s.View(a.ID); return nil })
+	})
+	peer.Handle(server, methodRunners, func(context.Context, string, *none) (*runnersReply, error) {
+		r := &runnersReply{}
+		return r, c.withLocal(func(s *Scheduler) error { r.Runners = s.RunnerViews(); return nil })
+	})
 	peer.Handle(server, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
 		r := &adviceReply{}
 		return r, c.withLocal(func(s *Scheduler) error { r.Task, r.Given = s.NextAdvice(ctx, a.VM); return nil })
--- /dev/null
+++ b/daemon/internal/cellsched/views.go
@@ -0,0 +1,93 @@
+package cellsched
+
+import (
+	"context"
+	"time"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/sched/cell"
+)
+
+// Methods for operators.
+const (
+	methodView    = "cell.view"
+	methodRunners = "cell.runners"
+)
+
+type viewReply struct {
+	Known bool         `json:"known"`
+	View  cell.JobView `json:"view"`
+}
+
+type runnersReply struct {
+	Runners []cell.RunnerView `json:"runners"`
+}
+
+// View returns a job with what it waits for; false if it is not known here.
+func (s *Scheduler) View(id string) (cell.JobView, bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cell.View(now, now.Round(0), id)
+}
+
+// RunnerViews returns the known runners by id.
+func (s *Scheduler) RunnerViews() []cell.RunnerView {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cell.RunnerViews(time.Now())
+}
+
+// View returns a job with what it waits for. It fails with JobGone if the scheduler does
+// not know the job, and if the scheduler cannot be reached.
+func (c *Client) View(ctx context.Context, id string) (cell.JobView, error) {
+	r := &viewReply{}
+	if s := c.holder.Current(); s != nil {
+		r.View, r.Known = s.View(id)
+	} else {
+		var err error
+		if r, err = remote[idArgs, viewReply](ctx, c, methodView, &idArgs{id}); err != nil {
+			return cell.JobView{}, noScheduler(err)
+		}
+	}
+	if !r.Known {
+		return cell.JobView{}, codes.JobGone.Errorf("the scheduler knows no job %s", id)
+	}
+	return r.View, nil
+}
+
+// RunnerViews returns the runners that the scheduler knows.
+func (c *Client) RunnerViews(ctx context.Context) ([]cell.RunnerView, error) {
+	if s := c.holder.Current(); s != nil {
+		return s.RunnerViews(), nil
+	}
+	r, err := remote[none, runnersReply](ctx, c, methodRunners, &none{})
+	if err != nil {
+		return nil, noScheduler(err)
+	}
+	return r.Runners, nil
+}
+
+func noScheduler(err error) error {
+	return codes.NoZoneScheduler.Errorf("the scheduler of the cell is not reached: %w", err)
+}
+
+// VMView is an entry VM as this one knows it.
+type VMView struct {
+	VM string
+	// Away tells whether the VM said that it does not reach the store.
+	Away      bool
+	Self      bool
+	Scheduler bool
+}
+
+// VMViews returns the entry VMs that this one knows, itself first.
+func (c *Client) VMViews() []VMView {
+	holder := c.elector.Current().VM
+	out := []VMView{{VM: c.vm, Away: c.away(), Self: true, Scheduler: holder == c.vm}}
+	for _, p := range c.directory.views(time.Now()) {
+		p.Scheduler = holder == p.VM
+		out = append(out, p)
+	}
+	return out
+}
--- a/daemon/internal/entryvm/metrics.go
+++ b/daemon/internal/entryvm/metrics.go
@@ -10,19 +10,21 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"rhubarbstall.example/daemon/internal/httpapi"
 	"rhubarbstall.example/platform"
 )
 
-// metricsPath is where the metrics are served, on the second port for the system's own use.
-const metricsPath = "/metrics"
-
-func (v *VM) metricsServer(handler http.Handler) *http.Server {
-	mux := http.NewServeMux()
-	mux.Handle(metricsPath, handler)
+// operatorServer serves operators and the metrics on the second port for the system's
+// own use.
+func (v *VM) operatorServer(metrics http.Handler) (*http.Server, error) {
+	handler, err := httpapi.NewCell(v.client, v.boot.AvailabilityZone, metrics)
+	if err != nil {
+		return nil, err
+	}
 	return &http.Server{
 		Addr:    fmt.Sprintf("%s:%d", v.boot.IP, v.boot.MetricsPort),
-		Handler: mux, ReadHeaderTimeout: headerTimeout,
-	}
+		Handler: handler, ReadHeaderTimeout: headerTimeout,
+	}, nil
 }
 
 // storeTimes records the duration of each store call by name and outcome.
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -135,13 +135,16 @@
 	readiness := &http.Server{Handler: http.HandlerFunc(v.ready), ReadHeaderTimeout: headerTimeout}
 	peerServer := peer.NewServer()
 	cellsched.Register(peerServer, v.client)
-	metricsServer := v.metricsServer(metrics)
+	operators, err := v.operatorServer(metrics)
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 4)
 	for _, serve := range []func() error{
 		func() error { return server.Serve(clients) },
 		func() error { return readiness.Serve(ready) },
 		func() error { return peerServer.Serve(peers) },
-		metricsServer.ListenAndServe,
+		operators.ListenAndServe,
 	} {
 		go func() {
 			if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -168,7 +171,7 @@
 	v.shutdown(server, resign, elected)
 	stop()
 	_ = readiness.Close()
-	_ = metricsServer.Close()
+	_ = operators.Close()
 	peerServer.CloseConnections()
 	v.log.Info("[vm] stopped", zap.String("vm", v.boot.VM))
 	return nil
--- /dev/null
+++ b/daemon/internal/httpapi/cell.go
@@ -0,0 +1,114 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+
+	"rhubarbstall.example/api/oas"
+	"rhubarbstall.example/daemon/internal/cellsched"
+	"rhubarbstall.example/sched/cell"
+	"rhubarbstall.example/sched/model"
+)
+
+// CellViews is what operators may ask an entry VM of a cell.
+type CellViews interface {
+	View(ctx context.Context, id string) (cell.JobView, error)
+	RunnerViews(ctx context.Context) ([]cell.RunnerView, error)
+	VMViews() []cellsched.VMView
+}
+
+// cellHandler serves the part of the interface for operators that a cell has.
+type cellHandler struct {
+	oas.UnimplementedHandler
+	views CellViews
+	zone  string
+}
+
+// NewCell returns the interface for operators of an entry VM of a cell in zone. Metrics
+// is served at /metrics.
+func NewCell(views CellViews, zone string, metrics http.Handler) (http.Handler, error) {
+	api, err := oas.NewServer(&cellHandler{views: views, zone: zone}, oas.WithErrorHandler(writeProblem), oas.WithNotFound(notFound))
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", traceIncoming(api))
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("/", notFound)
+	return mux, nil
+}
+
+// NewError implements oas.Handler.
+func (h *cellHandler) NewError(_ context.Context, err error) *oas.ProblemStatusCode {
+	return problemOf(err)
+}
+
+// ExplainJob implements oas.Handler.
+func (h *cellHandler) ExplainJob(ctx context.Context, params oas.ExplainJobParams) (*oas.Why, error) {
+	v, err := h.views.View(ctx, params.ID)
+	if err != nil {
+		return nil, err
+	}
+	return whyOut(params.ID, v.Why), nil
+}
+
+// GetJob implements oas.Handler.
+func (h *cellHandler) GetJob(ctx context.Context, params oas.GetJobParams) (*oas.Job, error) {
+	v, err := h.views.View(ctx, params.ID)
+	if err != nil {
+		return nil, err
+	}
+	out := &oas.Job{
+		ID: v.ID, Kind: v.Queue, Type: oas.JobTypeBatch, State: jobStates[v.State], Tasks: v.Tasks, SubmittedAt: v.Accepted,
+		Counts: oas.TaskCounts{Succeeded: v.Done, Running: v.Running, Pending: v.Tasks - v.Done - v.Running},
+	}
+	switch {
+	case v.Lasting:
+		out.Type = oas.JobTypeService
+	case v.Gang:
+		out.Type = oas.JobTypeGang
+	}
+	return out, nil
+}
+
+var jobStates = map[cell.JobState]oas.JobState{
+	cell.Queued: oas.JobStatePending, cell.Running: oas.JobStateRunning, cell.Completed: oas.JobStateSucceeded,
+	cell.Failed: oas.JobStateFailed, cell.Cancelled: oas.JobStateCancelled,
+}
+
+// ListWorkers implements oas.Handler.
+func (h *cellHandler) ListWorkers(ctx context.Context) ([]oas.Worker, error) {
+	runners, err := h.views.RunnerViews(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]oas.Worker, len(runners))
+	for i, r := range runners {
+		out[i] = oas.Worker{
+			ID: r.ID, AvailabilityZone: r.Zone, Rack: r.Rack, State: oas.WorkerState(r.State),
+			Capacity: amount(r.Capacity), Reserved: amount(r.Used), Running: r.Runs,
+		}
+	}
+	return out, nil
+}
+
+func amount(r model.Resources) oas.Amount {
+	return oas.Amount{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+// ListVMs implements oas.Handler. A VM that does not reach the store counts as suspect;
+// the zone is known of the VM asked only.
+func (h *cellHandler) ListVMs(context.Context) ([]oas.VM, error) {
+	var out []oas.VM
+	for _, v := range h.views.VMViews() {
+		vm := oas.VM{ID: v.VM, State: oas.VMStateAlive, ZoneScheduler: oas.NewOptBool(v.Scheduler), Self: oas.NewOptBool(v.Self)}
+		if v.Away {
+			vm.State = oas.VMStateSuspect
+		}
+		if v.Self {
+			vm.AvailabilityZone = h.zone
+		}
+		out = append(out, vm)
+	}
+	return out, nil
+}
--- a/daemon/internal/httpapi/jobs.go
+++ b/daemon/internal/httpapi/jobs.go
@@ -67,11 +67,15 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &oas.Why{Job: params.ID, Sentence: why.Sentence, Reason: why.Reason}
+	return whyOut(params.ID, why), nil
+}
+
+func whyOut(job string, why model.Explanation) *oas.Why {
+	out := &oas.Why{Job: job, Sentence: why.Sentence, Reason: why.Reason}
 	for _, name := range sortedKeys(why.Rejected) {
 		out.Rejected = append(out.Rejected, oas.Rejection{Filter: name, Workers: why.Rejected[name]})
 	}
-	return out, nil
+	return out
 }
 
 func jobOrError(j jobs.Job, err error) (*oas.Job, error) {
--- a/daemon/internal/httpapi/problem.go
+++ b/daemon/internal/httpapi/problem.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 
+	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/ogenerrors"
 	"github.com/ogen-go/ogen/validate"
 
@@ -42,6 +43,8 @@
 		return codes.BodyTooLarge.With("the body is larger than the limit", notRun)
 	case errors.As(err, &invalid):
 		return codes.InvalidValue.With(err.Error(), notRun)
+	case errors.Is(err, ht.ErrNotImplemented):
+		return codes.NotFound.With("this entry VM does not offer the call", notRun)
 	case errors.As(err, &body), errors.As(err, &params):
 		return codes.MalformedBody.With(err.Error(), notRun)
 	}
--- /dev/null
+++ b/sched/cell/explain.go
@@ -0,0 +1,177 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// JobView is a job as operators see it.
+type JobView struct {
+	ID       string    `json:"id"`
+	Queue    string    `json:"queue"`
+	State    JobState  `json:"state"`
+	Accepted time.Time `json:"accepted"`
+	Gang     bool      `json:"gang"`
+	Lasting  bool      `json:"lasting"`
+	// Tasks of all occurrences; zero once an ended job keeps its state only.
+	Tasks   int               `json:"tasks"`
+	Done    int               `json:"done"`
+	Running int               `json:"running"`
+	Why     model.Explanation `json:"why"`
+}
+
+// Reasons for which a step waits.
+const (
+	reasonEnded      = "ended"
+	reasonRunning    = "running"
+	reasonEarlier    = "earlier_steps"
+	reasonInherited  = "inherited"
+	reasonDue        = "not_due"
+	reasonMark       = "mark_not_stored"
+	reasonAdvice     = "advice"
+	reasonNoRunner   = "no_runner_fits"
+	reasonNoCapacity = "no_capacity"
+)
+
+// View returns a job with what it waits for; false if the job is not known.
+func (c *Cell) View(now, wall time.Time, id string) (JobView, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	v := JobView{ID: id, Queue: j.Queue, State: j.SavedState(), Accepted: wall.Add(-now.Sub(j.Accepted))}
+	if j.state.Final() {
+		v.Why = model.Explanation{Reason: reasonEnded, Sentence: "The job has ended: " + string(j.state) + "."}
+		return v, true
+	}
+	for _, g := range j.groups {
+		v.Gang = v.Gang || g.spec.Gang
+		v.Lasting = v.Lasting || g.spec.LongRunning
+		v.Tasks += len(g.tasks)
+		v.Done += len(g.tasks) - g.open
+		v.Running += g.open - g.waiting
+	}
+	v.Why = c.explain(now, wall, j)
+	return v, true
+}
+
+// explain says what the first step that waits is waiting for.
+func (c *Cell) explain(now, wall time.Time, j *Job) model.Explanation {
+	for _, g := range j.groups {
+		if g.open > 0 && g.blockers == 0 && g.waiting > 0 {
+			why := c.explainGroup(now, wall, g)
+			why.Sentence = fmt.Sprintf("Step %d, occurrence %d: %s", g.step, g.occurrence, why.Sentence)
+			return why
+		}
+	}
+	for _, g := range j.groups {
+		if g.open > g.waiting {
+			return model.Explanation{Reason: reasonRunning, Sentence: "All tasks whose turn has come are running."}
+		}
+	}
+	return model.Explanation{Reason: reasonEarlier, Sentence: "Its steps wait for earlier ones."}
+}
+
+func (c *Cell) explainGroup(now, wall time.Time, g *group) model.Explanation {
+	say := func(reason, format string, args ...any) model.Explanation {
+		return model.Explanation{Reason: reason, Sentence: fmt.Sprintf(format, args...)}
+	}
+	fit, rejected := c.rejections(now, g)
+	switch {
+	case wall.Before(g.due):
+		return say(reasonDue, "due in %s.", g.due.Sub(wall).Round(time.Second))
+	case !c.settled(g):
+		return say(reasonInherited, "an earlier scheduler may have started it on a runner that has not answered; at most %s more.",
+			c.took.Add(c.cfg.InheritWait).Sub(now).Round(100*time.Millisecond))
+	case !g.marked():
+		return say(reasonMark, "the store has not confirmed yet that it begins.")
+	case fit == 0:
+		why := say(reasonNoRunner, "no runner could run it even if it were empty.")
+		why.Rejected = rejected
+		return why
+	case g.queue.Advice != nil && g.advice.asked == nil:
+		return say(reasonAdvice, "the advisor has not said yet on which runners it may run.")
+	case g.queue.Advice != nil && len(g.advice.order) == 0:
+		return say(reasonAdvice, "the advisor approved none of %d runners.", len(g.advice.asked))
+	}
+	why := say(reasonNoCapacity, "%d of %d tasks wait for room on the runners that may run them.", g.waiting, len(g.tasks))
+	why.Rejected = rejected
+	return why
+}
+
+// rejections returns how many runners could run a task of the group if they were empty,
+// and for which reasons the others cannot run it now.
+func (c *Cell) rejections(now time.Time, g *group) (int, map[string]int) {
+	counts := make(map[string]int)
+	fit := 0
+	for _, r := range c.order {
+		switch {
+		case r.info.Pool != g.job.Pool:
+			counts["pool"]++
+		case g.spec.RunnerLabel != "" && !r.hasLabel(g.spec.RunnerLabel):
+			counts["label"]++
+		case !g.claim().Fits(r.info.Capacity):
+			counts["size"]++
+		case !r.usable(now):
+			fit++
+			counts["not_usable"]++
+		case g.queue.Advice != nil && g.advice.asked[r.info.ID] && !g.advice.approved[r.info.ID]:
+			fit++
+			counts["not_approved"]++
+		case !g.claim().Fits(r.free()):
+			fit++
+			counts["room"]++
+		default:
+			fit++
+		}
+	}
+	return fit, counts
+}
+
+// RunnerState is how far a runner can be used.
+type RunnerState string
+
+// The states of a runner.
+const (
+	RunnerLive        RunnerState = "live"
+	RunnerSilent      RunnerState = "silent"
+	RunnerQuarantined RunnerState = "quarantined"
+	RunnerDraining    RunnerState = "draining"
+	RunnerLeaving     RunnerState = "leaving"
+)
+
+// RunnerView is a runner as operators see it.
+type RunnerView struct {
+	ID       string          `json:"id"`
+	Zone     string          `json:"zone"`
+	Rack     string          `json:"rack"`
+	State    RunnerState     `json:"state"`
+	Capacity model.Resources `json:"capacity"`
+	Used     model.Resources `json:"used"`
+	Runs     int             `json:"runs"`
+}
+
+// RunnerViews returns the known runners by id.
+func (c *Cell) RunnerViews(now time.Time) []RunnerView {
+	out := make([]RunnerView, len(c.order))
+	for i, r := range c.order {
+		state := RunnerLive
+		switch {
+		case !r.listed:
+			state = RunnerLeaving
+		case r.suspect || !r.heard:
+			state = RunnerSilent
+		case r.info.Draining:
+			state = RunnerDraining
+		case now.Before(r.unhealthyUntil):
+			state = RunnerQuarantined
+		}
+		out[i] = RunnerView{
+			ID: r.info.ID, Zone: r.info.Zone, Rack: r.info.Rack, State: state,
+			Capacity: r.info.Capacity, Used: r.used, Runs: len(r.runs),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/sched/cell/explain_test.go
@@ -0,0 +1,74 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a waiting job that nobody can explain.
+func TestViewSaysWhatAJobWaitsFor(t *testing.T) {
+	reason := func(w *world, id string) string {
+		w.t.Helper()
+		v, ok := w.cell.View(w.now, w.now, id)
+		must.True(w.t, ok)
+		must.NotEq(w.t, "", v.Why.Sentence)
+		return v.Why.Reason
+	}
+	const id = "0000000000000001"
+	plain := []Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}}
+	cases := map[string]struct {
+		queues []Queue
+		step   Step
+		mutate func(w *world)
+		want   string
+	}{
+		"running":   {queues: plain, step: small(1), want: reasonRunning},
+		"too large": {queues: plain, step: Step{Count: 1, Size: small(1).Size.Scale(5)}, want: reasonNoRunner},
+		"label": {
+			queues: plain, want: reasonNoRunner,
+			step: Step{Count: 1, Size: small(1).Size, RunnerLabel: "gpu"},
+		},
+		"no room":      {queues: plain, step: small(9), want: reasonNoCapacity},
+		"not stored":   {queues: plain, step: small(1), mutate: func(w *world) { w.refuseWrites = true }, want: reasonMark},
+		"not approved": {queues: []Queue{advised()}, step: small(1), mutate: func(w *world) { w.approve = nil }, want: reasonAdvice},
+		"inherited": {queues: plain, step: small(1), want: reasonInherited, mutate: func(w *world) {
+			w.cell.inheritClear = false
+			w.cell.jobs[id].groups[0].inherited = true
+			w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool"})
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.cell.SetQueues(tc.queues)
+			w.add(id, tc.step)
+			if tc.mutate != nil {
+				tc.mutate(w)
+			}
+			w.until(500 * time.Millisecond)
+			must.Eq(t, tc.want, reason(w, id))
+		})
+	}
+	w := newWorld(t, 1)
+	w.cell.SetQueues(plain)
+	w.add(id, small(1))
+	must.True(t, w.cell.Cancel(w.now, id))
+	must.Eq(t, reasonEnded, reason(w, id))
+	_, known := w.cell.View(w.now, w.now, "0000000000000002")
+	must.False(t, known)
+}
+
+// Guards against a list of runners that hides why one is not used.
+func TestRunnerViewsTellStates(t *testing.T) {
+	w := newWorld(t, 4)
+	w.cell.Unreachable("r1")
+	w.cell.runners["r2"].unhealthyUntil = w.now.Add(time.Second)
+	w.cell.UnlistRunner("r3")
+	var states []RunnerState
+	for _, v := range w.cell.RunnerViews(w.now) {
+		states = append(states, v.State)
+	}
+	must.Eq(t, []RunnerState{RunnerLive, RunnerSilent, RunnerQuarantined, RunnerLeaving}, states)
+}
