Start the outage of the P9 scenario once every entry VM knows its roster

Cause: partly traced. A metric now tells the roster that an entry VM knows, and the scenario waits for it besides its pause; its check and limit are as they were.

--- a/daemon/internal/zonelead/lead.go
+++ b/daemon/internal/zonelead/lead.go
@@ -61,7 +61,9 @@
 	if cfg.Tracer == nil {
 		cfg.Tracer = tracenoop.NewTracerProvider().Tracer("zonelead")
 	}
-	return &Lead{cfg: cfg, handover: make(chan struct{}), idle: make(chan struct{})}
+	l := &Lead{cfg: cfg, handover: make(chan struct{}), idle: make(chan struct{})}
+	l.observeRoster()
+	return l
 }
 
 // Run takes part in the election until ctx ends or Handover is called.
--- a/standin/scenario/world.go
+++ b/standin/scenario/world.go
@@ -85,6 +85,7 @@
 		"replace-workers": (*world).cmdReplaceWorkers,
 		"leave":           (*world).cmdLeave, "fault": (*world).cmdFault, "cut": (*world).cmdCut, "heal": (*world).cmdHeal,
 		"zone-scheduler": (*world).cmdZoneScheduler, "check-history": (*world).cmdCheckHistory,
+		"roster": (*world).cmdRoster,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(all))
 	for name, run := range all {
