Slow filling work down beside serving tasks

Cause: filling tasks were placed anywhere and never slowed, so that they could keep a serving task over its target for as long as they ran. Change: placing keeps the two apart where it can; beside a serving task the pace of filling work follows the reported tail: halved above 0.8 of the target, stopped above the target, raised by 20 percent below 0.5. An order without an answer is given again; a run of an earlier scheduler is told its pace anew. Filling runs are no longer taken for stalled. Ruled out: keeping them apart always (filling work would wait while serving tasks stand on every runner).

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -93,6 +93,29 @@
 	}
 }
 
+// pace carries out the order to slow a run down or to let it go.
+func (s *Scheduler) pace(p cell.Pace) {
+	run := p.Run
+	s.mu.Lock()
+	l := s.loops[run.Runner]
+	s.mu.Unlock()
+	if l == nil || !s.term.Valid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.runners.Pace(ctx, l.target(), run.Task, run.Execution, s.term.Number, p.Percent)
+	s.log.Info("[sched] run paced", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
+		zap.String("runner", run.Runner), zap.Int("percent", p.Percent), zap.Error(err))
+	if err != nil {
+		s.checkFence(err)
+		return
+	}
+	s.mu.Lock()
+	s.cell.PaceAnswered(run, p.Percent)
+	s.mu.Unlock()
+}
+
 func (s *Scheduler) logEvents(events []cell.Event) {
 	for _, e := range events {
 		s.metrics.event(e)
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -195,6 +195,9 @@
 	for _, st := range d.Stops {
 		go s.stop(st.Run)
 	}
+	for _, p := range d.Paces {
+		go s.pace(p)
+	}
 	for _, call := range d.Advice {
 		s.lanes.add(call)
 	}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -39,6 +39,7 @@
 	order []*runner
 	ready []*group
 	stops []Stop
+	paces []Pace
 	dirty map[string]*Job
 	// inheritClear is set once no unknown run of an earlier scheduler can exist.
 	inheritClear bool
--- a/sched/cell/health.go
+++ b/sched/cell/health.go
@@ -37,10 +37,11 @@
 	return false
 }
 
-// findStalled stops runs that make no progress, so that they start elsewhere.
+// findStalled stops runs that make no progress, so that they start elsewhere. Filling
+// runs may rightly make none while others use their runner, or while they are paced down.
 func (c *Cell) findStalled(now time.Time, r *runner) {
 	for _, run := range r.sortedRuns() {
-		if run.Phase != Active || run.group == nil || run.group.spec.LongRunning || run.progressAt.IsZero() {
+		if run.Phase != Active || run.group == nil || run.group.spec.LongRunning || run.fills() || run.progressAt.IsZero() {
 			continue
 		}
 		limit := stallTime + run.group.spec.Estimate/20
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -18,6 +18,7 @@
 type Decisions struct {
 	Starts []Start
 	Stops  []Stop
+	Paces  []Pace
 	Advice []AdviceCall
 }
 
@@ -64,6 +65,7 @@
 	}
 	c.ready = keep
 	d.Stops = c.TakeStops()
+	d.Paces, c.paces = c.paces, nil
 	return d
 }
 
@@ -112,6 +114,13 @@
 	return n
 }
 
+// Penalties in milli-CPU that put runners behind all others: far from a task's data, and
+// beside work that would be disturbed, which is worse.
+const (
+	awayPenalty    = 1 << 40
+	disturbPenalty = 1 << 42
+)
+
 // placeTasks starts waiting tasks of a group one by one, each where it leaves the
 // least room, so that large tasks find room elsewhere.
 func (c *Cell) placeTasks(now time.Time, g *group, d *Decisions) {
@@ -140,7 +149,10 @@
 		}
 		left := r.avail.MilliCPU - g.spec.Size.MilliCPU
 		if g.spec.DataRack != "" && r.info.Rack != g.spec.DataRack {
-			left += 1 << 40
+			left += awayPenalty
+		}
+		if g.disturbs(r) {
+			left += disturbPenalty
 		}
 		if left < bestLeft {
 			best, bestLeft = r, left
@@ -173,7 +185,7 @@
 	t.execution = execution
 	run := &Run{
 		Task: g.ref(index), Execution: execution, Runner: r.info.ID, Life: r.life,
-		Phase: Sending, Started: now, group: g, claimed: g.claim(),
+		Phase: Sending, Started: now, group: g, claimed: g.claim(), pace: fullPace,
 	}
 	r.add(run)
 	r.avail = r.avail.Sub(run.claimed)
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -82,6 +82,7 @@
 			c.unlisted(now, sentAt, r, run)
 		}
 	}
+	c.share(now, r)
 }
 
 // reborn handles a runner that lost everything. Unanswered orders may still reach
@@ -111,12 +112,12 @@
 	if row.Percent != run.percent || run.progressAt.IsZero() {
 		run.percent, run.progressAt = row.Percent, now
 	}
-	run.saved = row.Checkpoint
+	run.saved, run.gauge = row.Checkpoint, row.Gauge
 }
 
 // found handles a listed run that this scheduler did not start.
 func (c *Cell) found(now time.Time, r *runner, row *RunningRow) *Run {
-	run := &Run{Task: row.Task, Execution: row.Execution, Runner: r.info.ID, Phase: Active, Started: now, confirmedAt: now}
+	run := &Run{Task: row.Task, Execution: row.Execution, Runner: r.info.ID, Phase: Active, Started: now, confirmedAt: now, pace: unknownPace}
 	j := c.jobs[row.Task.Job]
 	var g *group
 	if j != nil {
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -42,8 +42,14 @@
 	// confirmedAt is when the runner first confirmed the run.
 	confirmedAt time.Time
 	percent     float64
-	progressAt  time.Time
-	saved       string
+	// gauge is the tail of a serving task in ms, otherwise the milli-CPU in use.
+	gauge float64
+	// pace is the share of its speed at which a filling run works, in percent, and
+	// paceNext when it may be changed again.
+	pace       int
+	paceNext   time.Time
+	progressAt time.Time
+	saved      string
 	// stopAcked is when the runner acknowledged a stop of a run that it did not list.
 	stopAcked time.Time
 	stopSent  time.Time
--- /dev/null
+++ b/sched/cell/share.go
@@ -0,0 +1,97 @@
+package cell
+
+import "time"
+
+// The load pattern that these rules answer is filling work beside tasks that serve their
+// own users: it uses processor time that is left over, and disturbs the others by amounts
+// that change within seconds. Filling work goes where nothing serves, if it can; beside a
+// serving task it is slowed down before the tail of that one's response times passes its
+// target, and let go again step by step.
+
+const (
+	// tailHigh and tailLow are shares of the target above which filling work is slowed
+	// down and below which it is let go.
+	tailHigh = 0.8
+	tailLow  = 0.5
+	// paceGap is kept between two orders for a run: the runner's figures cover the last
+	// half second.
+	paceGap = 600 * time.Millisecond
+	// paceStep is by how much a slowed run is let go at a time, in percent.
+	paceStep = 20
+	fullPace = 100
+	// unknownPace marks a run that an earlier scheduler may have paced; it is told anew.
+	unknownPace = -1
+)
+
+// Pace is an order to let a run work at a share of its speed.
+type Pace struct {
+	Run     *Run
+	Percent int
+}
+
+// share orders the paces of the filling runs on a runner after a report.
+func (c *Cell) share(now time.Time, r *runner) {
+	load, serving := r.tailLoad()
+	for _, run := range r.sortedRuns() {
+		if run.Phase != Active || !run.fills() || now.Before(run.paceNext) {
+			continue
+		}
+		pace := run.pace
+		if pace == unknownPace {
+			pace = fullPace
+		}
+		want := pace
+		switch {
+		case !serving:
+			want = fullPace
+		case load >= 1:
+			want = 0
+		case load > tailHigh:
+			want = pace / 2
+		case load < tailLow:
+			want = min(pace+paceStep, fullPace)
+		}
+		if want == run.pace {
+			continue
+		}
+		run.paceNext = now.Add(paceGap)
+		c.paces = append(c.paces, Pace{Run: run, Percent: want})
+	}
+}
+
+// tailLoad returns the highest tail of the serving tasks on a runner as a share of its
+// target, and whether there is such a task.
+func (r *runner) tailLoad() (load float64, serving bool) {
+	for _, run := range r.runs {
+		if !run.serves() {
+			continue
+		}
+		serving = true
+		load = max(load, run.gauge/float64(run.group.spec.TailTarget.Milliseconds()))
+	}
+	return load, serving
+}
+
+func (r *Run) serves() bool {
+	return r.group != nil && r.group.spec.LongRunning && r.group.spec.TailTarget >= time.Millisecond
+}
+
+func (r *Run) fills() bool { return r.group != nil && r.group.spec.Filling }
+
+// disturbs reports whether a task of the group and the runs on a runner would harm one
+// another.
+func (g *group) disturbs(r *runner) bool {
+	if !g.spec.Filling && g.spec.TailTarget == 0 {
+		return false
+	}
+	for _, run := range r.runs {
+		if (g.spec.Filling && run.serves()) || (g.spec.TailTarget > 0 && run.fills()) {
+			return true
+		}
+	}
+	return false
+}
+
+// PaceAnswered records that a runner has taken a pace over. An order without an answer
+// is given again with a later report.
+func (c *Cell) PaceAnswered(run *Run, percent int) { run.pace = percent }
