--- a/sched/cell/bench_test.go
+++ b/sched/cell/bench_test.go
@@ -21,7 +21,8 @@
 
 func newBenchCell(b *testing.B, runners, backlog int) *benchCell {
 	now := time.Unix(1000, 0)
-	c := New(now, Config{Lease: 6 * time.Second, OrderTimeout: 500 * time.Millisecond, FirstExecution: 1})
+	// The lease outlasts the run, since nothing renews it.
+	c := New(now, Config{Lease: 24 * time.Hour, OrderTimeout: 500 * time.Millisecond, FirstExecution: 1})
 	q := Queue{
 		Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second,
 		Advice: &AdvicePolicy{Base: 10 * time.Millisecond, Validity: time.Hour},
@@ -31,6 +32,7 @@
 		id := fmt.Sprintf("r%03d", i)
 		c.SetRunner(now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 64000}, Life: 1})
 		c.Report(now, now, id, Report{Life: 1})
+		c.OrderSent(now, id)
 	}
 	c.Recorded(c.Roster())
 	w := &benchCell{cell: c, now: now, ends: make(map[string]int64)}
@@ -101,6 +103,13 @@
 	w.cell.Report(w.now, w.now, run.Runner, rep)
 }
 
+// forgetEnded removes the jobs that have ended, as the scheduler does after a while.
+func (w *benchCell) forgetEnded() {
+	for _, id := range w.cell.Expired(w.now.Add(time.Second), 10) {
+		w.cell.RemoveJob(id)
+	}
+}
+
 // BenchmarkJob measures what one short job costs the scheduler, from its arrival over
 // its start to its end, with two decisions.
 func BenchmarkJob(b *testing.B) {
@@ -113,6 +122,7 @@
 				w.decide(b)
 				w.decide(b)
 				w.endOldest()
+				w.forgetEnded()
 			}
 		})
 	}
