Name only VMs that were heard themselves to other VMs

Cause: found in reading the change: a VM took over every VM that another named and named it on, so that one that is gone was named to and fro for ever. Change: only VMs that called or answered are named to others. Some names in the scheduler's rules are clearer (runsKnown, expired). Test: TestGoneVMIsForgotten.

--- a/daemon/internal/cellsched/acquaint.go
+++ b/daemon/internal/cellsched/acquaint.go
@@ -41,7 +41,7 @@
 	c.directory.Heard(now, a.From, a.Away)
 	r := &helloReply{
 		Holder: c.elector.Current(), Away: c.away(),
-		VMs: append(c.directory.All(now), VMAddr{VM: c.vm, Addr: c.addr}),
+		VMs: append(c.directory.Direct(now), VMAddr{VM: c.vm, Addr: c.addr}),
 	}
 	if s := c.holder.Current(); s != nil {
 		load := s.Load(now)
@@ -80,7 +80,7 @@
 		return false
 	}
 	if to := others[n%len(others)]; to.VM != holder.VM {
-		// Its failure is not told: the next VM is asked soon.
+		// A failure is logged there, and the next VM is asked soon.
 		_, _ = c.greetVM(ctx, to, away)
 	}
 	return false
@@ -93,6 +93,7 @@
 	r, err := peer.Call[helloArgs, helloReply](ctx, c.peers, to.Addr, methodHello, &helloArgs{From: VMAddr{VM: c.vm, Addr: c.addr}, Away: away})
 	if err != nil {
 		c.peers.DropSilent(to.Addr, silentAfter)
+		c.log.Debug("[peers] VM not reached", zap.String("vm", to.VM), zap.Error(err))
 		return nil, err
 	}
 	now := time.Now()
--- a/daemon/internal/cellsched/directory.go
+++ b/daemon/internal/cellsched/directory.go
@@ -29,6 +29,8 @@
 	addr string
 	// heard is when the VM was last heard of.
 	heard time.Time
+	// direct tells whether it was heard itself, not only named by another VM.
+	direct bool
 	// away tells whether the VM said that it does not reach the store.
 	away bool
 }
@@ -38,17 +40,17 @@
 	return &Directory{self: self, peers: make(map[string]*knownPeer)}
 }
 
-// Heard records that a VM called, and whether it reaches the store.
+// Heard records that a VM called or answered, and whether it reaches the store.
 func (d *Directory) Heard(now time.Time, a VMAddr, away bool) {
 	if a.VM == "" || a.VM == d.self || a.Addr == "" {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers[a.VM] = &knownPeer{addr: a.Addr, heard: now, away: away}
+	d.peers[a.VM] = &knownPeer{addr: a.Addr, heard: now, direct: true, away: away}
 }
 
-// Learn records VMs of which another VM told.
+// Learn records VMs that another VM named.
 func (d *Directory) Learn(now time.Time, told []VMAddr) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -64,6 +66,16 @@
 
 // All returns the VMs heard of lately, by name.
 func (d *Directory) All(now time.Time) []VMAddr {
+	return d.list(now, func(*knownPeer) bool { return true })
+}
+
+// Direct returns the VMs that were heard themselves lately, by name. Only these are named
+// to others: VMs that are gone would otherwise be named to and fro for ever.
+func (d *Directory) Direct(now time.Time) []VMAddr {
+	return d.list(now, func(p *knownPeer) bool { return p.direct })
+}
+
+func (d *Directory) list(now time.Time, include func(*knownPeer) bool) []VMAddr {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]VMAddr, 0, len(d.peers))
@@ -72,7 +84,9 @@
 			delete(d.peers, vm)
 			continue
 		}
-		out = append(out, VMAddr{VM: vm, Addr: p.addr})
+		if include(p) {
+			out = append(out, VMAddr{VM: vm, Addr: p.addr})
+		}
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].VM < out[k].VM })
 	return out
@@ -92,8 +106,8 @@
 	return out
 }
 
-// Helpers returns the VMs that may reach the store for this one, those that said they
-// do not last.
+// Helpers returns the VMs that may reach the store for this one; those that said that
+// they do not reach it come last.
 func (d *Directory) Helpers(now time.Time) []VMAddr {
 	all := d.All(now)
 	d.mu.Lock()
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// pace carries out the order to slow a run down or to let it go.
+// pace carries out the order to change the pace of a run.
 func (s *Scheduler) pace(p cell.Pace) {
 	run := p.Run
 	s.mu.Lock()
--- a/daemon/internal/cellsched/proxy_test.go
+++ b/daemon/internal/cellsched/proxy_test.go
@@ -61,7 +61,7 @@
 	next := election.Holder{VM: "next", Addr: "127.0.0.1:1", Term: 2}
 	sound.elector.Learn(next)
 	refused.elector.Learn(election.Holder{VM: "old", Addr: old.addr, Term: 1})
-	old.directory.Learn(time.Now(), []VMAddr{{VM: "sound", Addr: sound.addr}})
+	old.directory.Heard(time.Now(), VMAddr{VM: "sound", Addr: sound.addr}, false)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 
@@ -94,3 +94,19 @@
 	refused.greet(ctx, 0)
 	must.Eq(t, next, refused.elector.Current())
 }
+
+// Guards against VMs that are gone and that the others name to one another for ever.
+func TestGoneVMIsForgotten(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b := NewDirectory("a"), NewDirectory("b")
+	a.Heard(now, VMAddr{VM: "gone", Addr: "gone:1"}, false)
+	for range 100 {
+		now = now.Add(time.Second)
+		a.Heard(now, VMAddr{VM: "b", Addr: "b:1"}, false)
+		b.Heard(now, VMAddr{VM: "a", Addr: "a:1"}, false)
+		b.Learn(now, a.Direct(now))
+		a.Learn(now, b.Direct(now))
+	}
+	must.Eq(t, []VMAddr{{VM: "b", Addr: "b:1"}}, a.All(now))
+	must.Eq(t, []VMAddr{{VM: "a", Addr: "a:1"}}, b.All(now))
+}
--- a/sched/cell/begin.go
+++ b/sched/cell/begin.go
@@ -22,6 +22,6 @@
 // scheduler fail from the takeover on, so no group is begun by two schedulers unseen.
 func (g *group) marked() bool { return g.begun && g.job.savedVersion >= g.begunVersion }
 
-// settled reports whether every run of a group that an earlier scheduler may have
+// runsKnown reports whether every run of a group that an earlier scheduler may have
 // started is known.
-func (c *Cell) settled(g *group) bool { return !g.inherited || c.inheritClear }
+func (c *Cell) runsKnown(g *group) bool { return !g.inherited || c.inheritClear }
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		keep = append(keep, g)
-		if !c.settled(g) || now.Before(g.readyAt) || wall.Before(g.due.Add(-beginLead)) {
+		if !c.runsKnown(g) || now.Before(g.readyAt) || wall.Before(g.due.Add(-beginLead)) {
 			continue
 		}
 		c.begin(g)
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -18,7 +18,7 @@
 	// doubtful work comes in time only if its estimate is too long.
 	doubtful
 	late
-	unexpected
+	expired
 )
 
 const (
@@ -82,7 +82,7 @@
 	case age+quickest <= lateFactor*expected:
 		return late, slack.Seconds()
 	}
-	return unexpected, slack.Seconds()
+	return expired, slack.Seconds()
 }
 
 // chain returns the estimated time of the longest chain of steps.
--- a/sched/cell/rank_test.go
+++ b/sched/cell/rank_test.go
@@ -78,7 +78,7 @@
 	soon, _ := g.standing(2 * time.Second)
 	must.Eq(t, late, soon)
 	later, _ := g.standing(10 * time.Second)
-	must.Eq(t, unexpected, later)
+	must.Eq(t, expired, later)
 	last, slack := g.standing(62 * time.Second)
 	must.Eq(t, inTime, last)
 	must.Less(t, 0, slack)
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -45,7 +45,7 @@
 	// gauge is the tail of a serving task in ms, otherwise the milli-CPU in use.
 	gauge float64
 	// pace is the share of its speed at which a filling run works, in percent, and
-	// paceNext when it may be changed again.
+	// paceNext when the next order may follow.
 	pace       int
 	paceNext   time.Time
 	progressAt time.Time
--- a/sched/cell/share.go
+++ b/sched/cell/share.go
@@ -3,23 +3,23 @@
 import "time"
 
 // The load pattern that these rules answer is filling work beside tasks that serve their
-// own users: it uses processor time that is left over, and disturbs the others by amounts
-// that change within seconds. Filling work goes where nothing serves, if it can; beside a
-// serving task it is slowed down before the tail of that one's response times passes its
-// target, and let go again step by step.
+// own users: it uses processor time that is left over, and slows the others down by amounts
+// that change within seconds. Filling work is placed on runners without serving tasks where
+// possible. Beside one, its pace is lowered before the tail latency passes its target, and
+// raised step by step afterwards.
 
 const (
-	// tailHigh and tailLow are shares of the target above which filling work is slowed
-	// down and below which it is let go.
+	// tailHigh and tailLow are shares of the target above which the pace of filling work
+	// is lowered and below which it is raised.
 	tailHigh = 0.8
 	tailLow  = 0.5
 	// paceGap is kept between two orders for a run: the runner's figures cover the last
 	// half second.
 	paceGap = 600 * time.Millisecond
-	// paceStep is by how much a slowed run is let go at a time, in percent.
+	// paceStep is by how much a pace is raised at a time, in percent.
 	paceStep = 20
 	fullPace = 100
-	// unknownPace marks a run that an earlier scheduler may have paced; it is told anew.
+	// unknownPace marks a run whose pace an earlier scheduler may have set.
 	unknownPace = -1
 )
 
@@ -92,6 +92,6 @@
 	return false
 }
 
-// PaceAnswered records that a runner has taken a pace over. An order without an answer
-// is given again with a later report.
+// PaceAnswered records that a runner has acknowledged a pace. An order without an answer
+// is repeated after a later report.
 func (c *Cell) PaceAnswered(run *Run, percent int) { run.pace = percent }
