Take the shortest lease that the store grants, and renew runs thrice a lease

Cause: found in reading the change: the role's lease was 1 s whatever the settings say of the shortest one; where that is longer the store refuses it and the cell never gets a scheduler. And runs were renewed every second whatever the length of their lease, too seldom where the platform allows 1 s only. Change: the role's lease is at least the settings' shortest; a waiting call to a runner waits for a third of the runs' lease at most. The stand-in refuses leases that are too short. Test: TestLeaseIsAsLongAsTheStoreAsks failed before.

--- a/daemon/internal/cellsched/admit.go
+++ b/daemon/internal/cellsched/admit.go
@@ -41,9 +41,9 @@
 	} else if r := c.load.Load(); r != nil && now.Sub(r.at) < loadMemory {
 		load = r.load
 	}
-	ok, wait := load.Admits(c.jobMemory)
+	ok, after := load.Admits(c.jobMemory)
 	if ok {
 		return true, 0
 	}
-	return false, wait + rand.N(wait/2+1)
+	return false, after + rand.N(after/2+1)
 }
--- a/daemon/internal/cellsched/proxy_test.go
+++ b/daemon/internal/cellsched/proxy_test.go
@@ -28,7 +28,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	addr := listener.Addr().String()
-	elector := election.New(store, name, addr, nil, func() time.Duration { return 0 }, zap.NewNop())
+	elector := election.New(store, name, addr, 0, nil, func() time.Duration { return 0 }, zap.NewNop())
 	peers := peer.NewClient(name)
 	c := NewClient(ClientParts{
 		Self: VMAddr{VM: name, Addr: addr}, Holder: new(Holder), Elector: elector, Peers: peers, Store: store,
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -18,6 +18,9 @@
 	// holdWait is how long a hold waits for an end; it is also how often the
 	// leases are renewed on a calm runner.
 	holdWait = 1000 * time.Millisecond
+	// holdsPerLease is how often a lease is renewed at least, so that one lost answer does
+	// not end it.
+	holdsPerLease = 3
 	// holdSlack is added to the wait for the answer to arrive.
 	holdSlack = 800 * time.Millisecond
 	// holdPause is kept after a hold that failed.
@@ -137,7 +140,7 @@
 	}
 	s.mu.Unlock()
 	if all && h.Until > 0 {
-		h.Wait = holdWait
+		h.Wait = min(holdWait, s.lease/holdsPerLease)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, h.Wait+holdSlack)
 	l.mu.Lock()
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -109,7 +109,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	vm := &simVM{name: name, holder: new(Holder), store: store, stop: stop, done: make(chan struct{})}
 	vm.holder.SetQueues([]cell.Queue{{Name: "q", Pool: simPool, MaxAttempts: simAttempts, SlackFactor: 2}})
-	elector := election.New(store, name, name, func(ctx context.Context, term election.Term) {
+	elector := election.New(store, name, name, 0, func(ctx context.Context, term election.Term) {
 		set := Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour}
 		sched, err := New(set, term, store, runners, s.log.Named(name))
 		must.NoError(s.t, err)
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -24,9 +24,9 @@
 	prefix    = "lead/"
 	holderKey = "lead/holder"
 	termKey   = "lead/term"
-	// LeaseTTL bounds the time without a scheduler after its VM is lost. It is the
-	// shortest that the platform grants, and covers a renewal at a slow store, whose
-	// answers take about 300 ms.
+	// LeaseTTL bounds the time without a scheduler after its VM is lost. It covers some
+	// renewals at a slow store, whose answers take about 300 ms. The platform may ask
+	// for longer leases.
 	LeaseTTL   = time.Second
 	renewEvery = 250 * time.Millisecond
 	// renewTimeout covers several answers of a slow store.
@@ -73,6 +73,8 @@
 	self  Holder
 	lead  Lead
 	log   *zap.Logger
+	// ttl is the length of the lease.
+	ttl time.Duration
 	// clock also counts the time for which the VM is suspended.
 	clock Clock
 	// renewed is the clock's reading when the last good renewal was sent.
@@ -84,9 +86,12 @@
 	lease    int64
 }
 
-// New returns an elector for the VM that peers reach at addr.
-func New(store *platform.Store, vm, addr string, lead Lead, clock Clock, log *zap.Logger) *Elector {
-	return &Elector{clock: clock, store: store, self: Holder{VM: vm, Addr: addr}, lead: lead, log: log}
+// New returns an elector for the VM that peers reach at addr. minTTL is the shortest lease
+// that the store grants.
+func New(store *platform.Store, vm, addr string, minTTL time.Duration, lead Lead, clock Clock, log *zap.Logger) *Elector {
+	return &Elector{
+		clock: clock, store: store, self: Holder{VM: vm, Addr: addr}, ttl: max(LeaseTTL, minTTL), lead: lead, log: log,
+	}
 }
 
 // Current returns the last known holder; its address is empty if there is none.
@@ -202,7 +207,7 @@
 func (e *Elector) campaign(ctx context.Context, last termRecord) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	lease, _, err := e.store.Grant(callCtx, LeaseTTL)
+	lease, _, err := e.store.Grant(callCtx, e.ttl)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/election/election_test.go
+++ b/daemon/internal/election/election_test.go
@@ -25,7 +25,9 @@
 	store   *cellstore.Store
 	server  *http.Server
 	began   time.Time
-	all     []*candidate
+	// minTTL is the shortest lease that the store grants.
+	minTTL time.Duration
+	all    []*candidate
 }
 
 // candidate is one VM with the terms that it has held.
@@ -45,7 +47,12 @@
 }
 
 func newCandidates(t *testing.T, names ...string) *candidates {
-	c := &candidates{t: t, network: memnet.New(), store: cellstore.New(1), began: time.Now()}
+	return newCandidatesWithLease(t, 0, names...)
+}
+
+func newCandidatesWithLease(t *testing.T, minTTL time.Duration, names ...string) *candidates {
+	c := &candidates{t: t, network: memnet.New(), store: cellstore.New(1), began: time.Now(), minTTL: minTTL}
+	c.store.SetMinTTL(minTTL)
 	c.server = &http.Server{Handler: c.store}
 	l := c.network.Listen(storeAddr)
 	go func() { _ = c.server.Serve(l) }()
@@ -59,7 +66,7 @@
 	store := platform.NewStore(c.network.Dialer(name), storeAddr, nil)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &candidate{name: name, stop: stop, done: make(chan struct{})}
-	v.elector = New(store, name, name+":1", func(ctx context.Context, term Term) {
+	v.elector = New(store, name, name+":1", c.minTTL, func(ctx context.Context, term Term) {
 		h := &held{term: term, begin: time.Now()}
 		v.mu.Lock()
 		v.terms = append(v.terms, h)
@@ -136,6 +143,26 @@
 	})
 }
 
+// Guards against a cell that never gets a scheduler, since the store grants no lease as
+// short as ours.
+func TestLeaseIsAsLongAsTheStoreAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const shortest = 3 * time.Second
+		c := newCandidatesWithLease(t, shortest, "a", "b")
+		defer c.close()
+		time.Sleep(time.Second)
+		old, _ := c.holder(nil)
+		must.NotNil(t, old)
+		cut := time.Now()
+		c.network.Cut(old.name, storeAddr)
+		time.Sleep(4 * time.Second)
+		next, taken := c.holder(old)
+		must.NotNil(t, next)
+		must.Between(t, shortest-renewEvery-200*time.Millisecond, taken.begin.Sub(cut), shortest+200*time.Millisecond)
+		c.network.Heal(old.name, storeAddr)
+	})
+}
+
 // Guards against a scheduler that learns of its successor only from the store, which does
 // not answer it.
 func TestLaterTermToldByPeerEndsTerm(t *testing.T) {
--- a/daemon/internal/election/renew.go
+++ b/daemon/internal/election/renew.go
@@ -113,7 +113,7 @@
 	case r.away() > giveUp:
 		r.log.Warn("[election] term given up without the store", zap.Int64("term", r.term.Number), zap.Error(o.err))
 		return false
-	case !r.lost && r.away() > LeaseTTL:
+	case !r.lost && r.away() > r.ttl:
 		r.lost = true
 		r.log.Warn("[election] store lost", zap.Duration("since", r.away()), zap.Error(o.err))
 	}
@@ -125,7 +125,7 @@
 func (e *Elector) reclaim(ctx context.Context, t Term) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	lease, _, err := e.store.Grant(callCtx, LeaseTTL)
+	lease, _, err := e.store.Grant(callCtx, e.ttl)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -91,7 +91,7 @@
 		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
 		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreLimit: v.pace.Limit,
 	}
-	v.elector = election.New(v.store, boot.VM, v.peerAddr(), func(ctx context.Context, t election.Term) {
+	v.elector = election.New(v.store, boot.VM, v.peerAddr(), boot.MinLeaseTTL, func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
 		if err != nil {
 			log.Error("[vm] scheduler not set up", zap.Error(err))
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -44,7 +44,7 @@
 	d.Advice = append(d.Advice, call)
 }
 
-// hasTickets reports whether a ticket of the group is valid for a runner with room.
+// hasTickets reports whether a ticket of the group is still valid.
 func (g *group) hasTickets(now time.Time) bool {
 	for _, t := range g.advice.tickets {
 		if now.Before(t.until) {
--- a/standin/cellstore/leases.go
+++ b/standin/cellstore/leases.go
@@ -19,6 +19,9 @@
 	s.revision++
 	id := s.revision
 	ttl := time.Duration(in.TTL) * time.Millisecond
+	if ttl < s.minTTL {
+		return http.StatusBadRequest, map[string]string{"reason": "lease is too short"}
+	}
 	s.leases[id] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
 	return http.StatusOK, map[string]int64{"lease": id, "ttl_ms": in.TTL}
 }
--- a/standin/cellstore/store.go
+++ b/standin/cellstore/store.go
@@ -47,7 +47,9 @@
 	leases   map[int64]*lease
 	changed  chan struct{}
 	faults   Faults
-	random   *rand.Rand
+	// minTTL is the shortest lease that is granted.
+	minTTL time.Duration
+	random *rand.Rand
 }
 
 type lease struct {
@@ -70,6 +72,13 @@
 	s.faults = f
 }
 
+// SetMinTTL sets the shortest lease that is granted.
+func (s *Store) SetMinTTL(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.minTTL = d
+}
+
 // DropHistory forgets the changes so far.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
