--- /dev/null
+++ b/sched/cell/ask_test.go
@@ -0,0 +1,55 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a gang that waits for its only two approved runners to be empty at
+// once, since few runners were known when it asked, while others stand idle.
+func TestGangAsksAgainWhenApprovedRunnersBarelyHoldIt(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(1)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 1, w.until(time.Second))
+	gang := small(8)
+	gang.Gang = true
+	w.add("0000000000000002", gang)
+	must.SliceEmpty(t, w.until(time.Second))
+	w.join(2, 8)
+	must.Len(t, 8, w.until(5*time.Second))
+}
+
+// Guards against a small step that waits for the one busy runner that it may use,
+// since that one could hold it several times over, while others stand idle.
+func TestSmallStepAsksAgainWhenItsOnlyRunnerIsBusy(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(4)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 4, w.until(time.Second))
+	w.add("0000000000000002", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.join(1, 4)
+	must.Len(t, 1, w.until(3*time.Second))
+}
+
+// Guards against a step whose approved runners, though several, all stay busy with
+// other work while runners that it has not asked about have room.
+func TestStepAsksAgainWhenAllItsRunnersStayBusy(t *testing.T) {
+	w := newWorld(t, 4)
+	w.cell.SetQueues([]Queue{advised()})
+	blocker := small(16)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 16, w.until(time.Second))
+	w.add("0000000000000002", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.join(4, 6)
+	must.Len(t, 1, w.until(3*time.Second))
+}
--- /dev/null
+++ b/sched/cell/begin_test.go
@@ -0,0 +1,45 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// Guards against a start that the next scheduler would not know of: it takes a group
+// without a stored mark for one that has no runs.
+func TestNothingStartsBeforeItsMarkIsStored(t *testing.T) {
+	w := newWorld(t, 2)
+	w.refuseWrites = true
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	must.SliceEmpty(t, w.until(time.Second))
+	w.refuseWrites = false
+	must.Len(t, 1, w.until(time.Second))
+}
+
+// Guards against holding up the whole queue after a takeover because one runner does
+// not answer: only work that may have begun has to wait for it.
+func TestOnlyBegunWorkWaitsForSilentRunner(t *testing.T) {
+	old := newWorld(t, 2)
+	old.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	begun := old.add("0000000000000001", small(1))
+	must.Len(t, 1, old.until(time.Second))
+
+	w := newWorld(t, 2)
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	saved, err := ParseSavedJob(old.stored[begun.ID])
+	must.NoError(t, err)
+	must.True(t, w.cell.AddJob(w.now, &Job{ID: begun.ID, Queue: "q", Pool: "pool", Spec: begun.Spec}, saved))
+	w.add("0000000000000002", small(1))
+	starts := w.until(time.Second)
+	must.Len(t, 1, starts)
+	must.Eq(t, "0000000000000002", starts[0].Run.Task.Job)
+	must.SliceEmpty(t, w.until(5*time.Second))
+	w.report("silent", Report{Life: 1})
+	must.Len(t, 1, w.until(time.Second))
+}
--- /dev/null
+++ b/sched/cell/health_test.go
@@ -0,0 +1,38 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against stopping a gang, and losing its work, because a member that has done
+// its own share waits for slower members.
+func TestGangMemberThatWaitsForOthersIsNotStalled(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	gang := small(2)
+	gang.Gang = true
+	w.add("0000000000000001", gang)
+	starts := w.until(time.Second)
+	must.Len(t, 2, starts)
+	progress := func(first, second float64) {
+		w.report("r0", Report{Life: 1, Running: []RunningRow{
+			{Task: starts[0].Run.Task, Execution: starts[0].Run.Execution, Percent: first},
+			{Task: starts[1].Run.Task, Execution: starts[1].Run.Execution, Percent: second},
+		}})
+	}
+	for i := range 60 {
+		progress(100, float64(i))
+		w.step(100 * time.Millisecond)
+	}
+	must.Eq(t, Active, starts[0].Run.Phase)
+	// A member that stands still before its end is stopped.
+	for range 60 {
+		progress(100, 60)
+		w.step(100 * time.Millisecond)
+	}
+	must.Eq(t, Active, starts[0].Run.Phase)
+	must.Eq(t, Stopping, starts[1].Run.Phase)
+}
--- /dev/null
+++ b/sched/cell/saved_test.go
@@ -0,0 +1,51 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against counting one failed run twice when the next scheduler reads the
+// same end again, which would fail the job too early.
+func TestFailedEndCountsOnceAcrossSchedulers(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.add("0000000000000001", small(1))
+	run := w.until(time.Second)[0].Run
+	w.end(run, EndFailed)
+	dirty, err := w.cell.TakeDirty(10)
+	must.NoError(t, err)
+	must.Len(t, 1, dirty)
+
+	next := newWorld(t, 1)
+	next.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	saved, err := ParseSavedJob(dirty[0].Value)
+	must.NoError(t, err)
+	j := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+	next.cell.AddJob(next.now, j, saved)
+	next.report("r0", Report{Life: 1, Ended: []EndRow{{Number: 1, Task: run.Task, Execution: run.Execution, How: EndFailed}}})
+	must.Eq(t, Running, j.State())
+}
+
+// Guards against two writes of one state at a time, of which the older may win.
+func TestStateHasOneWriteUnderWay(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	j := w.add("0000000000000001", small(2))
+	w.cell.Decide(w.now, w.now)
+	first, err := w.cell.TakeDirty(10)
+	must.NoError(t, err)
+	must.Len(t, 1, first)
+	must.True(t, w.cell.Cancel(w.now, j.ID))
+	must.False(t, w.cell.HasDirty())
+	none, err := w.cell.TakeDirty(10)
+	must.NoError(t, err)
+	must.SliceEmpty(t, none)
+	w.cell.Saved(first[0])
+	second, err := w.cell.TakeDirty(10)
+	must.NoError(t, err)
+	must.Len(t, 1, second)
+	must.Eq(t, Cancelled, second[0].State)
+}
