Measure a scheduler of 350 runners in real time

BenchmarkHolder runs one scheduler with 350 runners of 32 cores, 43 VMs that hand in jobs and make the advisor's calls, and a store, all on loopback in one process; the scheduler's part has a profile label. Calm asks for about 610 starts a second, Burst for twice that.

--- /dev/null
+++ b/daemon/internal/cellsched/holder_bench_test.go
@@ -0,0 +1,284 @@
+package cellsched
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/pprof"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/telemetry"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+	"rhubarbstall.example/standin/cellrunner"
+	"rhubarbstall.example/standin/cellstore"
+)
+
+const (
+	benchRunners = 350
+	benchVMs     = 43
+	// benchWarmUp lets all runners report and the first tasks end before it is measured.
+	benchWarmUp = 4 * time.Second
+	benchTime   = 8 * time.Second
+)
+
+// benchKind is a kind of job with its rate, as the grown deployment has them.
+type benchKind struct {
+	name      string
+	perSecond int
+	tasks     int
+	milliCPU  int64
+	work      time.Duration
+	gang      bool
+}
+
+var benchKinds = []benchKind{
+	{name: "small", perSecond: 110, tasks: 3, milliCPU: 1000, work: 800 * time.Millisecond},
+	{name: "wide", perSecond: 8, tasks: 25, milliCPU: 3500, work: 3400 * time.Millisecond},
+	{name: "gang", perSecond: 4, tasks: 20, milliCPU: 9000, work: 6200 * time.Millisecond, gang: true},
+}
+
+// benchCell is a scheduler in real time with its runners, store and entry VMs, all on
+// loopback. What the scheduler's VM does has the profile label part=scheduler.
+type benchCell struct {
+	b       *testing.B
+	ctx     context.Context
+	store   *cellstore.Store
+	servers []*http.Server
+	// peerAddr is where the other VMs reach the scheduler.
+	peerAddr string
+	holder   *Holder
+	wait     sync.WaitGroup
+}
+
+// spawn runs f in a goroutine of a part; goroutines that it starts belong to it as well.
+func (c *benchCell) spawn(part string, f func()) {
+	c.wait.Go(func() {
+		pprof.Do(c.ctx, pprof.Labels("part", part), func(context.Context) { f() })
+	})
+}
+
+func (c *benchCell) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(c.b, err)
+	return l
+}
+
+func (c *benchCell) serve(part string, h http.Handler) string {
+	l := c.listen()
+	server := &http.Server{Handler: h}
+	c.servers = append(c.servers, server)
+	c.spawn(part, func() { _ = server.Serve(l) })
+	return l.Addr().String()
+}
+
+// addRunners starts the runners. Each is a fleet of its own, since a fleet looks at all
+// its runners for each order.
+func (c *benchCell) addRunners() {
+	kinds := make(map[byte]benchKind)
+	for i, k := range benchKinds {
+		kinds[byte('a'+i)] = k
+	}
+	for i := range benchRunners {
+		id := fmt.Sprintf("r%03d", i)
+		fleet := cellrunner.NewFleet(uint64(i), cellrunner.Size{CPU: 32000, MB: 64000}, simAttempts, func(name string) (cellrunner.Size, time.Duration) {
+			k := kinds[name[0]]
+			return cellrunner.Size{CPU: k.milliCPU, MB: 100}, k.work
+		})
+		r := fleet.Add(id)
+		addr := c.serve("runner", r)
+		c.store.Put(platform.RunnerPrefix+id, fleet.Entry(r, simPool, addr, "ready"))
+	}
+}
+
+// schedule runs the scheduler as the VM that holds the role does.
+func (c *benchCell) schedule() {
+	storeAddr := c.serve("store", c.store)
+	c.store.Put("lead/term", []byte("1"))
+	item, err := platform.NewStore(platform.TCP(), storeAddr, nil).Get(c.ctx, "lead/term")
+	must.NoError(c.b, err)
+	term := election.Term{
+		Number: 1, Guard: platform.Condition{Key: "lead/term", Revision: item.Revision},
+		Valid: func() bool { return true },
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.AddSync(benchLog()), zap.InfoLevel))
+	var queues []cell.Queue
+	for i, k := range benchKinds {
+		queues = append(queues, cell.Queue{
+			Name: k.name, Pool: simPool, Priority: i, MaxAttempts: simAttempts, SlackFactor: 2, TargetLatency: time.Second,
+			Advice: &cell.AdvicePolicy{Base: 20 * time.Millisecond, PerRunner: 500 * time.Microsecond, Validity: 2 * time.Second},
+		})
+	}
+	c.holder = new(Holder)
+	c.holder.SetQueues(queues)
+	store := platform.NewStore(platform.TCP(), storeAddr, nil)
+	runners := platform.NewRunners(platform.TCP())
+	s, err := New(Settings{VM: "vm", MaxHold: 6 * time.Second, StatusKept: time.Minute, RemoteFactor: 1}, term, store, runners, log)
+	must.NoError(c.b, err)
+	server := peer.NewServer()
+	Register(server, NewClient(ClientParts{
+		Self: VMAddr{VM: "vm"}, Holder: c.holder, Store: store, Away: func() bool { return false }, Log: log,
+		StoreLimit: func() time.Duration { return callTime },
+	}))
+	l := c.listen()
+	c.peerAddr = l.Addr().String()
+	c.spawn("scheduler", func() { _ = server.Serve(l) })
+	c.spawn("scheduler", func() {
+		c.holder.Run(c.ctx, s)
+		_ = l.Close()
+		server.CloseConnections()
+		store.Close()
+		runners.Close()
+	})
+}
+
+// benchLog returns where log lines go: nowhere, or to the file that BENCH_LOG names.
+func benchLog() io.Writer {
+	if name := os.Getenv("BENCH_LOG"); name != "" {
+		f, err := os.Create(name)
+		if err == nil {
+			return f
+		}
+	}
+	return io.Discard
+}
+
+// advise makes the calls of one VM to the advisor, which approves two of three runners.
+func (c *benchCell) advise(vm string) {
+	client := peer.NewClient(vm)
+	defer client.Close()
+	for c.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(c.ctx, adviceWait)
+		r, err := peer.Call[adviceArgs, adviceReply](ctx, client, c.peerAddr, methodAdvice, &adviceArgs{vm})
+		cancel()
+		if err != nil || !r.Given {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		took := time.Duration(r.Task.ExpectedMS) * time.Millisecond
+		time.Sleep(took)
+		a := &AdviceAnswer{ID: r.Task.ID, TookMS: took.Milliseconds()}
+		for _, id := range r.Task.Runners {
+			h := fnv.New32()
+			_, _ = io.WriteString(h, r.Task.Step+id)
+			if h.Sum32()%3 > 0 {
+				a.Approved = append(a.Approved, cell.Approval{Runner: id, Ticket: "ticket-" + id})
+			}
+		}
+		ctx, cancel = context.WithTimeout(c.ctx, adviceWait)
+		_, _ = peer.Call[AdviceAnswer, none](ctx, client, c.peerAddr, methodAdvised, a)
+		cancel()
+	}
+}
+
+// submit hands the jobs of one kind in, evenly spread, through the VMs in turn.
+func (c *benchCell) submit(prefix byte, k benchKind) {
+	body, err := json.Marshal(map[string]any{"specification": "x", "steps": []map[string]any{{
+		"count": k.tasks, "cpu": k.milliCPU, "requested_memory_mb": 100, "estimated_ms": k.work.Milliseconds(), "gang_scheduled": k.gang,
+	}}})
+	must.NoError(c.b, err)
+	client := peer.NewClient("front-" + k.name)
+	defer client.Close()
+	tick := time.NewTicker(time.Second / time.Duration(k.perSecond))
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		value, err := EncodeJob(JobHeader{Queue: k.name, Pool: simPool, AcceptedMS: time.Now().UnixMilli()}, body)
+		must.NoError(c.b, err)
+		id := fmt.Sprintf("%c%015x", prefix, n)
+		c.store.Put(JobKey(id), value)
+		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+		_, _ = peer.Call[Submission, none](ctx, client, c.peerAddr, methodSubmit, &Submission{ID: id, Value: value})
+		cancel()
+	}
+}
+
+// Measures the scheduler of the grown deployment in real time: 350 runners and about 610
+// task starts a second, or twice as many asked for in a burst. With -cpuprofile, `go tool pprof -tagfocus part=scheduler` shows
+// the share of the scheduler's VM without the stand-ins.
+func BenchmarkHolder(b *testing.B) {
+	before := otel.GetMeterProvider()
+	defer otel.SetMeterProvider(before)
+	_, err := telemetry.Metrics("vm", "z")
+	must.NoError(b, err)
+	// Twice the rates ask for about a quarter more than the runners have.
+	for _, load := range []struct {
+		name   string
+		factor int
+	}{{"Calm", 1}, {"Burst", 2}} {
+		b.Run(load.name, func(b *testing.B) {
+			for range b.N {
+				benchHolder(b, load.factor)
+			}
+		})
+	}
+}
+
+func benchHolder(b *testing.B, factor int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &benchCell{b: b, ctx: ctx, store: cellstore.New(1)}
+	c.addRunners()
+	c.schedule()
+	for i := range benchVMs {
+		c.spawn("vms", func() { c.advise(fmt.Sprintf("vm%d", i)) })
+	}
+	for i, k := range benchKinds {
+		k.perSecond *= factor
+		c.spawn("vms", func() { c.submit(byte('a'+i), k) })
+	}
+	time.Sleep(benchWarmUp)
+	var starts, unknown, jobs, reports float64
+	var startP99, decision, oldest time.Duration
+	seen := make(map[*loadReport]bool)
+	for begin := time.Now(); time.Since(begin) < benchTime; time.Sleep(100 * time.Millisecond) {
+		s := c.holder.Current()
+		if s == nil {
+			continue
+		}
+		r := s.counts.last.Load()
+		if r == nil || seen[r] {
+			continue
+		}
+		seen[r] = true
+		starts += float64(r.startsOK)
+		unknown += float64(r.startsUnknown)
+		jobs = float64(r.Open)
+		startP99, oldest = max(startP99, r.answers.p99), max(oldest, r.OldestReport)
+		decision += r.decisions.sum
+		reports++
+	}
+	must.Positive(b, reports)
+	cancel()
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	c.wait.Wait()
+	must.Positive(b, starts)
+	b.ReportMetric(starts/reports, "starts/s")
+	b.ReportMetric(unknown/reports, "unknown/s")
+	b.ReportMetric(jobs, "open-jobs")
+	b.ReportMetric(float64(startP99.Microseconds())/1000, "start-p99-ms")
+	b.ReportMetric(float64(decision.Microseconds())/1000/reports, "decision-ms/s")
+	b.ReportMetric(float64(oldest.Microseconds())/1000, "oldest-report-ms")
+}
