--- a/sched/cell/bench_test.go
+++ b/sched/cell/bench_test.go
@@ -19,7 +19,7 @@
 	ends    map[string]int64
 }
 
-func newBenchCell(b *testing.B, runners, backlog int) *benchCell {
+func newBenchCell(b testing.TB, runners, backlog int) *benchCell {
 	now := time.Unix(1000, 0)
 	// The lease outlasts the run, since nothing renews it.
 	c := New(now, Config{Lease: 24 * time.Hour, OrderTimeout: 500 * time.Millisecond, FirstExecution: 1})
@@ -52,7 +52,7 @@
 	return w
 }
 
-func (w *benchCell) submit(b *testing.B, tasks int, cpu int64) {
+func (w *benchCell) submit(b testing.TB, tasks int, cpu int64) {
 	w.jobs++
 	step := Step{Count: tasks, Size: model.Resources{MilliCPU: cpu, MemoryMB: 100}, Estimate: time.Second}
 	j := &Job{ID: fmt.Sprintf("%016x", w.jobs), Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: []Step{step}}}
@@ -62,7 +62,7 @@
 }
 
 // decide decides once and answers at once what that asks for.
-func (w *benchCell) decide(b *testing.B) {
+func (w *benchCell) decide(b testing.TB) {
 	w.now = w.now.Add(4 * time.Millisecond)
 	w.cell.Tick(w.now)
 	d := w.cell.Decide(w.now, w.now)
--- /dev/null
+++ b/sched/cell/cost_test.go
@@ -0,0 +1,31 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// decisionCost returns how long one decision takes beside a backlog of waiting steps.
+func decisionCost(t *testing.T, runners, backlog int) time.Duration {
+	w := newBenchCell(t, runners, backlog)
+	var costs []time.Duration
+	for range 20 {
+		w.now = w.now.Add(4 * time.Millisecond)
+		begin := time.Now()
+		w.cell.Decide(w.now, w.now)
+		costs = append(costs, time.Since(begin))
+	}
+	return median(costs)
+}
+
+// Guards against decisions whose cost grows faster than the number of waiting steps. The
+// costs are compared in one run; half as much again is left for a busy machine and for
+// the sorting of the steps.
+func TestDecisionCostIsLinearInBacklog(t *testing.T) {
+	const few, many = 200, 1600
+	small, large := decisionCost(t, grownRunners, few), decisionCost(t, grownRunners, many)
+	t.Logf("a decision beside %d waiting steps costs %.1f times one beside %d", many, float64(large)/float64(small), few)
+	must.Less(t, 1.5*many/few*float64(small), float64(large))
+}
--- /dev/null
+++ b/sched/cell/grown_test.go
@@ -0,0 +1,553 @@
+package cell
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
+)
+
+const (
+	grownRunners = 350
+	grownRack    = 12
+	grownVMs     = 43
+	// grownTick is the time between two decisions.
+	grownTick = 20 * time.Millisecond
+	// grownLongCall separates the advice calls that a quarter of the VMs leaves to others.
+	grownLongCall = 150 * time.Millisecond
+	// grownHold is how often a runner reports at least.
+	grownHold = time.Second
+)
+
+// grownKind is one kind of jobs on a deployment of 350 runners.
+type grownKind struct {
+	queue Queue
+	// perSecond is the mean number of jobs a second.
+	perSecond         float64
+	steps, tasks      float64
+	maxTasks          int
+	work, maxWork     time.Duration
+	size              model.Resources
+	gangs             float64
+	estimateError     float64
+	approved          float64
+	submitted, inTime int
+}
+
+// grownKinds fill about nine tenths of the runners' cores together.
+func grownKinds() []*grownKind {
+	advice := func(base, perRunner float64) *AdvicePolicy {
+		ms := float64(time.Millisecond)
+		return &AdvicePolicy{Base: time.Duration(base * ms), PerRunner: time.Duration(perRunner * ms), Validity: 1500 * time.Millisecond}
+	}
+	queue := func(name string, priority int, target time.Duration, a *AdvicePolicy) Queue {
+		return Queue{Name: name, Pool: "pool", Priority: priority, MaxAttempts: 3, SlackFactor: 1.5, TargetLatency: target, Advice: a}
+	}
+	return []*grownKind{
+		{
+			queue: queue("preview", 0, 250*time.Millisecond, advice(11.7, 0.169)), perSecond: 110,
+			steps: 1, tasks: 3.2, maxTasks: 19, work: 800 * time.Millisecond, maxWork: 2 * time.Second,
+			size: model.Resources{MilliCPU: 5000, MemoryMB: 9100}, gangs: 0.3, estimateError: 0.5, approved: 0.7,
+		},
+		{
+			queue: queue("variant", 2, 3*time.Second, advice(169, 2.34)), perSecond: 7.87,
+			steps: 1.5, tasks: 25, maxTasks: 150, work: 3400 * time.Millisecond, maxWork: 8400 * time.Millisecond,
+			size: model.Resources{MilliCPU: 3500, MemoryMB: 6400}, estimateError: 0.2, approved: 0.45,
+		},
+		{
+			queue: queue("render", 1, time.Second, advice(702, 10.01)), perSecond: 3.81,
+			steps: 1.2, tasks: 20, maxTasks: 120, work: 6200 * time.Millisecond, maxWork: 16 * time.Second,
+			size: model.Resources{MilliCPU: 9000, MemoryMB: 13000}, gangs: 1, estimateError: 0.5, approved: 0.3,
+		},
+	}
+}
+
+// grownRun is a run on a runner of a grownWorld.
+type grownRun struct {
+	run  *Run
+	work time.Duration
+	// ends is when the run is done; zero for a member of a gang that waits for others.
+	ends time.Time
+}
+
+type grownJob struct {
+	kind     *grownKind
+	job      *Job
+	work     [][]time.Duration
+	expected time.Duration
+	accepted time.Time
+	ended    bool
+}
+
+// grownSecond is what happened in one second.
+type grownSecond struct {
+	submitted, ended, inTime, starts, waiting, decisions, advice int
+	// inTimeOf counts the jobs in time by kind.
+	inTimeOf []int
+	useful   float64
+	decide   []time.Duration
+}
+
+// grownWorld plays a deployment of 350 runners under load: jobs come at random, runners
+// carry out each order, and the advisor serves one call at a time for each VM.
+type grownWorld struct {
+	t      *testing.T
+	random *rand.Rand
+	seed   uint64
+	began  time.Time
+	now    time.Time
+	cell   *Cell
+	kinds  []*grownKind
+	// factor multiplies the load of each kind.
+	factor  []float64
+	jobs    map[string]*grownJob
+	open    int
+	running map[string][]*grownRun
+	ends    map[string]int64
+	fresh   map[string][]EndRow
+	heard   map[string]time.Time
+	calls   []AdviceCall
+	// lanes holds the call that each VM makes.
+	lanes   []grownCall
+	seconds []grownSecond
+	next    int
+	broken  []string
+	// idleSince holds since when a waiting group had room that it could not get.
+	idleSince map[*group]time.Time
+	// passedOver holds the groups that waited beside free room for longer than lostAfter.
+	passedOver map[string]time.Duration
+}
+
+type grownCall struct {
+	call    AdviceCall
+	sent    time.Time
+	answer  time.Time
+	pending bool
+}
+
+func newGrownWorld(t *testing.T, seed uint64) *grownWorld {
+	w := &grownWorld{
+		t: t, random: rand.New(rand.NewPCG(seed, 17)), seed: seed, began: time.Unix(1000, 0), now: time.Unix(1000, 0),
+		kinds: grownKinds(), factor: []float64{1, 1, 1}, jobs: make(map[string]*grownJob),
+		running: make(map[string][]*grownRun), ends: make(map[string]int64), fresh: make(map[string][]EndRow),
+		heard: make(map[string]time.Time), lanes: make([]grownCall, grownVMs),
+		idleSince: make(map[*group]time.Time), passedOver: make(map[string]time.Duration),
+	}
+	w.cell = New(w.now, Config{Lease: 5800 * time.Millisecond, OrderTimeout: 500 * time.Millisecond, InheritWait: 10 * time.Second, FirstExecution: 1, RemoteFactor: 1.5})
+	var queues []Queue
+	for _, k := range w.kinds {
+		queues = append(queues, k.queue)
+	}
+	w.cell.SetQueues(queues)
+	for i := range grownRunners {
+		id := fmt.Sprintf("r%03d", i)
+		w.cell.SetRunner(w.now, RunnerInfo{
+			ID: id, Pool: "pool", Rack: fmt.Sprintf("k%d", i/grownRack), Life: 1,
+			Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 65536},
+		})
+		w.report(id)
+		// Reports of calm runners are spread over the time between them.
+		w.heard[id] = w.now.Add(-time.Duration(i) * grownHold / grownRunners)
+	}
+	w.cell.Recorded(w.cell.Roster())
+	return w
+}
+
+// sample returns a value of a distribution with a long tail.
+func (w *grownWorld) sample(mean, spread float64) float64 {
+	s2 := math.Log(1 + spread*spread)
+	return math.Exp(math.Log(mean) - s2/2 + math.Sqrt(s2)*w.random.NormFloat64())
+}
+
+func (w *grownWorld) submit(k *grownKind) {
+	w.next++
+	steps := max(1, int(k.steps))
+	if w.random.Float64() < k.steps-float64(steps) {
+		steps++
+	}
+	j := &Job{ID: fmt.Sprintf("%016x", w.next), Queue: k.queue.Name, Pool: "pool", Spec: Spec{Payload: "p"}}
+	g := &grownJob{kind: k, job: j, accepted: w.now}
+	gang := w.random.Float64() < k.gangs
+	var chain time.Duration
+	for i := range steps {
+		count := min(max(1, int(math.Round(w.sample(k.tasks, 0.8)))), k.maxTasks)
+		usual := w.sample(float64(k.work), 0.5)
+		step := Step{
+			Count: count, Size: k.size, Gang: gang,
+			Estimate: time.Duration(usual * w.sample(1, k.estimateError)),
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		work := make([]time.Duration, count)
+		for n := range work {
+			if n == 0 || !gang {
+				work[n] = min(time.Duration(usual*w.sample(1, 0.15)), k.maxWork)
+			} else {
+				work[n] = work[0]
+			}
+		}
+		j.Spec.Steps = append(j.Spec.Steps, step)
+		g.work = append(g.work, work)
+		chain += slices.Max(work) + k.queue.Advice.CallTime(30)
+	}
+	g.expected = k.queue.TargetLatency + time.Duration(k.queue.SlackFactor*float64(chain))
+	must.True(w.t, w.cell.AddJob(w.now, j, nil))
+	w.jobs[j.ID] = g
+	w.open++
+	k.submitted++
+	w.second().submitted++
+}
+
+func (w *grownWorld) second() *grownSecond {
+	n := int(w.now.Sub(w.began) / time.Second)
+	for len(w.seconds) <= n {
+		w.seconds = append(w.seconds, grownSecond{inTimeOf: make([]int, len(w.kinds))})
+	}
+	return &w.seconds[n]
+}
+
+// approves tells whether the advisor lets a step run on a runner.
+func (w *grownWorld) approves(g *group, id string) bool {
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "%d %s %s", w.seed, g.key(), id)
+	return float64(h.Sum32()%1000) < w.jobs[g.job.ID].kind.approved*1000
+}
+
+// advise lets each VM without a call make the next one, as the scheduler hands them out:
+// a quarter of the VMs makes short calls only.
+func (w *grownWorld) advise() {
+	long := 0
+	for i := range w.lanes {
+		l := &w.lanes[i]
+		if l.pending && !w.now.Before(l.answer) {
+			l.pending = false
+			var approved []Approval
+			for _, id := range l.call.Runners {
+				if w.approves(l.call.group, id) {
+					approved = append(approved, Approval{Runner: id, Ticket: "t"})
+				}
+			}
+			w.cell.Advised(w.now, l.call, l.sent, approved, nil)
+		}
+		if l.pending && l.call.Expected > grownLongCall {
+			long++
+		}
+	}
+	slices.SortStableFunc(w.calls, func(a, b AdviceCall) int {
+		switch {
+		case a.Rank < b.Rank:
+			return -1
+		case a.Rank > b.Rank:
+			return 1
+		}
+		return 0
+	})
+	for i := range w.lanes {
+		if w.lanes[i].pending {
+			continue
+		}
+		for n, call := range w.calls {
+			if call.Expected > grownLongCall {
+				if long >= grownVMs-grownVMs/4 {
+					continue
+				}
+				long++
+			}
+			w.lanes[i] = grownCall{call: call, sent: w.now, answer: w.now.Add(call.Expected), pending: true}
+			w.calls = slices.Delete(w.calls, n, n+1)
+			w.second().advice++
+			break
+		}
+	}
+}
+
+// begin lets a started run work; a gang works from the moment when all members are there.
+func (w *grownWorld) begin(run *Run) {
+	g := w.jobs[run.Task.Job]
+	r := &grownRun{run: run, work: g.work[run.Task.Step][run.Task.Index]}
+	w.running[run.Runner] = append(w.running[run.Runner], r)
+	r.ends = w.now.Add(r.work)
+	if used := w.cell.runners[run.Runner].used; !used.Fits(w.cell.runners[run.Runner].info.Capacity) {
+		w.broken = append(w.broken, "overfilled "+run.Runner)
+	}
+}
+
+// endRuns ends the runs whose time has come.
+func (w *grownWorld) endRuns(id string) {
+	keep := w.running[id][:0]
+	for _, r := range w.running[id] {
+		if w.now.Before(r.ends) {
+			keep = append(keep, r)
+			continue
+		}
+		w.note(id, r, EndDone)
+	}
+	w.running[id] = keep
+}
+
+func (w *grownWorld) note(id string, r *grownRun, how EndKind) {
+	w.ends[id]++
+	w.fresh[id] = append(w.fresh[id], EndRow{Number: w.ends[id], Task: r.run.Task, Execution: r.run.Execution, How: how})
+	if how == EndDone {
+		w.second().useful += r.work.Seconds() * float64(r.run.claimed.MilliCPU) / 1000
+	}
+}
+
+func (w *grownWorld) stop(run *Run) {
+	for i, r := range w.running[run.Runner] {
+		if r.run == run {
+			w.running[run.Runner] = slices.Delete(w.running[run.Runner], i, i+1)
+			w.note(run.Runner, r, EndStopped)
+			break
+		}
+	}
+	w.cell.StopAnswered(w.now, run)
+}
+
+func (w *grownWorld) report(id string) {
+	w.heard[id] = w.now
+	rep := Report{Life: 1, Ended: w.fresh[id]}
+	delete(w.fresh, id)
+	for _, r := range w.running[id] {
+		percent := 100 * (1 - float64(r.ends.Sub(w.now))/float64(r.work))
+		rep.Running = append(rep.Running, RunningRow{Task: r.run.Task, Execution: r.run.Execution, Percent: percent})
+	}
+	w.cell.OrderSent(w.now, id)
+	w.cell.Report(w.now, w.now, id, rep)
+}
+
+// step plays the time until the next decision.
+func (w *grownWorld) step() {
+	w.now = w.now.Add(grownTick)
+	for i, k := range w.kinds {
+		// A Poisson process, of which a tick has a few jobs at most.
+		rate := k.perSecond * w.factor[i] * grownTick.Seconds()
+		for p := w.random.Float64(); rate > 0 && p > math.Exp(-rate); p *= w.random.Float64() {
+			w.submit(k)
+		}
+	}
+	w.advise()
+	for _, r := range w.cell.order {
+		id := r.info.ID
+		w.endRuns(id)
+		if len(w.fresh[id]) > 0 || w.now.Sub(w.heard[id]) >= grownHold {
+			w.report(id)
+		}
+	}
+	w.cell.Tick(w.now)
+	s := w.second()
+	s.waiting = max(s.waiting, len(w.cell.ready))
+	begin := time.Now()
+	d := w.cell.Decide(w.now, w.now)
+	s.decide = append(s.decide, time.Since(begin))
+	w.calls = append(w.calls, d.Advice...)
+	for _, st := range d.Stops {
+		w.stop(st.Run)
+	}
+	for _, st := range d.Starts {
+		s.starts++
+		w.begin(st.Run)
+		w.cell.StartAnswered(w.now, st.Run, StartOK, "")
+	}
+	dirty, err := w.cell.TakeDirty(1 << 20)
+	must.NoError(w.t, err)
+	for _, x := range dirty {
+		w.cell.Saved(x)
+		if g := w.jobs[x.ID]; x.State.Final() && !g.ended {
+			w.finish(g)
+		}
+	}
+	w.cell.TakeEvents()
+}
+
+func (w *grownWorld) finish(g *grownJob) {
+	g.ended = true
+	w.open--
+	s := w.second()
+	s.ended++
+	if w.now.Sub(g.accepted) <= g.expected {
+		s.inTime++
+		g.kind.inTime++
+		s.inTimeOf[slices.Index(w.kinds, g.kind)]++
+	}
+	w.cell.RemoveJob(g.job.ID)
+}
+
+func (w *grownWorld) play(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+	}
+}
+
+// lostAfter is how long a job may have nothing running while its turn has come, there is
+// room for it twice over and under half of the cores are in use.
+const lostAfter = 3 * time.Second
+
+// checkIdle notes the groups that wait although they could run.
+func (w *grownWorld) checkIdle() {
+	var used, capacity int64
+	for _, r := range w.cell.order {
+		used += r.used.MilliCPU
+		capacity += r.info.Capacity.MilliCPU
+	}
+	waits := make(map[*group]time.Time)
+	for _, g := range w.cell.ready {
+		if g.waiting < len(g.tasks) || g.job.state.Final() || 2*used >= capacity || w.room(g) < 2*len(g.tasks) {
+			continue
+		}
+		since, ok := w.idleSince[g]
+		if !ok {
+			since = w.now
+		}
+		waits[g] = since
+		if idle := w.now.Sub(since); idle > lostAfter {
+			w.passedOver[g.key()] = idle
+		}
+	}
+	w.idleSince = waits
+}
+
+// room counts the tasks of a group that fit at once on the runners that may run it.
+func (w *grownWorld) room(g *group) int {
+	n := 0
+	for _, r := range w.cell.order {
+		if !w.approves(g, r.info.ID) {
+			continue
+		}
+		for room := r.info.Capacity.Sub(r.used); g.claim().Fits(room); n++ {
+			room = room.Sub(g.claim())
+		}
+	}
+	return n
+}
+
+// log prints one line a second.
+func (w *grownWorld) log() {
+	for i, s := range w.seconds {
+		if len(s.decide) == 0 {
+			continue
+		}
+		w.t.Logf("%3d s: submitted %3d, ended %3d, in time %3d %v, starts %4d, useful %6.0f core-s, waiting %4d, advice %4d, decision %v",
+			i, s.submitted, s.ended, s.inTime, s.inTimeOf, s.starts, s.useful, s.waiting, s.advice, median(s.decide))
+	}
+}
+
+func median(d []time.Duration) time.Duration {
+	d = slices.Clone(d)
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
+// between adds up what happened from one second to another, without the latter.
+func (w *grownWorld) between(from, to int) grownSecond {
+	sum := grownSecond{inTimeOf: make([]int, len(w.kinds))}
+	for _, s := range w.seconds[from:to] {
+		sum.submitted += s.submitted
+		sum.ended += s.ended
+		sum.inTime += s.inTime
+		sum.starts += s.starts
+		sum.useful += s.useful
+		sum.waiting = max(sum.waiting, s.waiting)
+		sum.decide = append(sum.decide, s.decide...)
+		for i, n := range s.inTimeOf {
+			sum.inTimeOf[i] += n
+		}
+	}
+	return sum
+}
+
+// finishTime is how long after the load has ended waiting jobs begin to count as lost.
+const finishTime = 14 * time.Second
+
+// drain plays until every accepted job has ended, without further load.
+func (w *grownWorld) drain() {
+	w.factor = make([]float64, len(w.kinds))
+	w.play(finishTime)
+	for end := w.now.Add(2 * time.Minute); w.open > 0 && w.now.Before(end); {
+		w.play(100 * time.Millisecond)
+		w.checkIdle()
+	}
+}
+
+const (
+	grownCalm  = 15
+	grownBurst = 5
+	grownAfter = 25
+	// burstFactor is the load of one kind in a burst, which is more than the cell has
+	// room for.
+	burstFactor = 2.6
+)
+
+// grownDays holds the days that were played, since several tests look at the same ones.
+var grownDays = make(map[string]*grownWorld)
+
+// burstDay plays load, a burst of one kind, the time after it, and the end of all jobs.
+func burstDay(t *testing.T, seed uint64, kind int) *grownWorld {
+	name := fmt.Sprint(seed, " ", kind)
+	w := grownDays[name]
+	if w == nil {
+		w = newGrownWorld(t, seed)
+		w.play(grownCalm * time.Second)
+		w.factor[kind] = burstFactor
+		w.play(grownBurst * time.Second)
+		w.factor[kind] = 1
+		w.play(grownAfter * time.Second)
+		w.drain()
+		grownDays[name] = w
+	}
+	w.t = t
+	if os.Getenv("SIM_LOG") != "" {
+		w.log()
+	}
+	return w
+}
+
+// forBurstDays runs a test on one day, or with SIM_SEEDS on a day for each seed and kind.
+func forBurstDays(t *testing.T, test func(t *testing.T, w *grownWorld)) {
+	var from, to uint64 = 1, 1
+	kinds := []int{1}
+	if v := os.Getenv("SIM_SEEDS"); v != "" {
+		_, err := fmt.Sscanf(v, "%d-%d", &from, &to)
+		must.NoError(t, err)
+		kinds = []int{0, 1, 2}
+	}
+	for seed := from; seed <= to; seed++ {
+		for _, kind := range kinds {
+			t.Run(fmt.Sprintf("%s/%d", grownKinds()[kind].queue.Name, seed), func(t *testing.T) {
+				test(t, burstDay(t, seed, kind))
+			})
+		}
+	}
+}
+
+// Guards against a cell that serves nothing in time any more after a burst is over, and
+// against accepted jobs that never end.
+func TestGoodputReturnsAfterBurst(t *testing.T) {
+	forBurstDays(t, func(t *testing.T, w *grownWorld) {
+		const end = grownCalm + grownBurst
+		before, back := w.between(grownCalm-5, grownCalm), w.between(end+20, end+25)
+		must.Eq(t, 0, w.open, must.Sprint("accepted jobs that did not end"))
+		must.SliceEmpty(t, w.broken)
+		must.GreaterEq(t, before.inTime/2, back.inTime)
+		for n, kind := range w.kinds {
+			must.GreaterEq(t, before.inTimeOf[n]/2, back.inTimeOf[n], must.Sprintf("jobs of %s in time", kind.queue.Name))
+		}
+	})
+}
+
+// Guards against gangs that wait beside free room, since each gets tickets only for
+// runners whose room another one takes before the advisor has answered.
+func TestWaitingJobsGetFreeRoom(t *testing.T) {
+	forBurstDays(t, func(t *testing.T, w *grownWorld) {
+		must.MapEmpty(t, w.passedOver, must.Sprintf("steps that waited beside free room, and how long: %v", w.passedOver))
+	})
+}
