Ask a runner again once its own ends are stored

Callers saw a cell that stays behind after a burst.

Cause: a runner with ends that are not stored yet repeats them in each report, so its conversation waits for the store. It was woken by every write of any state. With 25 writes a second and most of 350 runners waiting, that is thousands of reports a second that bring nothing new, and more the further the writes are behind.

Each conversation now waits for its own ends.

--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -80,6 +80,10 @@
 		s.revisions[d.ID] = revision
 		s.cell.Saved(d)
 	}
+	s.ends.release(func(runner string) bool {
+		_, all := s.cell.Acked(runner)
+		return all
+	})
 	close(s.saved)
 	s.saved = make(chan struct{})
 	return true
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -163,9 +163,12 @@
 		s.log.Info("[sched] runner regained", zap.String("runner", l.id))
 	}
 	s.mu.Lock()
-	saved := s.saved
 	s.cell.Report(now, sent, l.id, rep)
 	_, all = s.cell.Acked(l.id)
+	var stored chan struct{}
+	if !all {
+		stored = s.ends.wait(l.id)
+	}
 	dirty := s.cell.HasDirty()
 	s.mu.Unlock()
 	s.wake()
@@ -173,18 +176,18 @@
 		signal(s.dirty)
 	}
 	if !all {
-		waitSaved(s.ctx, saved)
+		waitStored(s.ctx, stored)
 	}
 }
 
-// waitSaved waits until states were stored, since a runner repeats ends that it
-// may not forget yet.
-func waitSaved(ctx context.Context, saved <-chan struct{}) {
+// waitStored waits until every end of a runner is stored, since a runner repeats ends
+// that it may not forget yet.
+func waitStored(ctx context.Context, stored <-chan struct{}) {
 	t := time.NewTimer(unsavedWait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-	case <-saved:
+	case <-stored:
 	case <-t.C:
 	}
 }
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -80,6 +80,8 @@
 	unrecorded chan struct{}
 	// rosterRevision is the revision of the stored roster.
 	rosterRevision int64
+	// ends wakes the conversations whose runner's ends are stored.
+	ends endWaits
 	// saved is closed and replaced after each write of states.
 	saved    chan struct{}
 	stepDown context.CancelFunc
@@ -104,6 +106,7 @@
 			RemoteFactor:   set.RemoteFactor,
 		}),
 		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64),
+		ends: newEndWaits(),
 		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), writes: pacer{gap: persistGap}, unrecorded: make(chan struct{}, 1), saved: make(chan struct{}),
 	}, nil
 }
