Store states as fast as they change, within the store's budget

Callers saw jobs start seconds after their acceptance in a burst.

Cause: a step starts only after its mark is stored, and states were stored at a fixed pace of 15 each 40 ms, four writes at a time: 375 a second at best, 300 at a store that takes 200 ms. Every mark and most ends need such a write; about 720 tasks start a second on 350 runners.

With more changes than one write holds the writes follow at up to 30% of what the store takes, 12 at a time; otherwise they are gathered for 40 ms as before.

TestMarksOfABurstAreStoredInTime stores the marks of 1,000 jobs at a store that takes 100 ms within 2.1 s; it fails without the change.

--- a/daemon/internal/cellsched/pacer.go
+++ b/daemon/internal/cellsched/pacer.go
@@ -7,19 +7,19 @@
 
 // pacer spaces calls out, so that changes are gathered between them.
 type pacer struct {
-	gap  time.Duration
 	mu   sync.Mutex
-	next time.Time
+	last time.Time
 }
 
-// wait returns how long the caller is to wait for its turn.
-func (p *pacer) wait(now time.Time) time.Duration {
+// wait returns how long the caller is to wait for its turn, which comes a gap after the
+// turn before.
+func (p *pacer) wait(now time.Time, gap time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := now
-	if p.next.After(at) {
-		at = p.next
+	if next := p.last.Add(gap); next.After(at) {
+		at = next
 	}
-	p.next = at.Add(p.gap)
+	p.last = at
 	return at.Sub(now)
 }
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -17,11 +17,13 @@
 	// statesPerWrite keeps a transaction below the platform's bound: a condition
 	// and a write for each state, and the guard of the term.
 	statesPerWrite = (platform.MaxTxnEntries - 1) / 2
-	// persistGap gathers changes between the beginnings of two writes.
+	// persistGap gathers changes between the beginnings of two writes while they fit into one.
 	persistGap = 40 * time.Millisecond
-	// persistLanes writes at a time cover the marks and ends of 60 jobs a second at a
-	// store that takes 300 ms.
-	persistLanes = 4
+	// persistShare of the writes that the store takes a second may be writes of states; the
+	// rest is for new jobs and the role.
+	persistShare = 0.3
+	// persistLanes writes at a time store 600 states a second at a store that takes 300 ms.
+	persistLanes = 12
 	// sweepEvery is how often finished jobs are removed, sweepSlack how much
 	// longer than promised they are kept.
 	sweepEvery = 5 * time.Second
@@ -39,13 +41,26 @@
 			return
 		case <-s.dirty:
 		}
-		if !wait.For(s.ctx, s.writes.wait(time.Now())) {
+		if !wait.For(s.ctx, s.writes.wait(time.Now(), s.persistPause())) {
 			return
 		}
 		s.persist(s.ctx)
 	}
 }
 
+// persistPause returns the time between the beginnings of two writes. With more changes
+// than one write holds, waiting would only let them pile up: no step starts before its mark
+// is stored, and no caller learns of an end before that.
+func (s *Scheduler) persistPause() time.Duration {
+	s.mu.Lock()
+	changed := s.cell.DirtyJobs()
+	s.mu.Unlock()
+	if changed < statesPerWrite || s.set.StoreWrites <= 0 {
+		return persistGap
+	}
+	return min(persistGap, time.Duration(float64(time.Second)/(persistShare*s.set.StoreWrites)))
+}
+
 // persist stores one batch; it reports whether there was one.
 func (s *Scheduler) persist(ctx context.Context) bool {
 	s.mu.Lock()
--- /dev/null
+++ b/daemon/internal/cellsched/persist_test.go
@@ -0,0 +1,44 @@
+package cellsched
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against steps that start seconds late after a burst since the marks, without which
+// nothing starts, are stored at a fixed pace; urgent work starts within 2.1 s.
+func TestMarksOfABurstAreStoredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			storeDelay = 100 * time.Millisecond
+			jobs       = 1000
+			inTime     = 2100 * time.Millisecond
+		)
+		s := newSim(t, 1)
+		defer s.close()
+		quick := s.hosts[0].Handler
+		s.hosts[0].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/-/kv-txn" {
+				time.Sleep(storeDelay)
+			}
+			quick.ServeHTTP(w, r)
+		})
+		s.startVM()
+		time.Sleep(2 * time.Second)
+		sched := s.leader().holder.Current()
+		for i := range jobs {
+			value, err := EncodeJob(JobHeader{Queue: "q", Pool: simPool}, s.body())
+			must.NoError(t, err)
+			id := fmt.Sprintf("%016x", i+1)
+			s.store.Put(JobKey(id), value)
+			must.NoError(t, sched.Submit(Submission{ID: id, Value: value}))
+		}
+		time.Sleep(inTime)
+		must.SliceLen(t, jobs, s.store.Keys(statePrefix))
+	})
+}
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -38,6 +38,8 @@
 	EarlyStart   time.Duration
 	StatusKept   time.Duration
 	RemoteFactor float64
+	// StoreWrites is how many writes a second the store takes from all VMs together.
+	StoreWrites float64
 	// StoreLimit returns the time limit for a write to the store; nil for a fixed one.
 	StoreLimit func() time.Duration
 	// Cores is the VM's share of a processor; 0 if unknown.
@@ -107,7 +109,7 @@
 		}),
 		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64),
 		ends: newEndWaits(),
-		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), writes: pacer{gap: persistGap}, unrecorded: make(chan struct{}, 1), saved: make(chan struct{}),
+		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1), saved: make(chan struct{}),
 	}, nil
 }
 
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -110,7 +110,7 @@
 	vm := &simVM{name: name, holder: new(Holder), store: store, stop: stop, done: make(chan struct{})}
 	vm.holder.SetQueues([]cell.Queue{{Name: "q", Pool: simPool, MaxAttempts: simAttempts, SlackFactor: 2}})
 	elector := election.New(store, name, name, 0, func(ctx context.Context, term election.Term) {
-		set := Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour}
+		set := Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour, StoreWrites: 400}
 		sched, err := New(set, term, store, runners, s.log.Named(name))
 		must.NoError(s.t, err)
 		vm.holder.Run(ctx, sched)
@@ -169,16 +169,21 @@
 	return nil
 }
 
-// submit stores a job of two steps through a VM; it counts as accepted if the VM
-// learned that it is stored.
-func (s *sim) submit(n int) {
-	id := fmt.Sprintf("%016x", n)
+// body returns a job of two steps.
+func (s *sim) body() []byte {
 	body, err := json.Marshal(map[string]any{"specification": "x", "steps": []map[string]any{
 		{"count": simTasks - 1, "cpu": 1000, "requested_memory_mb": 100, "estimated_ms": 900},
 		{"count": 1, "cpu": 1000, "requested_memory_mb": 100, "estimated_ms": 900, "after": []int{0}},
 	}})
 	must.NoError(s.t, err)
-	value, err := EncodeJob(JobHeader{Queue: "q", Pool: simPool}, body)
+	return body
+}
+
+// submit stores a job of two steps through a VM; it counts as accepted if the VM
+// learned that it is stored.
+func (s *sim) submit(n int) {
+	id := fmt.Sprintf("%016x", n)
+	value, err := EncodeJob(JobHeader{Queue: "q", Pool: simPool}, s.body())
 	must.NoError(s.t, err)
 	vm := s.anyVM()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -74,6 +74,9 @@
 	return false
 }
 
+// DirtyJobs returns how many changed jobs wait to be stored.
+func (c *Cell) DirtyJobs() int { return len(c.dirty) }
+
 // Saved records that a state is stored.
 func (c *Cell) Saved(d Dirty) {
 	j := c.jobs[d.ID]
