Check a start order again right before it is sent

Cause: a start was decided under the lock and sent by a goroutine of its own, which looked at the term only. On a busy VM it runs much later: meanwhile the job is cancelled, the task is done by a run that another runner lists, the leases of the runner lapse and the task starts elsewhere, a member of its gang is refused, or the ticket runs out. The order was sent all the same. Ruled out: the runner's fence, which only keeps out earlier terms; the deadline of the order, which was taken when it was sent; the stop after the answer, which comes after the start. The wait for a connection is bounded by the time limit of the order. Change: the cell is asked for each order right before it is sent; one that is no longer wanted is taken back without a call and without a pause for the runner. The end of the lease is computed before the bound that the scheduler keeps for it, and both before the check of the term, so that a pause in between cannot make the lease longer than the bound. TestStartIsNotSent* and TestGangMemberIsNotSentToBrokenOrWaitingGang guard the cases; the check that they call did not exist.

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -14,10 +14,11 @@
 // start carries out a start order and records its outcome.
 func (s *Scheduler) start(st cell.Start) {
 	run := st.Run
-	s.mu.Lock()
-	l := s.loops[run.Runner]
-	s.cell.OrderSent(time.Now(), run.Runner)
-	s.mu.Unlock()
+	l, until, withdrawn := s.readyToSend(st)
+	if withdrawn != "" {
+		s.started(run, cell.StartRefused, withdrawn, nil)
+		return
+	}
 	if l == nil || s.ctx.Err() != nil || !s.term.Valid() {
 		s.started(run, cell.StartRefused, "gone", nil)
 		return
@@ -26,7 +27,7 @@
 	defer cancel()
 	clock, err := s.runners.Start(ctx, l.target(), platform.StartOrder{
 		Task: run.Task, Execution: run.Execution, Payload: st.Payload, Checkpoint: st.Checkpoint,
-		Ticket: st.Ticket, Until: l.leaseEnd(), Fence: s.term.Number,
+		Ticket: st.Ticket, Until: until, Fence: s.term.Number,
 	})
 	var refused *platform.RefusedError
 	switch {
@@ -44,6 +45,21 @@
 	}
 }
 
+// readyToSend returns the runner's loop and the end of the lease for a start order, or why
+// the order must not be sent.
+func (s *Scheduler) readyToSend(st cell.Start) (l *runnerLoop, until time.Duration, withdrawn string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l = s.loops[st.Run.Runner]
+	if withdrawn = s.cell.Withdrawn(time.Now(), st); withdrawn != "" || l == nil {
+		return l, 0, withdrawn
+	}
+	// The bound of the lease is taken after its end, so that it is never too early.
+	until = l.leaseEnd()
+	s.cell.OrderSent(time.Now(), st.Run.Runner)
+	return l, until, ""
+}
+
 func (s *Scheduler) started(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
 	s.mu.Lock()
 	s.cell.StartAnswered(time.Now(), run, outcome, reason)
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -84,6 +84,47 @@
 	}
 }
 
+// The reasons for which a start order is not sent.
+const (
+	// startWithdrawn means that the run is no longer wanted, or not there.
+	startWithdrawn = "withdrawn"
+	// startLate means that the order waited too long to be of use.
+	startLate = "late"
+	// startTicket means that the permission has run out.
+	startTicket = "ticket"
+)
+
+// gangSendLimit is how long the start order of a gang's member may wait after the
+// decision: the other members wait for it on their runners meanwhile, and end after 4 s.
+const gangSendLimit = time.Second
+
+// Withdrawn returns why a start order that was decided must not be sent any more; empty
+// if it may be. It is asked right before the order is sent: on a busy VM or behind other
+// calls to the runner an order waits for seconds, in which its job is cancelled, its task
+// is done elsewhere, the runs of its runner are given up, or its gang breaks.
+func (c *Cell) Withdrawn(now time.Time, st Start) string {
+	run := st.Run
+	r := c.runners[run.Runner]
+	if r == nil || r.runs[runKey{run.Task, run.Execution}] != run || run.Phase != Sending || run.orphan {
+		return startWithdrawn
+	}
+	g := run.group
+	if g.job.state.Final() || c.jobs[g.job.ID] != g.job || g.tasks[run.Task.Index].done {
+		return startWithdrawn
+	}
+	if g.spec.Gang && now.Sub(run.Started) > gangSendLimit {
+		return startLate
+	}
+	ticket, ok := g.allowed(now, r)
+	if !ok {
+		return startTicket
+	}
+	if ticket != st.Ticket || r.life != run.Life || !r.usable(now) {
+		return startLate
+	}
+	return ""
+}
+
 // refusedPause keeps a task from being offered again and again to runners that refuse it.
 const refusedPause = 100 * time.Millisecond
 
@@ -96,9 +137,9 @@
 	c.release(now, g, run.Task.Index, run)
 	g.readyAt = now.Add(refusedPause)
 	switch reason {
-	case "ticket":
+	case startTicket:
 		delete(g.advice.tickets, r.info.ID)
-	case "room", "late":
+	case "room", startLate, startWithdrawn:
 	default:
 		r.unhealthyUntil = now.Add(sickPause)
 	}
--- /dev/null
+++ b/sched/cell/orders_test.go
@@ -0,0 +1,104 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// plain is a queue without an advisor.
+func plain() Queue { return Queue{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2} }
+
+// decided returns the starts of a decision whose orders are not sent yet.
+func (w *world) decided(limit time.Duration) []Start {
+	for range int(limit / (100 * time.Millisecond)) {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.cell.Tick(w.now)
+		d := w.cell.Decide(w.now, w.now)
+		w.write()
+		if len(d.Starts) > 0 {
+			return d.Starts
+		}
+		for _, call := range d.Advice {
+			var approved []Approval
+			for _, id := range call.Runners {
+				approved = append(approved, Approval{Runner: id, Ticket: "t"})
+			}
+			w.cell.Advised(w.now, call, w.now, approved, nil)
+		}
+	}
+	return nil
+}
+
+// Guards against a start long after its job's cancel was acknowledged: the order was
+// decided before and waited on a busy VM.
+func TestStartIsNotSentAfterCancel(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{plain()})
+	j := w.add("0000000000000001", small(1))
+	st := w.decided(time.Second)[0]
+	must.Eq(t, "", w.cell.Withdrawn(w.now, st))
+	w.cell.Cancel(w.now, j.ID)
+	must.Eq(t, startWithdrawn, w.cell.Withdrawn(w.now, st))
+	w.write()
+	must.Eq(t, startWithdrawn, w.cell.Withdrawn(w.now, st))
+	w.cell.StartAnswered(w.now, st.Run, StartRefused, startWithdrawn)
+	must.MapEmpty(t, w.cell.runners[st.Run.Runner].runs)
+}
+
+// Guards against two runs of a task at a time: the runner was silent for longer than its
+// leases, the task started elsewhere, and the first order was still waiting to be sent.
+func TestStartIsNotSentAfterItsRunWasGivenUp(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", small(1))
+	st := w.decided(time.Second)[0]
+	w.cell.Unreachable(st.Run.Runner)
+	second := w.until(15 * time.Second)
+	must.Len(t, 1, second)
+	must.NotEq(t, st.Run.Runner, second[0].Run.Runner)
+	must.Eq(t, startWithdrawn, w.cell.Withdrawn(w.now, st))
+}
+
+// Guards against a start after the task's end as done was noted, on an order that waited.
+func TestStartIsNotSentAfterTaskIsDone(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", small(1), small(1))
+	st := w.decided(time.Second)[0]
+	other := "r0"
+	if st.Run.Runner == other {
+		other = "r1"
+	}
+	w.report(other, Report{Life: 1, Ended: []EndRow{{Number: 1, Task: st.Run.Task, Execution: st.Run.Execution - 1, How: EndDone}}})
+	must.Eq(t, startWithdrawn, w.cell.Withdrawn(w.now, st))
+}
+
+// Guards against gang members that wait for one that never comes: another member was
+// refused before this one was sent, or this one waited too long.
+func TestGangMemberIsNotSentToBrokenOrWaitingGang(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{plain()})
+	gang := small(2)
+	gang.Gang = true
+	w.add("0000000000000001", gang)
+	starts := w.decided(time.Second)
+	must.Len(t, 2, starts)
+	must.Eq(t, startLate, w.cell.Withdrawn(w.now.Add(gangSendLimit+time.Millisecond), starts[1]))
+	w.cell.StartAnswered(w.now, starts[0].Run, StartRefused, "room")
+	must.Eq(t, startWithdrawn, w.cell.Withdrawn(w.now, starts[1]))
+}
+
+// Guards against orders that the runner rejects or leaves unanswered: the ticket has run
+// out, or the runner has gone silent, since the decision.
+func TestStartIsNotSentWithOldTicketOrToSilentRunner(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{advised()})
+	w.add("0000000000000001", small(1))
+	st := w.decided(time.Second)[0]
+	must.Eq(t, "", w.cell.Withdrawn(w.now, st))
+	must.Eq(t, startTicket, w.cell.Withdrawn(w.now.Add(2*time.Second), st))
+	w.cell.Unreachable(st.Run.Runner)
+	must.Eq(t, startLate, w.cell.Withdrawn(w.now, st))
+}
