Stop a gang as soon as a member does not come, also after a takeover

Cause: the other members were stopped only once a member was refused or proved lost. A start without an answer was proved lost by its own stop, the answer to that, and one more report of the runner, each of which takes long on a busy VM or beside a silent runner. A member that ended before the others came stopped nobody. After a takeover the members found on the runners waited for those that the earlier scheduler had not sent, and members of two executions waited for each other. Ruled out: members that have met end each other (`broken`), so nothing has to be done then; a long wait for a free connection, which ends with the time limit of the order. Change: the gang is stopped when a report does not list a member whose order got no answer; when a member ends before all were there; when not all members are confirmed 1.2 s after the decision, which leaves time for a stop and its repetition; and after a takeover when every runner has answered and a member is missing, or after 1.2 s if no progress shows that the members had met. Evidence: six of the tests in gangs_test.go failed before; TestCompleteGangIsNotStopped and TestWorkingGangSurvivesTakeover guard against stopping too much and passed before and after.

--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -23,6 +23,10 @@
 	c.event(Event{Kind: RunEnded, Task: e.Task, Execution: e.Execution, Runner: r.info.ID, Detail: string(e.How), Age: age(now, run)})
 	c.settle(now, r, g, e)
 	c.release(now, g, e.Task.Index, run)
+	if g.spec.Gang && run != nil && !run.orphan && !run.met && e.How != EndDone {
+		// Members that have not met do not end each other; they wait for this one.
+		c.stopGang(now, g)
+	}
 	r.unsaved = append(r.unsaved, unsavedEnd{number: e.Number, job: j, version: j.version})
 }
 
--- a/sched/cell/events.go
+++ b/sched/cell/events.go
@@ -17,6 +17,7 @@
 	RunLost        EventKind = "run lost"
 	RunEnded       EventKind = "run ended"
 	RunStalled     EventKind = "run stalled"
+	GangIncomplete EventKind = "incomplete gang stopped"
 	JobFinished    EventKind = "job finished"
 )
 
--- /dev/null
+++ b/sched/cell/gangs_test.go
@@ -0,0 +1,139 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// gangOf returns a gang whose members fill a runner each.
+func gangOf(n int) Step {
+	return Step{Count: n, Gang: true, Size: model.Resources{MilliCPU: 4000, MemoryMB: 100}, Estimate: 10 * time.Second}
+}
+
+// sent starts a gang and returns its orders, none of which is answered.
+func (w *world) sent(gang Step) []Start {
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", gang)
+	return w.decided(time.Second)
+}
+
+// stops lets time pass and returns the runs that were ordered to stop.
+func (w *world) stops(d time.Duration) []*Run {
+	w.now = w.now.Add(d)
+	w.cell.Tick(w.now)
+	var runs []*Run
+	for _, s := range w.cell.TakeStops() {
+		runs = append(runs, s.Run)
+	}
+	return runs
+}
+
+// Guards against members that end alone: the order of one got no answer and its runner does
+// not list it, and the others were stopped only after its own stop was acknowledged.
+func TestGangIsStoppedOnceMemberIsNotListed(t *testing.T) {
+	w := newWorld(t, 2)
+	starts := w.sent(gangOf(2))
+	must.Len(t, 2, starts)
+	w.cell.StartAnswered(w.now, starts[0].Run, StartOK, "")
+	w.cell.StartAnswered(w.now, starts[1].Run, StartUnknown, "")
+	must.SliceEmpty(t, w.stops(100*time.Millisecond))
+	w.report(starts[1].Run.Runner, Report{Life: 1})
+	must.Len(t, 2, w.stops(0))
+}
+
+// Guards against members that end alone: the runner of another one neither answers the
+// order nor reports.
+func TestGangIsStoppedLongBeforeItsMembersGiveUp(t *testing.T) {
+	w := newWorld(t, 2)
+	starts := w.sent(gangOf(2))
+	w.cell.StartAnswered(w.now, starts[0].Run, StartOK, "")
+	w.now = w.now.Add(500 * time.Millisecond)
+	w.cell.StartAnswered(w.now, starts[1].Run, StartUnknown, "")
+	w.cell.Unreachable(starts[1].Run.Runner)
+	must.SliceEmpty(t, w.stops(500*time.Millisecond))
+	must.Len(t, 2, w.stops(500*time.Millisecond))
+}
+
+// Guards against members that end alone: one of them ended before the others came.
+func TestGangIsStoppedOnceMemberEndsBeforeOthersCame(t *testing.T) {
+	w := newWorld(t, 3)
+	starts := w.sent(gangOf(3))
+	w.cell.StartAnswered(w.now, starts[0].Run, StartOK, "")
+	w.cell.StartAnswered(w.now, starts[1].Run, StartOK, "")
+	w.end(starts[0].Run, EndFailed)
+	must.Eq(t, []*Run{starts[1].Run}, w.stops(0))
+	w.cell.StartAnswered(w.now, starts[2].Run, StartOK, "")
+	must.Eq(t, []*Run{starts[2].Run}, w.stops(0))
+}
+
+// Guards against stopping a gang that has met, also when a member is silent later.
+func TestCompleteGangIsNotStopped(t *testing.T) {
+	w := newWorld(t, 2)
+	for _, s := range w.sent(gangOf(2)) {
+		w.cell.StartAnswered(w.now, s.Run, StartOK, "")
+	}
+	must.SliceEmpty(t, w.stops(3*time.Second))
+}
+
+// takeover returns a cell that has loaded a begun gang of two and heard r0 only.
+func takeover(t *testing.T, listed RunningRow) *world {
+	w := newWorld(t, 0)
+	w.cell.SetQueues([]Queue{plain()})
+	for _, id := range []string{"r0", "r1"} {
+		w.cell.SetRunner(w.now, RunnerInfo{ID: id, Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	}
+	w.cell.Recorded(w.cell.Roster())
+	saved := &SavedJob{State: Running, Started: true, Groups: []SavedGroup{{Index: 0, Begun: true}}}
+	must.True(t, w.cell.AddJob(w.now, &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{Steps: []Step{gangOf(2)}}}, saved))
+	w.report("r0", Report{Life: 1, Running: []RunningRow{listed}})
+	return w
+}
+
+func memberRow(index int, percent float64) RunningRow {
+	return RunningRow{Task: TaskRef{Job: "0000000000000001", Index: index}, Execution: 1, Percent: percent}
+}
+
+// Guards against members that end alone after a takeover: the earlier scheduler lost its
+// role before it had started the others.
+func TestPartOfGangIsStoppedOnceAllRunnersAnswered(t *testing.T) {
+	w := takeover(t, memberRow(0, 0))
+	must.SliceEmpty(t, w.stops(100*time.Millisecond))
+	w.report("r1", Report{Life: 1})
+	w.stops(scanEvery)
+	must.Len(t, 1, w.stops(scanEvery))
+}
+
+// Guards against members that end alone after a takeover while a runner is silent: it may
+// hold the others, but no progress shows that they came.
+func TestPartOfGangWithoutProgressIsStoppedBesideSilentRunner(t *testing.T) {
+	w := takeover(t, memberRow(0, 0))
+	must.Len(t, 1, w.stops(2*time.Second))
+}
+
+// Guards against throwing work away at a takeover: progress shows that the members on the
+// silent runner came, and a gang that is there in full goes on.
+func TestWorkingGangSurvivesTakeover(t *testing.T) {
+	w := takeover(t, memberRow(0, 30))
+	must.SliceEmpty(t, w.stops(3*time.Second))
+	w.report("r1", Report{Life: 1, Running: []RunningRow{memberRow(1, 30)}})
+	must.SliceEmpty(t, w.stops(3*time.Second))
+	w = takeover(t, memberRow(0, 0))
+	w.report("r1", Report{Life: 1, Running: []RunningRow{memberRow(1, 0)}})
+	must.SliceEmpty(t, w.stops(3*time.Second))
+}
+
+// Guards against members of two executions that wait for each other: the later one was
+// started by a scheduler that did not know of the earlier one.
+func TestMembersOfEarlierExecutionAreStopped(t *testing.T) {
+	w := takeover(t, memberRow(0, 0))
+	later := memberRow(1, 0)
+	later.Execution = 2
+	w.report("r1", Report{Life: 1, Running: []RunningRow{later}})
+	stopped := w.stops(0)
+	must.Len(t, 1, stopped)
+	must.Eq(t, 1, stopped[0].Execution)
+}
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -26,9 +26,10 @@
 	c.stops = append(c.stops, Stop{Run: run})
 }
 
-// retryStops repeats stops that got no answer, and stops unanswered starts.
+// retryStops repeats stops that got no answer, and stops gangs that do not become complete.
 func (c *Cell) retryStops(now time.Time, r *runner) {
 	for _, run := range r.runs {
+		c.stopIncomplete(now, run)
 		if !run.stopSent.IsZero() && run.stopAcked.IsZero() && now.Sub(run.stopSent) > 2*c.cfg.OrderTimeout {
 			run.stopSent = now
 			c.stops = append(c.stops, Stop{Run: run})
@@ -95,8 +96,8 @@
 )
 
 // gangSendLimit is how long the start order of a gang's member may wait after the
-// decision: the other members wait for it on their runners meanwhile, and end after 4 s.
-const gangSendLimit = time.Second
+// decision: the other members wait for it on their runners meanwhile, and end after 3 s.
+const gangSendLimit = 800 * time.Millisecond
 
 // Withdrawn returns why a start order that was decided must not be sent any more; empty
 // if it may be. It is asked right before the order is sent: on a busy VM or behind other
@@ -148,6 +149,43 @@
 	}
 }
 
+// gangAssembly bounds the time from the decision to start a gang until all its members are
+// confirmed. Members wait 3 s on their runners for the others and then end by themselves; a
+// stop that has to be repeated once takes 1.5 s.
+const gangAssembly = 1200 * time.Millisecond
+
+// stopIncomplete stops a gang of which a member has not come in time or cannot come.
+func (c *Cell) stopIncomplete(now time.Time, run *Run) {
+	g := run.group
+	if g == nil || !g.spec.Gang || run.orphan || !run.stopSent.IsZero() || (run.met && !run.adopted) {
+		return
+	}
+	// A member without a run has none on its way either.
+	gone := g.waiting > 0 && c.runsKnown(g)
+	if gone || (!run.met && now.Sub(run.Started) > gangAssembly) {
+		c.event(Event{Kind: GangIncomplete, Task: run.Task, Execution: run.Execution, Runner: run.Runner, Age: now.Sub(run.Started)})
+		c.stopGang(now, g)
+	}
+}
+
+// meet marks the members of a gang as met once all of them are confirmed.
+func (g *group) meet() {
+	if !g.spec.Gang || g.waiting > 0 {
+		return
+	}
+	for i := range g.tasks {
+		if len(g.tasks[i].live) != 1 {
+			return
+		}
+		if run := g.tasks[i].live[0]; !run.Confirmed() || run.Phase != Active || run.Execution != g.gangExecution {
+			return
+		}
+	}
+	for i := range g.tasks {
+		g.tasks[i].live[0].met = true
+	}
+}
+
 // stopGang ends the other members of a gang that cannot become complete.
 func (c *Cell) stopGang(now time.Time, g *group) {
 	for i := range g.tasks {
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -143,13 +143,21 @@
 	c.event(Event{Kind: RunAdopted, Task: row.Task, Execution: row.Execution, Runner: r.info.ID})
 	t := &g.tasks[row.Task.Index]
 	t.execution = max(t.execution, row.Execution)
+	run.adopted = true
 	if g.spec.Gang {
-		g.gangExecution = max(g.gangExecution, row.Execution)
+		if row.Execution > g.gangExecution {
+			// Members of different executions never meet.
+			c.stopGang(now, g)
+		}
+		g.gangExecution = row.Execution
+		// Members make progress only once all of them are there.
+		run.met = row.Percent > 0
 	}
 	if len(t.live) == 0 {
 		g.waiting--
 	}
 	t.live = append(t.live, run)
+	g.meet()
 	c.jobStarted(j)
 	return run
 }
@@ -160,6 +168,9 @@
 	case run.Phase == Unsure && run.stopSent.IsZero() && run.unsureAt.Before(sentAt):
 		// A stop keeps an order that is still on its way from being carried out.
 		c.orderStop(now, run)
+		if run.group != nil && run.group.spec.Gang && !run.orphan {
+			c.stopGang(now, run.group)
+		}
 	case !run.stopAcked.IsZero() && run.stopAcked.Before(sentAt):
 		c.lostRun(now, r, run)
 	case run.Phase == Active && run.confirmedAt.Before(sentAt):
@@ -177,6 +188,7 @@
 	run.confirmedAt = now
 	if run.group != nil {
 		c.jobStarted(run.group.job)
+		run.group.meet()
 	}
 }
 
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -57,4 +57,9 @@
 	unsureAt time.Time
 	// orphan marks a run that no task waits for; it only takes room until it ends.
 	orphan bool
+	// adopted marks a run that an earlier scheduler started.
+	adopted bool
+	// met tells whether all members of the run's gang were there at one time; from then
+	// on they end together.
+	met bool
 }
