Take no run for lost behind a full page of ends

Would be seen by callers as a task that starts again after it was done. Cause: a runner lists at most 500 ends at a time and again until they may be forgotten, which takes a stored state. While more than that wait (a slow store, a wave of stops), a run that has ended stands neither among the running ones nor in the page, counted as lost without an end, and its task started again. Ruled out: reports in the wrong order; there is one call at a time to a runner that lists runs. Change: a run that is missing from a report with a full page of ends stays as it is until a report with a shorter page. Evidence: found by reading; TestRunBehindFullPageOfEndsIsNotLost failed before.

--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -46,6 +46,10 @@
 	Ended   []EndRow
 }
 
+// endsPerReport is the most ends that a runner lists at a time. Behind a full list there may
+// be further ends, so that a run that is not listed is no proof that it left none.
+const endsPerReport = 500
+
 // Report takes a report into account whose request was sent at sentAt.
 func (c *Cell) Report(now, sentAt time.Time, id string, rep Report) {
 	c.clock = now
@@ -78,9 +82,11 @@
 		listed[runKey{row.Task, row.Execution}] = true
 		c.running(now, r, row)
 	}
-	for _, run := range r.sortedRuns() {
-		if !listed[runKey{run.Task, run.Execution}] {
-			c.unlisted(now, sentAt, r, run)
+	if len(rep.Ended) < endsPerReport {
+		for _, run := range r.sortedRuns() {
+			if !listed[runKey{run.Task, run.Execution}] {
+				c.unlisted(now, sentAt, r, run)
+			}
 		}
 	}
 	c.share(now, r)
--- /dev/null
+++ b/sched/cell/report_test.go
@@ -0,0 +1,27 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against starting a task again that was done: its end lay behind a full page of
+// ends that the runner may not forget yet, and the run counted as lost.
+func TestRunBehindFullPageOfEndsIsNotLost(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", small(1))
+	run := w.until(time.Second)[0].Run
+	page := Report{Life: 1}
+	for i := range endsPerReport {
+		page.Ended = append(page.Ended, EndRow{Number: int64(i + 1), Task: TaskRef{Job: "0000000000000002", Index: i}, Execution: 1, How: EndDone})
+	}
+	w.now = w.now.Add(time.Second)
+	w.report(run.Runner, page)
+	must.SliceEmpty(t, w.until(time.Second))
+	w.report(run.Runner, Report{Life: 1, Ended: []EndRow{{Number: endsPerReport + 1, Task: run.Task, Execution: run.Execution, How: EndDone}}})
+	must.SliceEmpty(t, w.until(time.Second))
+	must.Eq(t, Completed, w.cell.Job("0000000000000001").State())
+}
