Repeat the stop of an unanswered start after its runner restarted

Would be seen by callers as a task that runs twice at a time, or a run of a cancelled job that nothing stops. Cause: a start without an answer stays on its runner's books when the runner starts anew, since the order may still arrive. A stop that the earlier life had acknowledged counted for the new life as well, which has forgotten it: the task started elsewhere, or the run was listed and its stop never repeated. Ruled out: runs that were confirmed; they ended with the earlier life. Change: the acknowledgement is forgotten with the life, so that the stop is sent again. Evidence: found by reading; TestStopIsRepeatedAfterRunnerRestarted failed before.

--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -100,7 +100,9 @@
 	r.strikes, r.unhealthyUntil = 0, time.Time{}
 	for _, run := range r.sortedRuns() {
 		if run.Phase == Sending || run.Phase == Unsure {
+			// A stop that the earlier life acknowledged means nothing to this one.
 			run.Phase = Unsure
+			run.stopSent, run.stopAcked = time.Time{}, time.Time{}
 			continue
 		}
 		c.lostRun(now, r, run)
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -25,3 +25,24 @@
 	must.SliceEmpty(t, w.until(time.Second))
 	must.Eq(t, Completed, w.cell.Job("0000000000000001").State())
 }
+
+// Guards against two runs of a task and a run that outlives its stop: the runner started
+// anew after it had acknowledged the stop of an unanswered start, and the start reaches
+// the new life.
+func TestStopIsRepeatedAfterRunnerRestarted(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", small(1))
+	run := w.decided(time.Second)[0].Run
+	w.cell.StartAnswered(w.now, run, StartUnknown, "")
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.report(run.Runner, Report{Life: 1})
+	must.Eq(t, []*Run{run}, w.stops(0))
+	w.cell.StopAnswered(w.now, run)
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.report(run.Runner, Report{Life: 2})
+	must.Eq(t, []*Run{run}, w.stops(0))
+	must.SliceEmpty(t, w.decided(100*time.Millisecond))
+	w.report(run.Runner, Report{Life: 2, Running: []RunningRow{{Task: run.Task, Execution: run.Execution}}})
+	must.Eq(t, []*Run{run}, w.stops(3*time.Second))
+}
