Stop each listed run that nobody waits for

Would be seen by callers as a task that runs on after its job's cancel. Cause: the stop of a run whose start is on its way follows the answer to the start. If the runner restarts meanwhile and lists the run, the run counted as confirmed, and a start without an answer then ordered no stop any more. Ruled out: runs that are found unasked; they are stopped when they are found. Change: a listed run of an ended job, or one that was given up, is stopped if it has not been yet. The stop that a restarted runner has forgotten is sent again at once instead of after the report, so that a run in that report counts as being stopped. Evidence: found by reading; TestListedRunOfCancelledJobIsStopped failed before.

--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -100,9 +100,13 @@
 	r.strikes, r.unhealthyUntil = 0, time.Time{}
 	for _, run := range r.sortedRuns() {
 		if run.Phase == Sending || run.Phase == Unsure {
-			// A stop that the earlier life acknowledged means nothing to this one.
 			run.Phase = Unsure
-			run.stopSent, run.stopAcked = time.Time{}, time.Time{}
+			if !run.stopSent.IsZero() {
+				// A stop that the earlier life acknowledged means nothing to this one.
+				run.stopAcked = time.Time{}
+				run.stopSent = now
+				c.stops = append(c.stops, Stop{Run: run})
+			}
 			continue
 		}
 		c.lostRun(now, r, run)
@@ -118,12 +122,20 @@
 	if run.Phase == Sending || run.Phase == Unsure {
 		c.confirm(now, run)
 	}
+	if run.unwanted() {
+		c.orderStop(now, run)
+	}
 	if row.Percent != run.percent || run.progressAt.IsZero() {
 		run.percent, run.progressAt = row.Percent, now
 	}
 	run.saved, run.gauge = row.Checkpoint, row.Gauge
 }
 
+// unwanted reports whether nobody waits for a run, so that it must not go on.
+func (r *Run) unwanted() bool {
+	return r.orphan || (r.group != nil && r.group.job.state.Final())
+}
+
 // found handles a listed run that this scheduler did not start.
 func (c *Cell) found(now time.Time, r *runner, row *RunningRow) *Run {
 	run := &Run{Task: row.Task, Execution: row.Execution, Runner: r.info.ID, Phase: Active, Started: now, confirmedAt: now, pace: unknownPace}
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -46,3 +46,17 @@
 	w.report(run.Runner, Report{Life: 2, Running: []RunningRow{{Task: run.Task, Execution: run.Execution}}})
 	must.Eq(t, []*Run{run}, w.stops(3*time.Second))
 }
+
+// Guards against a run of a cancelled job that nothing stops: its start was on its way at
+// the cancel, the runner restarted and lists the run, and the order gets no answer.
+func TestListedRunOfCancelledJobIsStopped(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{plain()})
+	j := w.add("0000000000000001", small(1))
+	run := w.decided(time.Second)[0].Run
+	w.cell.Cancel(w.now, j.ID)
+	must.SliceEmpty(t, w.stops(100*time.Millisecond))
+	w.report(run.Runner, Report{Life: 2, Running: []RunningRow{{Task: run.Task, Execution: run.Execution}}})
+	w.cell.StartAnswered(w.now, run, StartUnknown, "")
+	must.Eq(t, []*Run{run}, w.stops(0))
+}
