Load the stored jobs page by page

Seen by callers: after all VMs had lost power and were back, nothing was served for more than 15 s; the first start came 9.5 s after the new term. Cause, in part: the states were listed after the jobs, all jobs were decoded under the lock after that, the bodies of completed ones too, and a listing that took longer than 10 s began anew. A small VM has a link of 10 Mbit/s, over which 10 s are about 8,000 jobs: with more, a cell would never get a scheduler again. Ruled out: a race between the two listings. States are written under the condition of the term, so nobody else has written any since the term began, and a job that is missing in one listing has no state. Change: both listings are read at the same time, each page has its own time limit and is read again alone, jobs are decoded while the next page comes and without the lock that answers to callers need, and of a completed job only the header is decoded. Evidence: TestLongListingIsLoaded (4,000 jobs of 3.5 kB over 10 Mbit/s on the virtual clock) never ended before.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// listTimeout covers all pages of a listing from a slow store.
-	listTimeout = 10 * time.Second
+	// pageTime covers one page of a listing, about 1.4 MB, over a link of 10 Mbit/s that other
+	// calls share, from a slow store.
+	pageTime = 5 * time.Second
+	// pagesAhead is how many pages are read before their jobs are decoded.
+	pagesAhead = 2
 	// watchWait is how long a watch waits for a change, and watchSlack how much
 	// later its answer may come; the store may drop a waiting watch without an answer.
 	watchWait  = 600 * time.Millisecond
@@ -29,16 +32,44 @@
 // load reads the stored jobs and the runners. It returns the revision from which
 // new work is watched.
 func (s *Scheduler) load() (int64, bool) {
-	// Jobs before states: a state is written after its job, so none is missed.
-	work, at, ok := s.list(WorkPrefix)
-	if !ok {
-		return 0, false
+	// Both are read at the same time: since this term began nobody else writes states, so
+	// that a job which one of the listings lacks has no state.
+	states := make(chan map[string]*cell.SavedJob, 1)
+	s.spawn(func() {
+		defer close(states)
+		saved := make(map[string]*cell.SavedJob)
+		if _, ok := s.pages(statePrefix, func(items []platform.Item) { s.readStates(items, saved) }); ok {
+			states <- saved
+		}
+	})
+	pages := make(chan []platform.Item, pagesAhead)
+	var at int64
+	listed := false
+	s.spawn(func() {
+		defer close(pages)
+		at, listed = s.pages(WorkPrefix, func(items []platform.Item) {
+			select {
+			case pages <- items:
+			case <-s.ctx.Done():
+			}
+		})
+	})
+	saved, ok := <-states
+	var cancels []platform.Item
+	for items := range pages {
+		if ok {
+			s.addJobs(items, saved)
+			cancels = append(cancels, withPrefix(items, cancelPrefix)...)
+		}
 	}
-	states, _, ok := s.list(statePrefix)
-	if !ok {
+	if !ok || !listed {
 		return 0, false
 	}
-	s.restore(work, states)
+	// The listing has the cancels before the jobs.
+	s.applyCancels(cancels)
+	s.mu.Lock()
+	s.ready = true
+	s.mu.Unlock()
 	// Runners last: an end of a job that is not known yet would be acknowledged
 	// without being stored.
 	runnerAt, ok := s.listRunners()
@@ -49,14 +80,13 @@
 	return at, true
 }
 
-// restore takes up the stored jobs with their states.
-func (s *Scheduler) restore(work, states []platform.Item) {
-	saved := make(map[string]*cell.SavedJob, len(states))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, item := range states {
+// readStates decodes a page of stored states.
+func (s *Scheduler) readStates(items []platform.Item, saved map[string]*cell.SavedJob) {
+	for _, item := range items {
 		id := strings.TrimPrefix(item.Key, statePrefix)
+		s.mu.Lock()
 		s.revisions[id] = item.Revision
+		s.mu.Unlock()
 		state, err := cell.ParseSavedJob(item.Value)
 		if err != nil {
 			s.log.Error("[sched] stored state unreadable", zap.String("job", id), zap.Error(err))
@@ -64,47 +94,110 @@
 		}
 		saved[id] = state
 	}
-	s.addWork(work, saved)
-	s.ready = true
 }
 
-// addWork takes jobs and cancel requests into the cell; s.mu is held.
-func (s *Scheduler) addWork(items []platform.Item, saved map[string]*cell.SavedJob) {
+// addWork takes jobs and cancel requests into the cell.
+func (s *Scheduler) addWork(items []platform.Item) {
+	s.addJobs(items, nil)
+	s.applyCancels(withPrefix(items, cancelPrefix))
+}
+
+// addJobs takes jobs into the cell. They are decoded without the lock, which decisions and
+// the answers to callers need.
+func (s *Scheduler) addJobs(items []platform.Item, saved map[string]*cell.SavedJob) {
+	jobs := s.decodeWork(s.unknownJobs(items), saved)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
+	for _, j := range jobs {
+		s.cell.AddJob(now, j, saved[j.ID])
+	}
+}
+
+func (s *Scheduler) applyCancels(items []platform.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, item := range items {
-		id, ok := strings.CutPrefix(item.Key, jobPrefix)
-		if !ok || item.Deleted || s.cell.Job(id) != nil {
-			continue
+		s.cell.Cancel(time.Now(), strings.TrimPrefix(item.Key, cancelPrefix))
+	}
+}
+
+// withPrefix returns the records that exist below a prefix.
+func withPrefix(items []platform.Item, prefix string) []platform.Item {
+	var out []platform.Item
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, prefix) && !item.Deleted {
+			out = append(out, item)
 		}
-		j, err := DecodeJob(id, item.Value)
-		if err != nil {
-			s.log.Error("[sched] stored job unreadable", zap.String("job", id), zap.Error(err))
-			continue
+	}
+	return out
+}
+
+// unknownJobs returns the records of jobs that the cell does not know yet.
+func (s *Scheduler) unknownJobs(items []platform.Item) []platform.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var unknown []platform.Item
+	for _, item := range withPrefix(items, jobPrefix) {
+		if s.cell.Job(strings.TrimPrefix(item.Key, jobPrefix)) == nil {
+			unknown = append(unknown, item)
 		}
-		s.cell.AddJob(now, j, saved[id])
 	}
+	return unknown
+}
+
+// decodeWork decodes the records of jobs; of a completed one only the header.
+func (s *Scheduler) decodeWork(items []platform.Item, saved map[string]*cell.SavedJob) []*cell.Job {
+	jobs := make([]*cell.Job, 0, len(items))
 	for _, item := range items {
-		if id, ok := strings.CutPrefix(item.Key, cancelPrefix); ok && !item.Deleted {
-			s.cell.Cancel(now, id)
+		id := strings.TrimPrefix(item.Key, jobPrefix)
+		decode := DecodeJob
+		if state := saved[id]; state != nil && state.State == cell.Completed {
+			decode = decodeHeader
+		}
+		j, err := decode(id, item.Value)
+		if err != nil {
+			s.log.Error("[sched] stored job unreadable", zap.String("job", id), zap.Error(err))
+			continue
 		}
+		jobs = append(jobs, j)
 	}
+	return jobs
 }
 
-func (s *Scheduler) list(prefix string) ([]platform.Item, int64, bool) {
-	for {
-		ctx, cancel := context.WithTimeout(s.ctx, listTimeout)
-		items, at, err := s.store.List(ctx, prefix)
+// pages reads a listing page by page and returns the revision of the first one, from which a
+// watch continues. A page that fails is read again; the earlier ones are kept.
+func (s *Scheduler) pages(prefix string, take func(items []platform.Item)) (int64, bool) {
+	var at int64
+	for after := ""; ; {
+		ctx, cancel := context.WithTimeout(s.ctx, pageTime)
+		page, err := s.store.Range(ctx, prefix, after)
 		cancel()
-		if err == nil {
-			return items, at, true
+		if err != nil {
+			s.log.Warn("[sched] listing failed", zap.String("prefix", prefix), zap.String("after", after), zap.Error(err))
+			if !wait.For(s.ctx, retryPause) {
+				return 0, false
+			}
+			continue
 		}
-		s.log.Warn("[sched] listing failed", zap.String("prefix", prefix), zap.Error(err))
-		if !wait.For(s.ctx, retryPause) {
-			return nil, 0, false
+		if after == "" {
+			at = page.At
 		}
+		take(page.Items)
+		if !page.More || len(page.Items) == 0 {
+			return at, true
+		}
+		after = page.Items[len(page.Items)-1].Key
 	}
 }
 
+// list reads a whole listing.
+func (s *Scheduler) list(prefix string) ([]platform.Item, int64, bool) {
+	var all []platform.Item
+	at, ok := s.pages(prefix, func(items []platform.Item) { all = append(all, items...) })
+	return all, at, ok
+}
+
 // watch follows the changes below a prefix. Where changes are no longer known it
 // lists again and passes the whole listing with full set.
 func (s *Scheduler) watch(prefix string, at int64, apply func(items []platform.Item, full bool)) {
@@ -139,9 +232,7 @@
 // watchWork takes up jobs and cancel requests of entry VMs that do not reach this one.
 func (s *Scheduler) watchWork(at int64) {
 	s.watch(WorkPrefix, at, func(items []platform.Item, _ bool) {
-		s.mu.Lock()
-		s.addWork(items, nil)
-		s.mu.Unlock()
+		s.addWork(items)
 		s.wake()
 	})
 }
--- a/daemon/internal/cellsched/records.go
+++ b/daemon/internal/cellsched/records.go
@@ -63,17 +63,33 @@
 
 // DecodeJob reads the stored form of a job.
 func DecodeJob(id string, value []byte) (*cell.Job, error) {
+	j, body, err := cutHeader(id, value)
+	if err != nil {
+		return nil, err
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return nil, fmt.Errorf("stored job %s: %w", id, err)
+	}
+	j.Spec = *spec
+	return j, nil
+}
+
+// decodeHeader reads the stored form of a job that has ended, of which only the state is
+// told; the job has no steps.
+func decodeHeader(id string, value []byte) (*cell.Job, error) {
+	j, _, err := cutHeader(id, value)
+	return j, err
+}
+
+func cutHeader(id string, value []byte) (*cell.Job, []byte, error) {
 	head, body, ok := bytes.Cut(value, []byte{'\n'})
 	if !ok {
-		return nil, fmt.Errorf("stored job %s has no header", id)
+		return nil, nil, fmt.Errorf("stored job %s has no header", id)
 	}
 	var h JobHeader
 	if err := json.Unmarshal(head, &h); err != nil {
-		return nil, fmt.Errorf("stored job %s: %w", id, err)
-	}
-	spec, err := platform.DecodeJob(body)
-	if err != nil {
-		return nil, fmt.Errorf("stored job %s: %w", id, err)
+		return nil, nil, fmt.Errorf("stored job %s: %w", id, err)
 	}
-	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, Spec: *spec, Waited: h.waited(time.Now().Round(0))}, nil
+	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, Waited: h.waited(time.Now().Round(0))}, body, nil
 }
