--- a/sched/cell/taskref.go
+++ b/sched/cell/taskref.go
@@ -16,22 +16,28 @@
 
 // String returns the form ID.OCCURRENCE.STEP.INDEX.
 func (r TaskRef) String() string {
-	return r.Job + "." + strconv.Itoa(r.Occurrence) + "." + strconv.Itoa(r.Step) + "." + strconv.Itoa(r.Index)
+	var buffer [48]byte
+	b := append(append(buffer[:0], r.Job...), '.')
+	b = append(strconv.AppendInt(b, int64(r.Occurrence), 10), '.')
+	b = append(strconv.AppendInt(b, int64(r.Step), 10), '.')
+	return string(strconv.AppendInt(b, int64(r.Index), 10))
 }
 
 // ParseTaskRef reads the form that String returns.
 func ParseTaskRef(s string) (TaskRef, error) {
-	parts := strings.Split(s, ".")
-	if len(parts) != 4 {
-		return TaskRef{}, fmt.Errorf("task name %q has %d parts, not 4", s, len(parts))
+	if parts := strings.Count(s, ".") + 1; parts != 4 {
+		return TaskRef{}, fmt.Errorf("task name %q has %d parts, not 4", s, parts)
 	}
+	job, rest, _ := strings.Cut(s, ".")
 	var n [3]int
-	for i, p := range parts[1:] {
+	for i := range n {
+		var p string
+		p, rest, _ = strings.Cut(rest, ".")
 		v, err := strconv.Atoi(p)
 		if err != nil || v < 0 {
 			return TaskRef{}, fmt.Errorf("task name %q: part %d is not a number", s, i+2)
 		}
 		n[i] = v
 	}
-	return TaskRef{Job: parts[0], Occurrence: n[0], Step: n[1], Index: n[2]}, nil
+	return TaskRef{Job: job, Occurrence: n[0], Step: n[1], Index: n[2]}, nil
 }
