--- a/sched/cell/grown_test.go
+++ b/sched/cell/grown_test.go
@@ -89,7 +89,7 @@
 
 // grownSecond is what happened in one second.
 type grownSecond struct {
-	submitted, ended, inTime, starts, waiting, decisions, advice int
+	submitted, ended, inTime, starts, waiting, advice int
 	// inTimeOf counts the jobs in time by kind.
 	inTimeOf []int
 	useful   float64
--- a/standin/cellrunner/fleet.go
+++ b/standin/cellrunner/fleet.go
@@ -27,6 +27,13 @@
 	allowed int
 	broken  []string
 	runners []*Runner
+	// members tells how many tasks the gang of a task has; nil if there are no gangs.
+	members func(task string) int
+	gangs   map[string]*gang
+	// alone holds when a member of a gang gave up the wait for the others.
+	alone []time.Time
+	// advisor is nil if starts need no ticket.
+	advisor *Advisor
 }
 
 // NewFleet returns a fleet of runners of one size. task tells the size and run time
@@ -58,11 +65,17 @@
 func (f *Fleet) Crash(r *Runner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, x := range r.runs {
+	lost := r.runs
+	for _, x := range lost {
 		delete(f.active, x.task)
 	}
 	r.runs, r.ends, r.counter, r.fence = make(map[string]*run), nil, 0, 0
 	r.highest, r.born, r.deadline = make(map[string]int64), time.Now(), time.Time{}
+	for _, x := range lost {
+		if x.gang != nil {
+			f.breakGang(x)
+		}
+	}
 }
 
 // Entry returns the record that a runner writes of itself.
@@ -105,8 +118,11 @@
 	if f.active[x.task] == x {
 		delete(f.active, x.task)
 	}
-	if how == "done" {
+	switch how {
+	case "done":
 		f.ever[x.task] = true
+	case "alone":
+		f.alone = append(f.alone, time.Now())
 	}
 }
 
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -31,6 +31,9 @@
 	execution int64
 	ends      time.Time
 	size      Size
+	// gang is nil for a task that works alone.
+	gang *gang
+	came time.Time
 }
 
 type end struct {
@@ -67,6 +70,7 @@
 	Fence     int64  `json:"fencing_token"`
 	LastSeen  int64  `json:"last_seen"`
 	Wait      int64  `json:"wait_ms"`
+	Ticket    string `json:"ticket"`
 }
 
 func (r *Runner) clock(now time.Time) int64 { return now.Sub(r.born).Milliseconds() }
@@ -206,10 +210,14 @@
 	if o.Execution <= r.highest[o.Task] || r.runs[o.Task] != nil {
 		return r.refuse(now, "old")
 	}
+	if !r.fleet.permitted(now, r, o) {
+		return r.refuse(now, "ticket")
+	}
 	size, work := r.fleet.task(o.Task)
-	x := &run{task: o.Task, execution: o.Execution, ends: now.Add(work), size: size}
+	x := &run{task: o.Task, execution: o.Execution, ends: now.Add(work), size: size, came: now}
 	r.runs[o.Task] = x
 	r.fleet.started(r, x)
+	r.fleet.joinGang(now, r, x, work)
 	return http.StatusOK, r.answer(now)
 }
 
@@ -228,7 +236,10 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, x := range r.runs {
-		percent := 100 - int(x.ends.Sub(now)/(10*time.Millisecond))
+		percent := 0
+		if x.working() {
+			percent = 100 - int(x.ends.Sub(now)/(10*time.Millisecond))
+		}
 		running = append(running, []any{x.task, x.execution, "", percent, 100})
 	}
 	for _, e := range r.ends {
@@ -248,8 +259,12 @@
 	}
 	for _, x := range r.runs {
 		switch {
-		case now.After(r.deadline) && x.ends.After(r.deadline):
+		case now.After(r.deadline) && (!x.working() || x.ends.After(r.deadline)):
 			r.finish(x, "lapsed")
+		case !x.working():
+			if now.Sub(x.came) >= gangTimeout {
+				r.finish(x, "alone")
+			}
 		case !now.Before(x.ends):
 			if r.fleet.chance(r.fleet.faults.Fail) {
 				r.finish(x, "failed")
@@ -266,4 +281,7 @@
 	r.counter++
 	r.ends = append(r.ends, end{number: r.counter, task: x.task, execution: x.execution, how: how, at: time.Now()})
 	r.fleet.finished(x, how)
+	if x.gang != nil && how != "done" {
+		r.fleet.breakGang(x)
+	}
 }
--- a/standin/cellstore/store.go
+++ b/standin/cellstore/store.go
@@ -35,6 +35,8 @@
 	Down float64
 	// Busy calls are refused with 503.
 	Busy float64
+	// Slow is added to the time of each answer.
+	Slow time.Duration
 }
 
 // Store is the stand-in; it is an http.Handler.
@@ -162,6 +164,7 @@
 	lost, late := write && s.chance(f.Lost), write && s.chance(f.Late)
 	delay := time.Second + time.Duration(s.random.Int64N(int64(5*time.Second)))
 	s.mu.Unlock()
+	time.Sleep(f.Slow)
 	switch {
 	case down:
 		silence(r)
