Bound the work of a decision whatever the backlog

Callers saw no job in time after a burst, long after the burst was over.

Cause: each decision ranked, sorted and looked through every waiting group and built a list of candidates for each, 250 times a second. With thousands of waiting steps one decision took longer than the pause between two.

A group without room is skipped until a runner that it may use gains room, and at the latest looked at again after 100 ms. An index of the runners by the room that they have finds candidates. Groups that are not due or wait for the runs of an earlier scheduler are kept apart, so that they hide no others.

Ruled out: looking at all groups with a cheaper check, which still grows with the backlog.

The hook of the rank in rank_test.go returns an absolute rank now; the order of its baseline is the same.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"sort"
+	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -19,10 +20,13 @@
 	asked map[string]bool
 	// approved holds the runners that may run the group.
 	approved map[string]bool
-	// order lists the approved runners by id.
-	order    []string
-	tickets  map[string]ticket
-	inFlight bool
+	// order lists the approved runners that are known, by id, and members is the set of
+	// them; both are of a generation of the list of runners.
+	order      []*runner
+	members    runnerSet
+	generation int
+	tickets    map[string]ticket
+	inFlight   bool
 	// next is when a failed call may be repeated.
 	next time.Time
 	// fullSince is when the group was first found without room on its approved runners,
@@ -83,29 +87,45 @@
 	issued := sentAt.Add(min(call.Expected, now.Sub(sentAt)))
 	until := issued.Add(call.group.queue.Advice.Validity - ticketMargin)
 	for _, p := range approvals {
-		if !a.approved[p.Runner] {
-			a.approved[p.Runner] = true
-			a.order = append(a.order, p.Runner)
-		}
+		a.approved[p.Runner] = true
 		a.tickets[p.Runner] = ticket{value: p.Ticket, life: call.lives[p.Runner], until: until}
 	}
-	sort.Strings(a.order)
+	a.generation = 0
+	call.group.lookAgain = time.Time{}
 }
 
-// mayRunOn returns the runners that may run a group as far as is known, by id. Most
-// groups may use a small part of a large pool, and looking at all runners for each
-// waiting group is what a decision costs most.
-func (c *Cell) mayRunOn(g *group) []*runner {
+// mayUse returns the set of the runners that may run a group as far as is known; nil
+// stands for all.
+func (c *Cell) mayUse(g *group) runnerSet {
+	a := &g.advice
 	if g.queue.Advice == nil {
-		return c.order
+		return nil
 	}
-	out := make([]*runner, 0, len(g.advice.order))
-	for _, id := range g.advice.order {
-		if r := c.runners[id]; r != nil {
-			out = append(out, r)
+	if a.generation != c.room.generation || a.members == nil {
+		a.generation = c.room.generation
+		a.members = make(runnerSet, len(c.room.gained))
+		a.order = a.order[:0]
+		for id := range a.approved {
+			if r := c.runners[id]; r != nil {
+				a.members.add(r.position)
+			}
 		}
+		for w, word := range a.members {
+			for ; word != 0; word &= word - 1 {
+				a.order = append(a.order, c.order[w*64+bits.TrailingZeros64(word)])
+			}
+		}
+	}
+	return a.members
+}
+
+// mayRunOn returns the runners that may run a group as far as is known, by id.
+func (c *Cell) mayRunOn(g *group) []*runner {
+	if g.queue.Advice == nil {
+		return c.order
 	}
-	return out
+	c.mayUse(g)
+	return g.advice.order
 }
 
 // allowed reports whether a group may start on a runner now, and the ticket.
@@ -129,7 +149,7 @@
 			fit = append(fit, r)
 		}
 	}
-	sort.SliceStable(fit, func(i, k int) bool { return fit[i].avail.MilliCPU > fit[k].avail.MilliCPU })
+	slices.SortStableFunc(fit, mostRoom)
 	n := min(len(fit), g.wantNamed(), maxNamed)
 	ids := make([]string, n)
 	for i := range ids {
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -1,7 +1,7 @@
 package cell
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -19,7 +19,7 @@
 	case !g.marked(), g.hasTickets(now):
 		return
 	default:
-		names = c.renewals(now, g)
+		names = c.renewals(g)
 		if len(names) == 0 && (!c.approvedRoom(now, g, spareRoom) || c.heldUp(now, g)) {
 			names = c.nameRunners(now, g)
 		}
@@ -105,17 +105,17 @@
 
 // renewals returns the approved runners for which new tickets would let the group
 // start now.
-func (c *Cell) renewals(now time.Time, g *group) []string {
+func (c *Cell) renewals(g *group) []string {
 	permitted := func(*runner) bool { return true }
 	var chosen []*runner
 	if g.spec.Gang {
 		if g.waiting < len(g.tasks) {
 			return nil
 		}
-		chosen = c.planGang(now, g, permitted)
+		chosen = c.planGang(g, permitted)
 	} else {
-		chosen = c.eligible(now, g, permitted)
-		sort.SliceStable(chosen, func(i, k int) bool { return chosen[i].avail.MilliCPU > chosen[k].avail.MilliCPU })
+		chosen = c.eligible(g, permitted)
+		slices.SortStableFunc(chosen, mostRoom)
 		chosen = chosen[:min(len(chosen), g.waiting+2)]
 	}
 	var ids []string
--- a/sched/cell/bench_test.go
+++ b/sched/cell/bench_test.go
@@ -113,7 +113,7 @@
 // BenchmarkJob measures what one short job costs the scheduler, from its arrival over
 // its start to its end, with two decisions.
 func BenchmarkJob(b *testing.B) {
-	for _, size := range []struct{ runners, backlog int }{{48, 0}, {48, 100}, {350, 0}, {350, 300}} {
+	for _, size := range []struct{ runners, backlog int }{{48, 0}, {48, 100}, {350, 0}, {350, 300}, {350, 3000}} {
 		b.Run(fmt.Sprintf("runners=%d/backlog=%d", size.runners, size.backlog), func(b *testing.B) {
 			w := newBenchCell(b, size.runners, size.backlog)
 			b.ReportAllocs()
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -30,17 +30,25 @@
 type Cell struct {
 	cfg  Config
 	took time.Time
-	// rank orders the startable groups; the lowest gets room first.
-	rank    func(g *group, now, wall time.Time) float64
+	// rank orders the startable groups; the lowest gets room first. It also returns until
+	// when the rank holds.
+	rank    func(c *Cell, g *group, now, wall time.Time) (float64, time.Time)
 	queues  map[string]*Queue
 	jobs    map[string]*Job
 	runners map[string]*runner
 	// order lists the runners by id, so that decisions do not depend on map order.
 	order []*runner
-	ready []*group
-	stops []Stop
-	paces []Pace
-	dirty map[string]*Job
+	// ready holds the groups that became startable since the last decision.
+	ready   []*group
+	backlog backlog
+	room    roomIndex
+	// candidates is reused from group to group.
+	candidates []*runner
+	// generations counts the builds of room, numbered the groups that became startable.
+	generations, numbered int
+	stops                 []Stop
+	paces                 []Pace
+	dirty                 map[string]*Job
 	// clock is the time of the last call of Tick or Report.
 	clock time.Time
 	// inheritClear is set once no unknown run of an earlier scheduler can exist.
@@ -77,6 +85,7 @@
 		}
 		c.queues[q.Name] = &q
 	}
+	c.backlog.stale = true
 }
 
 // SetRunner records a published entry of a runner.
@@ -90,6 +99,10 @@
 		r.info = info
 		c.order = append(c.order, r)
 		sort.Slice(c.order, func(i, k int) bool { return c.order[i].info.ID < c.order[k].info.ID })
+		c.runnersChanged()
+	}
+	if r.info.Capacity != info.Capacity {
+		c.runnersChanged()
 	}
 	r.info = info
 	r.listed = true
@@ -168,6 +181,7 @@
 		return
 	}
 	delete(c.runners, id)
+	c.runnersChanged()
 	c.rosterStale = c.rosterStale || r.recorded
 	for i, x := range c.order {
 		if x == r {
@@ -234,7 +248,7 @@
 	sort.Slice(runs, func(i, k int) bool {
 		a, b := runs[i], runs[k]
 		if a.Task != b.Task {
-			return a.Task.String() < b.Task.String()
+			return a.Task.before(b.Task)
 		}
 		return a.Execution < b.Execution
 	})
--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,7 @@
 		// Runs of an earlier attempt are still ending.
 		return false
 	}
-	plan := c.planGang(now, g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
+	plan := c.planGang(g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
 	if plan == nil {
 		return false
 	}
@@ -23,8 +24,8 @@
 
 // planGang returns a runner for each task, or nil. A gang that is slow across
 // racks is planned on one rack only.
-func (c *Cell) planGang(now time.Time, g *group, permitted func(*runner) bool) []*runner {
-	cands := c.eligible(now, g, permitted)
+func (c *Cell) planGang(g *group, permitted func(*runner) bool) []*runner {
+	cands := c.eligible(g, permitted)
 	if !g.spec.SameRack {
 		return g.fill(cands)
 	}
@@ -44,9 +45,12 @@
 	return nil
 }
 
+// mostRoom orders runners by the processors that they have left, the most first.
+func mostRoom(a, b *runner) int { return cmp.Compare(b.avail.MilliCPU, a.avail.MilliCPU) }
+
 // fill packs the gang onto the runners with the least room first.
 func (g *group) fill(cands []*runner) []*runner {
-	sort.SliceStable(cands, func(i, k int) bool { return cands[i].avail.MilliCPU < cands[k].avail.MilliCPU })
+	slices.SortStableFunc(cands, func(a, b *runner) int { return mostRoom(b, a) })
 	plan := make([]*runner, 0, len(g.tasks))
 	for _, r := range cands {
 		avail, n := r.avail, 0
@@ -71,24 +75,26 @@
 	if g.waiting < len(g.tasks) {
 		return false
 	}
-	var cands []*runner
+	cands := c.candidates[:0]
 	for _, r := range c.mayRunOn(g) {
 		if r.info.Pool == g.job.Pool && r.usable(now) && g.fitsEmpty(r) && !g.avoid[r.info.ID] {
 			cands = append(cands, r)
 		}
 	}
+	c.candidates = cands
 	if len(cands) == 0 {
 		return false
 	}
-	sort.SliceStable(cands, func(i, k int) bool { return cands[i].avail.MilliCPU > cands[k].avail.MilliCPU })
+	slices.SortStableFunc(cands, mostRoom)
 	left := len(g.tasks)
 	for _, r := range cands {
-		room := r.info.Capacity
+		room, avail := r.info.Capacity, r.avail
 		for left > 0 && g.claim().Fits(room) {
 			room = room.Sub(g.claim())
-			r.avail = r.avail.Sub(g.claim())
+			avail = avail.Sub(g.claim())
 			left--
 		}
+		c.setAvail(r, avail)
 		if left == 0 {
 			return true
 		}
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -32,8 +32,14 @@
 	// avoid holds runners on which a task of the group failed or stalled.
 	avoid  map[string]bool
 	advice advice
-	// rank orders the startable groups; the lowest gets room first.
-	rank float64
+	// rank orders the startable groups; the lowest gets room first. It holds until rankEnds.
+	rank     float64
+	rankEnds time.Time
+	// number orders groups of one rank.
+	number int
+	// lookAgain is when a group that found no room is looked at again though no runner
+	// that it may use has gained any; zero if it has not been looked at.
+	lookAgain time.Time
 	// listed tells whether the group is in the list of startable groups.
 	listed bool
 	// readyAt is the steady time from which the group may start again.
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -22,53 +22,76 @@
 	Advice []AdviceCall
 }
 
-// maxHeldGroups bounds the gangs for which room is kept at a time; more would
-// leave too much of the cell idle.
-const maxHeldGroups = 4
+const (
+	// maxHeldGroups bounds the gangs for which room is kept at a time; more would
+	// leave too much of the cell idle.
+	maxHeldGroups = 4
+	// maxStarts is the number of starts after which a decision ends, so that it takes
+	// little time; the next one goes on.
+	maxStarts = 100
+	// lookEvery is how often a group that found no room is looked at although no runner
+	// that it may use has gained any: room that was kept for others may be free again.
+	lookEvery = 100 * time.Millisecond
+)
 
 // Decide returns the orders for now; wall is the time of day, for due times.
 func (c *Cell) Decide(now, wall time.Time) Decisions {
 	var d Decisions
-	for _, r := range c.order {
-		r.avail = r.free()
-	}
-	c.sortReady(now, wall)
-	keep := c.ready[:0]
+	c.refreshRoom(now)
+	c.takeReady(now, wall)
+	front, sweep := c.inView(now, wall)
 	held := 0
-	for _, g := range c.ready {
-		if g.job.state.Final() || g.waiting == 0 || c.jobs[g.job.ID] != g.job {
-			g.listed = false
-			continue
-		}
-		keep = append(keep, g)
-		if !c.runsKnown(g) || now.Before(g.readyAt) || wall.Before(g.due.Add(-beginLead)) {
-			continue
-		}
-		c.begin(g)
-		if wall.Before(g.due) {
-			continue
-		}
-		c.advise(now, g, &d)
-		if !g.marked() {
-			continue
-		}
-		if g.spec.Gang {
-			if c.placeGang(now, g, &d) {
-				continue
+	for _, part := range [...][]*group{front, sweep} {
+		for _, g := range part {
+			if len(d.Starts) >= maxStarts {
+				break
 			}
-			if held < maxHeldGroups && c.hold(now, g) {
-				held++
-			}
-			continue
+			c.decide(now, wall, g, &held, &d)
 		}
-		c.placeTasks(now, g, &d)
 	}
-	c.ready = keep
 	d.Stops = c.TakeStops()
 	d.Paces, c.paces = c.paces, nil
 	return d
 }
 
+// decide places a group, or keeps room for it.
+func (c *Cell) decide(now, wall time.Time, g *group, held *int, d *Decisions) {
+	if now.Before(g.readyAt) || wall.Before(g.due.Add(-beginLead)) {
+		return
+	}
+	c.begin(g)
+	if wall.Before(g.due) {
+		return
+	}
+	only := c.mayUse(g)
+	if now.Before(g.lookAgain) && !c.gains(only) {
+		c.tryHold(now, g, held)
+		return
+	}
+	c.advise(now, g, d)
+	if !g.marked() {
+		return
+	}
+	if c.hasRoom(g.claim(), only) {
+		if g.spec.Gang {
+			c.placeGang(now, g, d)
+		} else {
+			c.placeTasks(now, g, d)
+		}
+	}
+	if g.waiting > 0 {
+		g.lookAgain = now.Add(lookEvery)
+		c.tryHold(now, g, held)
+	}
+}
+
+// tryHold keeps room for a gang that waits.
+func (c *Cell) tryHold(now time.Time, g *group, held *int) {
+	if g.spec.Gang && *held < maxHeldGroups && c.hold(now, g) {
+		*held++
+	}
+}
+
 // claim is the room that a task of the group takes.
 func (g *group) claim() model.Resources {
 	size := g.spec.Size
@@ -84,20 +107,21 @@
 	return g.claim().Fits(r.info.Capacity) && (g.spec.RunnerLabel == "" || r.hasLabel(g.spec.RunnerLabel))
 }
 
-// eligible returns the runners on which a task of the group may start now.
-func (c *Cell) eligible(now time.Time, g *group, permitted func(*runner) bool) []*runner {
-	var out []*runner
-	for _, r := range c.mayRunOn(g) {
-		if r.info.Pool != g.job.Pool || !r.usable(now) || !g.claim().Fits(r.avail) || !g.fitsEmpty(r) {
-			continue
-		}
-		if g.avoid[r.info.ID] && len(g.avoid) < len(c.order)/2 {
-			continue
-		}
-		if permitted(r) {
+// eligible returns the runners on which a task of the group may start now. The result is
+// valid until the next call.
+func (c *Cell) eligible(g *group, permitted func(*runner) bool) []*runner {
+	out := c.candidates[:0]
+	claim := g.claim()
+	c.withRoom(claim, c.mayUse(g), func(r *runner) bool {
+		switch {
+		case r.info.Pool != g.job.Pool || !claim.Fits(r.avail) || !g.fitsEmpty(r):
+		case g.avoid[r.info.ID] && len(g.avoid) < len(c.order)/2:
+		case permitted(r):
 			out = append(out, r)
 		}
-	}
+		return true
+	})
+	c.candidates = out
 	return out
 }
 
@@ -124,7 +148,7 @@
 // placeTasks starts waiting tasks of a group one by one, each where it leaves the
 // least room, so that large tasks find room elsewhere.
 func (c *Cell) placeTasks(now time.Time, g *group, d *Decisions) {
-	cands := c.eligible(now, g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
+	cands := c.eligible(g, func(r *runner) bool { _, ok := g.allowed(now, r); return ok })
 	if len(cands) == 0 {
 		return
 	}
@@ -188,7 +212,8 @@
 		Phase: Sending, Started: now, group: g, claimed: g.claim(), pace: fullPace,
 	}
 	r.add(run)
-	r.avail = r.avail.Sub(run.claimed)
+	r.seenFree = r.seenFree.Sub(run.claimed)
+	c.setAvail(r, r.avail.Sub(run.claimed))
 	t.live = append(t.live, run)
 	g.waiting--
 	value, _ := g.allowed(now, r)
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -1,9 +1,6 @@
 package cell
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // The load pattern that this order answers is a burst that the cell cannot serve in
 // time: with the earliest deadline first, work that is late already would go first and
@@ -29,26 +26,31 @@
 	// starvation is how long a group may wait behind others of its queue's priority.
 	starvation = time.Minute
 	// priorityWeight and tierWeight keep priorities and tiers apart; both are longer
-	// than any slack in seconds that they order.
-	priorityWeight = 1e9
-	tierWeight     = 1e7
-	maxSlack       = 1e6
+	// than any time in seconds that they order.
+	priorityWeight = 1e11
+	tierWeight     = 1e10
+	maxStart       = 4e9
 )
 
-// sortReady puts the groups in the order in which they get room.
-func (c *Cell) sortReady(now, wall time.Time) {
-	for _, g := range c.ready {
-		g.rank = c.rank(g, now, wall)
+// rankOf orders groups by priority, then by what they are still worth, then by the time
+// at which they have to start. Between changes of the tier a rank does not depend on the
+// time at which it is taken.
+func rankOf(c *Cell, g *group, now, wall time.Time) (float64, time.Time) {
+	age := g.age(now, wall)
+	t, slack := g.standing(age)
+	start := min(max(now.Sub(c.took).Seconds()+slack, -maxStart), maxStart)
+	ends := now.Add(g.tierEnds(age))
+	if !g.due.IsZero() {
+		ends = earlier(ends, now.Add(dueRefresh))
 	}
-	sort.SliceStable(c.ready, func(i, k int) bool { return c.ready[i].rank < c.ready[k].rank })
+	return float64(g.queue.Priority)*priorityWeight + float64(t)*tierWeight + start, ends
 }
 
-// rankOf orders groups by priority, then by what they are still worth, then by the
-// time that is left.
-func rankOf(g *group, now, wall time.Time) float64 {
-	t, slack := g.standing(g.age(now, wall))
-	slack = min(max(slack, -maxSlack), maxSlack)
-	return float64(g.queue.Priority)*priorityWeight + float64(t)*tierWeight + slack
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // age returns how long the caller has waited for the group's occurrence.
@@ -66,8 +68,7 @@
 		// Its caller misses it in each moment in which it does not run.
 		return inTime, -age.Seconds()
 	}
-	q := g.queue
-	expected := q.TargetLatency + time.Duration(q.SlackFactor*float64(g.job.chain()))
+	expected := g.expected()
 	rest := g.job.tails[g.step]
 	slack := expected - age - rest
 	if age > expected+starvation {
@@ -85,6 +86,34 @@
 	return expired, slack.Seconds()
 }
 
+// expected returns the time in which the caller expects the group's occurrence.
+func (g *group) expected() time.Duration {
+	return g.queue.TargetLatency + time.Duration(g.queue.SlackFactor*float64(g.job.chain()))
+}
+
+const (
+	// tierStep is the least time between two looks at the tier of a group.
+	tierStep = 10 * time.Millisecond
+	// tierForever is longer than any term.
+	tierForever = 365 * 24 * time.Hour
+)
+
+// tierEnds returns after what time the tier of a group of the given age changes.
+func (g *group) tierEnds(age time.Duration) time.Duration {
+	if g.spec.LongRunning {
+		return tierForever
+	}
+	expected, rest := g.expected(), g.job.tails[g.step]
+	quickest := time.Duration(float64(rest) * (1 - estimateError))
+	ends := tierForever
+	for _, at := range [...]time.Duration{expected - rest, expected - quickest, lateFactor*expected - quickest, expected + starvation} {
+		if at >= age {
+			ends = min(ends, at-age)
+		}
+	}
+	return max(ends, 0) + tierStep
+}
+
 // chain returns the estimated time of the longest chain of steps.
 func (j *Job) chain() time.Duration {
 	var longest time.Duration
--- a/sched/cell/rank_test.go
+++ b/sched/cell/rank_test.go
@@ -12,7 +12,7 @@
 // The load: one runner for four tasks of 1 s, 40 such tasks at once and 3 more each
 // second, all expected within 2 s. The baseline, earliest deadline first, is run along.
 func TestBurstKeepsNewWorkInTime(t *testing.T) {
-	served := func(rank func(g *group, now, wall time.Time) float64) int {
+	served := func(rank func(c *Cell, g *group, now, wall time.Time) (float64, time.Time)) int {
 		w := newWorld(t, 1)
 		q := Queue{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 1, TargetLatency: time.Second}
 		w.cell.SetQueues([]Queue{q})
@@ -51,7 +51,9 @@
 		}
 		return inTime
 	}
-	baseline := served(func(g *group, now, _ time.Time) float64 { return -now.Sub(g.job.Accepted).Seconds() })
+	baseline := served(func(c *Cell, g *group, now, _ time.Time) (float64, time.Time) {
+		return g.job.Accepted.Sub(c.took).Seconds(), now.Add(time.Hour)
+	})
 	got := served(nil)
 	t.Logf("in time: %d, earliest deadline first: %d", got, baseline)
 	// Nine tenths of the 57 tasks that come second by second are to be served in time.
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -51,6 +51,14 @@
 	lastHeard  time.Time
 	// avail is free less the room kept for gangs in the decision under way.
 	avail model.Resources
+	// position is the runner's place in the list of runners, cpuLevel and memoryLevel its
+	// places in the index of room.
+	position, cpuLevel, memoryLevel int
+	// seenFree, seenUsable and seenLife are what the last decision found, less what it
+	// started.
+	seenFree   model.Resources
+	seenUsable bool
+	seenLife   int64
 }
 
 // unsavedEnd is an end that may be forgotten once version of job is stored.
--- a/sched/cell/taskref.go
+++ b/sched/cell/taskref.go
@@ -23,6 +23,19 @@
 	return string(strconv.AppendInt(b, int64(r.Index), 10))
 }
 
+// before orders tasks by job, occurrence, step and index.
+func (r TaskRef) before(o TaskRef) bool {
+	switch {
+	case r.Job != o.Job:
+		return r.Job < o.Job
+	case r.Occurrence != o.Occurrence:
+		return r.Occurrence < o.Occurrence
+	case r.Step != o.Step:
+		return r.Step < o.Step
+	}
+	return r.Index < o.Index
+}
+
 // ParseTaskRef reads the form that String returns.
 func ParseTaskRef(s string) (TaskRef, error) {
 	if parts := strings.Count(s, ".") + 1; parts != 4 {
--- /dev/null
+++ b/sched/cell/waiting_test.go
@@ -0,0 +1,96 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
+)
+
+// Guards against decisions that cost more the more work waits, so that a burst leaves the
+// scheduler no time to serve what it has. The load: 350 runners, three quarters full, steps
+// of 20 tasks that wait for room, and one short job that comes and ends. The baseline is
+// the same cell with a tenth of the steps.
+func TestDecisionCostDoesNotGrowWithBacklog(t *testing.T) {
+	cost := func(backlog int) float64 {
+		w := newBenchCell(t, 350, backlog)
+		for range 200 {
+			// All that the steps ask for has been answered before the count begins.
+			w.decide(t)
+		}
+		return testing.AllocsPerRun(200, func() {
+			w.submit(t, 1, 8000)
+			w.decide(t)
+			w.decide(t)
+			w.endOldest()
+			w.forgetEnded()
+		})
+	}
+	few, many := cost(300), cost(3000)
+	t.Logf("allocations a job with 300 waiting steps: %.0f, with 3,000: %.0f", few, many)
+	must.LessEq(t, 2*few, many)
+}
+
+// Guards against work behind a long backlog that is never looked at: a step that fits
+// starts although thousands of steps before it wait for room that there is not.
+func TestRoomIsUsedFromBehindALongBacklog(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{
+		{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2},
+		{Name: "last", Pool: "pool", Priority: 2, MaxAttempts: 3, SlackFactor: 2},
+	})
+	blocker := small(1)
+	blocker.LongRunning = true
+	w.add("0000000000000001", blocker)
+	must.Len(t, 1, w.until(time.Second))
+	for i := range 3000 {
+		w.add(fmt.Sprintf("%016x", i+2), Step{Count: 1, Size: model.Resources{MilliCPU: 4000, MemoryMB: 100}, Estimate: time.Second})
+	}
+	j := &Job{ID: "00000000000fffff", Queue: "last", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+	must.True(t, w.cell.AddJob(w.now, j, nil))
+	must.Len(t, 1, w.until(10*time.Second))
+}
+
+// Guards against steps that cannot start for a reason of their own, such as a due time or a
+// runner that has not answered, and keep those behind them from being looked at.
+func TestStepsThatMayNotStartHoldUpNoOthers(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{
+		{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2},
+		{Name: "last", Pool: "pool", Priority: 2, MaxAttempts: 3, SlackFactor: 2},
+	})
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	timed := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{
+		Steps: []Step{small(1)}, Repetitions: 1000, FirstRun: w.now.Add(5 * time.Second), Interval: time.Minute,
+	}}
+	must.True(t, w.cell.AddJob(w.now, timed, nil))
+	for i := range 1000 {
+		j := &Job{ID: fmt.Sprintf("%016x", i+2), Queue: "q", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+		saved := &SavedJob{State: Running, Groups: []SavedGroup{{Begun: true}}}
+		must.True(t, w.cell.AddJob(w.now, j, saved))
+	}
+	last := &Job{ID: "00000000000fffff", Queue: "last", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+	must.True(t, w.cell.AddJob(w.now, last, nil))
+	starts := w.until(200 * time.Millisecond)
+	must.Len(t, 1, starts)
+	must.Eq(t, last.ID, starts[0].Run.Task.Job)
+	// Once all runners have answered, and its time has come, the rest starts.
+	w.report("silent", Report{Life: 1})
+	for _, s := range starts {
+		w.end(s.Run, EndDone)
+	}
+	byJob := make(map[string]int)
+	for range 60 {
+		for _, s := range w.step(100 * time.Millisecond) {
+			byJob[s.Run.Task.Job]++
+			w.end(s.Run, EndDone)
+		}
+		for _, id := range []string{"r0", "r1", "silent"} {
+			w.cell.OrderSent(w.now, id)
+		}
+	}
+	must.Positive(t, byJob[timed.ID])
+}
