Write logs in pieces of whole lines below 8 KiB

The sink now writes whole lines, at most 8 KiB at a time unless one line is longer. TestWritesHoldWholeLines fails before.

--- a/daemon/internal/logsink/sink.go
+++ b/daemon/internal/logsink/sink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +14,8 @@
 const (
 	// maxBuffered bounds the memory for lines that standard output does not take.
 	maxBuffered = 1 << 20
+	// maxWrite bounds one write where lines allow it: a collector may keep only so much of it.
+	maxWrite = 8 << 10
 	// flushEvery gathers lines, since each write costs a system call; a killed
 	// process loses at most the lines of this time.
 	flushEvery = 50 * time.Millisecond
@@ -79,6 +82,22 @@
 	s.flush()
 }
 
+// writeOut writes lines in pieces of whole lines.
+func (s *Sink) writeOut(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > maxWrite {
+			n = bytes.LastIndexByte(lines[:maxWrite], '\n') + 1
+		}
+		if n == 0 {
+			// A single line longer than a write.
+			n = bytes.IndexByte(lines, '\n') + 1
+		}
+		_, _ = s.out.Write(lines[:n]) // There is no other place to report to.
+		lines = lines[n:]
+	}
+}
+
 func (s *Sink) flush() {
 	s.mu.Lock()
 	lines, dropped := s.buffer, s.dropped
@@ -88,7 +107,7 @@
 		lines = fmt.Appendf(lines, "{\"level\":\"warn\",\"msg\":\"[log] lines dropped\",\"count\":%d}\n", dropped)
 	}
 	if len(lines) > 0 {
-		_, _ = s.out.Write(lines) // There is no other place to report to.
+		s.writeOut(lines)
 	}
 	s.mu.Lock()
 	s.spare = lines
--- a/daemon/internal/logsink/sink_test.go
+++ b/daemon/internal/logsink/sink_test.go
@@ -39,3 +39,37 @@
 	must.NoError(t, err)
 	must.StrContains(t, string(data), "lines dropped")
 }
+
+// Guards against lines that are cut where a collector keeps a bounded part of each write.
+func TestWritesHoldWholeLines(t *testing.T) {
+	out := new(recorder)
+	s := newSink(out)
+	line := []byte(strings.Repeat("x", 300) + "\n")
+	long := []byte(strings.Repeat("y", 2*maxWrite) + "\n")
+	want := 0
+	for i := range 100 {
+		next := line
+		if i == 50 {
+			next = long
+		}
+		_, err := s.Write(next)
+		must.NoError(t, err)
+		want += len(next)
+	}
+	s.Close()
+	got := 0
+	for _, w := range out.writes {
+		got += len(w)
+		must.Eq(t, byte('\n'), w[len(w)-1])
+		must.True(t, len(w) <= maxWrite || bytes.Equal(w, long))
+	}
+	must.Eq(t, want, got)
+}
+
+// recorder keeps each write.
+type recorder struct{ writes [][]byte }
+
+func (r *recorder) Write(b []byte) (int, error) {
+	r.writes = append(r.writes, bytes.Clone(b))
+	return len(b), nil
+}
