Take the bound of a lease after its end on every way

Callers could see a task run twice.

Cause: a report's request took the time from which its lease counts before it waited for the scheduler's lock, and the end of the lease that the runner gets after that. On a busy VM the wait is longer than the margin of 0.45 s, so leases were taken for lapsed too early. Start orders had the same fault, mended before; both now use one function.

Ruled out: the runner's clock (2% and the flight time are in the margin).

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -54,10 +54,7 @@
 	if withdrawn = s.cell.Withdrawn(time.Now(), st); withdrawn != "" || l == nil {
 		return l, 0, withdrawn
 	}
-	// The bound of the lease is taken after its end, so that it is never too early.
-	until = l.leaseEnd()
-	s.cell.OrderSent(time.Now(), st.Run.Runner)
-	return l, until, ""
+	return l, s.grantLease(l), ""
 }
 
 func (s *Scheduler) started(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -75,6 +75,15 @@
 	return l.clock + time.Since(l.clockAt) + l.s.lease
 }
 
+// grantLease returns the end of a lease that an order is to carry and extends the time until
+// which runs may exist. The latter is taken last, so that it is never too early, however
+// long the process is held up between the two; s.mu is held.
+func (s *Scheduler) grantLease(l *runnerLoop) time.Duration {
+	until := l.leaseEnd()
+	s.cell.OrderSent(time.Now(), l.id)
+	return until
+}
+
 func (l *runnerLoop) setClock(at time.Time, c platform.Clock) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,8 +138,7 @@
 	h := platform.HoldRequest{Fence: s.term.Number}
 	if !l.failing {
 		// A silent runner gets no new lease, so that the present one lapses.
-		s.cell.OrderSent(sent, l.id)
-		h.Until = l.leaseEnd()
+		h.Until = s.grantLease(l)
 	}
 	if !l.failing && !l.restarted.Load() {
 		// A runner that started anew counts its ends from 1.
