Do not stop the members of a gang that is done

About a sixth of all orders to runners were stops of runs that had ended: 1,100 of 1,117 stopped runs whose end is logged were `done`.

Cause: the members of a gang end together, and the first end that a report lists completes the job, which stopped all the others. Nothing of them is left; a run that is listed later is stopped then.

--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -98,6 +98,10 @@
 	c.finished.add(now)
 	c.markDirty(j)
 	c.event(Event{Kind: JobFinished, Task: TaskRef{Job: j.ID}, Detail: string(state), Age: now.Sub(j.Accepted)})
+	if state == Completed {
+		// What is left are members of gangs, which end together; a copy was stopped before.
+		return
+	}
 	for _, g := range j.groups {
 		for i := range g.tasks {
 			for _, run := range append([]*Run(nil), g.tasks[i].live...) {
