Store nothing after another term has begun

A holder that had lost its role wrote states that cannot be stored any more for up to a second (flush), each of them a call to the store, while its successor loads. It now stops at the conflict that tells of the term.

--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -95,9 +95,9 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.cell.Unsaved(batch)
-		s.persistFailed(ctx, err)
+		superseded := s.persistFailed(ctx, err)
 		signal(s.dirty)
-		return true
+		return !superseded
 	}
 	for _, d := range batch {
 		s.revisions[d.ID] = revision
@@ -120,20 +120,20 @@
 }
 
 // persistFailed learns from a conflict: an earlier try whose answer was lost has
-// moved the revisions, or another term has begun. s.mu is held.
-func (s *Scheduler) persistFailed(ctx context.Context, err error) {
+// moved the revisions, or another term has begun, which it reports. s.mu is held.
+func (s *Scheduler) persistFailed(ctx context.Context, err error) (superseded bool) {
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) {
 		if ctx.Err() == nil {
 			s.log.Warn("[sched] states not stored", zap.Error(err))
 		}
-		return
+		return false
 	}
 	for _, item := range conflict.Current {
 		if item.Key == s.term.Guard.Key && item.Revision != s.term.Guard.Revision {
 			s.log.Warn("[sched] another term has begun", zap.Int64("term", s.term.Number))
 			s.stepDown()
-			return
+			return true
 		}
 		if item.Key == rosterKey {
 			s.rosterRevision = item.Revision
@@ -142,6 +142,7 @@
 			s.revisions[id] = item.Revision
 		}
 	}
+	return false
 }
 
 // flush stores what is left when the term ends; what cannot be stored is found
