Give a watch that failed more time for its answer

After a slow load a watch has seconds of changes to bring over a narrow link. The limit now doubles with each failure, up to 2.6 s.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -23,6 +23,8 @@
 	// later its answer may come; the store may drop a waiting watch without an answer.
 	watchWait  = 600 * time.Millisecond
 	watchSlack = 500 * time.Millisecond
+	// maxWatchSlack covers the changes of some seconds over a narrow link.
+	maxWatchSlack = 2 * time.Second
 	// watchGap gathers changes between two watches; each call is paid for.
 	watchGap   = 400 * time.Millisecond
 	callTime   = time.Second
@@ -201,13 +203,14 @@
 // watch follows the changes below a prefix. Where changes are no longer known it
 // lists again and passes the whole listing with full set.
 func (s *Scheduler) watch(prefix string, at int64, apply func(items []platform.Item, full bool)) {
+	slack := watchSlack
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, watchWait+watchSlack)
+		ctx, cancel := context.WithTimeout(s.ctx, watchWait+slack)
 		items, next, err := s.store.Watch(ctx, prefix, at, watchWait)
 		cancel()
 		switch {
 		case err == nil:
-			at = next
+			at, slack = next, watchSlack
 			if len(items) > 0 {
 				apply(items, false)
 			}
@@ -224,6 +227,8 @@
 			if s.ctx.Err() == nil {
 				s.log.Warn("[sched] watch failed", zap.String("prefix", prefix), zap.Error(err))
 			}
+			// Many changes at once take long over a narrow link, and longer the next time.
+			slack = min(2*slack, maxWatchSlack)
 			wait.For(s.ctx, retryPause)
 		}
 	}
