Count the groups of the kept order in the scheduler's load

The load counted the newly startable groups only, once decisions keep the order of the others; TestPressureTellsWhatGroupsWaitFor failed.

--- a/sched/cell/pressure.go
+++ b/sched/cell/pressure.go
@@ -54,12 +54,14 @@
 func (c *Cell) Pressure(now, wall time.Time) Pressure {
 	load := c.Load(now)
 	p := Pressure{Known: len(c.jobs), Open: load.Open, EndedPerSecond: load.EndedPerSecond, Bytes: load.Bytes}
-	for _, g := range c.ready {
-		if g.waiting == 0 || g.job.state.Final() {
-			continue
+	for _, groups := range [][]*group{c.ready, c.backlog.ordered, c.backlog.later, c.backlog.inherited} {
+		for _, g := range groups {
+			if !g.waits(c) {
+				continue
+			}
+			p.addGroup(g)
+			*c.waitReason(&p.Reasons, now, wall, g)++
 		}
-		p.addGroup(g)
-		*c.waitReason(&p.Reasons, now, wall, g)++
 	}
 	slices.SortFunc(p.Waits, func(a, b PriorityWait) int { return a.Priority - b.Priority })
 	p.DirtyStates = len(c.dirty)
