--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -249,13 +249,19 @@
 	c.event(Event{Kind: InheritedClear, Age: now.Sub(c.took)})
 }
 
+// sortedRuns returns the runs by task and execution, so that decisions do not depend on
+// map order. The order is kept until a run comes or goes, as most reports bring neither;
+// the list is not to be changed.
 func (r *runner) sortedRuns() []*Run {
-	runs := make([]*Run, 0, len(r.runs))
+	if r.sorted != nil || len(r.runs) == 0 {
+		return r.sorted
+	}
+	r.sorted = make([]*Run, 0, len(r.runs))
 	for _, run := range r.runs {
-		runs = append(runs, run)
+		r.sorted = append(r.sorted, run)
 	}
-	slices.SortFunc(runs, func(a, b *Run) int {
+	slices.SortFunc(r.sorted, func(a, b *Run) int {
 		return cmp.Or(a.Task.compare(b.Task), cmp.Compare(a.Execution, b.Execution))
 	})
-	return runs
+	return r.sorted
 }
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -224,6 +224,7 @@
 
 func (r *runner) add(run *Run) {
 	r.runs[runKey{run.Task, run.Execution}] = run
+	r.sorted = nil
 	r.used = r.used.Add(run.claimed)
 }
 
@@ -231,6 +232,7 @@
 	k := runKey{run.Task, run.Execution}
 	if r.runs[k] == run {
 		delete(r.runs, k)
+		r.sorted = nil
 		r.used = r.used.Sub(run.claimed)
 	}
 }
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -60,3 +60,32 @@
 	w.cell.StartAnswered(w.now, run, StartUnknown, "")
 	must.Eq(t, []*Run{run}, w.stops(0))
 }
+
+// Guards against an order of a runner's runs that is kept although a run came or went: a
+// run that is not looked at is neither found lost nor stalled, and one that is gone would
+// be ended twice.
+func TestOrderOfRunsFollowsTheRuns(t *testing.T) {
+	w := newWorld(t, 1)
+	w.add("a", small(3))
+	starts := w.until(time.Second)
+	must.Len(t, 3, starts)
+	r := w.cell.runners["r0"]
+	indexes := func() []int {
+		var out []int
+		for _, run := range r.sortedRuns() {
+			out = append(out, run.Task.Index)
+		}
+		return out
+	}
+	must.Eq(t, []int{0, 1, 2}, indexes())
+	w.end(starts[1].Run, EndDone)
+	must.Eq(t, []int{0, 2}, indexes())
+	w.add("Z", small(1))
+	must.Len(t, 1, w.until(time.Second))
+	must.Eq(t, []int{0, 0, 2}, indexes())
+	// The list in use stays as it is while runs go, as when all leases lapse.
+	before := r.sortedRuns()
+	w.cell.dropRuns(w.now, r)
+	must.Len(t, 3, before)
+	must.SliceEmpty(t, indexes())
+}
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -36,6 +36,8 @@
 	// used is the sum of what may run there.
 	used model.Resources
 	runs map[runKey]*Run
+	// sorted holds the runs in order; nil if it has to be made anew.
+	sorted []*Run
 	// lastEnd is the number of the last end that was taken into account.
 	lastEnd int64
 	// unsaved holds the ends that the store may lack, in order.
