Count reports, and the ends that runners repeat

Cause: reports cost most of the scheduler's processor, but the report of the load did not tell how many there are, nor whether they bring anything new. A runner lists an end until its state is stored; while states wait, the same ends come again and again.

The line and the metrics tell reports, listed runs, ends, and repeated ends. This separates a processor that is busy with work from one that is busy with what the store's backlog repeats. BenchmarkHolder hands jobs in at their rate even if the scheduler falls behind, and tells the same figures:

`go test -race` passes in platform, sched/cell and all of daemon.

--- a/daemon/internal/cellsched/holder_bench_test.go
+++ b/daemon/internal/cellsched/holder_bench_test.go
@@ -31,6 +31,8 @@
 const (
 	benchRunners = 350
 	benchVMs     = 43
+	// benchSubmissions bounds the submissions of a kind that wait for the scheduler.
+	benchSubmissions = 64
 	// benchWarmUp lets all runners report and the first tasks end before it is measured.
 	benchWarmUp = 4 * time.Second
 	benchTime   = 8 * time.Second
@@ -188,7 +190,7 @@
 	}
 }
 
-// submit hands the jobs of one kind in, evenly spread, through the VMs in turn.
+// submit hands the jobs of one kind in, evenly spread, whether or not the scheduler keeps up.
 func (c *benchCell) submit(prefix byte, k benchKind) {
 	body, err := json.Marshal(map[string]any{"specification": "x", "steps": []map[string]any{{
 		"count": k.tasks, "cpu": k.milliCPU, "requested_memory_mb": 100, "estimated_ms": k.work.Milliseconds(), "gang_scheduled": k.gang,
@@ -196,6 +198,9 @@
 	must.NoError(c.b, err)
 	client := peer.NewClient("front-" + k.name)
 	defer client.Close()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	slots := make(chan struct{}, benchSubmissions)
 	tick := time.NewTicker(time.Second / time.Duration(k.perSecond))
 	defer tick.Stop()
 	for n := 0; ; n++ {
@@ -208,9 +213,18 @@
 		must.NoError(c.b, err)
 		id := fmt.Sprintf("%c%015x", prefix, n)
 		c.store.Put(JobKey(id), value)
-		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
-		_, _ = peer.Call[Submission, none](ctx, client, c.peerAddr, methodSubmit, &Submission{ID: id, Value: value})
-		cancel()
+		select {
+		case slots <- struct{}{}:
+		default:
+			// The scheduler finds the job in the store.
+			continue
+		}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+			defer cancel()
+			_, _ = peer.Call[Submission, none](ctx, client, c.peerAddr, methodSubmit, &Submission{ID: id, Value: value})
+		})
 	}
 }
 
@@ -248,7 +262,7 @@
 		c.spawn("vms", func() { c.submit(byte('a'+i), k) })
 	}
 	time.Sleep(benchWarmUp)
-	var starts, unknown, jobs, reports float64
+	var starts, unknown, jobs, seconds, reports, repeated float64
 	var startP99, decision, oldest time.Duration
 	seen := make(map[*loadReport]bool)
 	for begin := time.Now(); time.Since(begin) < benchTime; time.Sleep(100 * time.Millisecond) {
@@ -266,19 +280,23 @@
 		jobs = float64(r.Open)
 		startP99, oldest = max(startP99, r.answers.p99), max(oldest, r.OldestReport)
 		decision += r.decisions.sum
-		reports++
+		reports += float64(r.reports.Reports)
+		repeated += float64(r.reports.Repeated)
+		seconds++
 	}
-	must.Positive(b, reports)
+	must.Positive(b, seconds)
 	cancel()
 	for _, s := range c.servers {
 		_ = s.Close()
 	}
 	c.wait.Wait()
 	must.Positive(b, starts)
-	b.ReportMetric(starts/reports, "starts/s")
-	b.ReportMetric(unknown/reports, "unknown/s")
+	b.ReportMetric(starts/seconds, "starts/s")
+	b.ReportMetric(unknown/seconds, "unknown/s")
+	b.ReportMetric(reports/seconds, "reports/s")
+	b.ReportMetric(repeated/seconds, "repeated-ends/s")
 	b.ReportMetric(jobs, "open-jobs")
 	b.ReportMetric(float64(startP99.Microseconds())/1000, "start-p99-ms")
-	b.ReportMetric(float64(decision.Microseconds())/1000/reports, "decision-ms/s")
+	b.ReportMetric(float64(decision.Microseconds())/1000/seconds, "decision-ms/s")
 	b.ReportMetric(float64(oldest.Microseconds())/1000, "oldest-report-ms")
 }
--- a/daemon/internal/cellsched/loadmetrics.go
+++ b/daemon/internal/cellsched/loadmetrics.go
@@ -15,6 +15,7 @@
 	meter                                                 metric.Meter
 	jobs, tasks, groups, orders, runs                     metric.Int64ObservableGauge
 	advice, states, runners                               metric.Int64ObservableGauge
+	reports, ends                                         metric.Int64ObservableCounter
 	adviceAge, stateAge, reportAge, runQueue, cores, lock metric.Float64ObservableGauge
 }
 
@@ -38,6 +39,18 @@
 			return nil, err
 		}
 	}
+	for _, x := range []struct {
+		to                *metric.Int64ObservableCounter
+		name, description string
+	}{
+		{&g.reports, "rhubarbstall.cell.reports", "Reports of runners in this term"},
+		{&g.ends, "rhubarbstall.cell.reports.ends", "Ends in the reports of this term, by whether they were listed before"},
+	} {
+		var err error
+		if *x.to, err = g.meter.Int64ObservableCounter(x.name, metric.WithDescription(x.description)); err != nil {
+			return nil, err
+		}
+	}
 	for _, x := range []struct {
 		to                      *metric.Float64ObservableGauge
 		name, unit, description string
@@ -61,7 +74,7 @@
 func (g *loadGauges) observeLoad(f func(metric.Observer)) (metric.Registration, error) {
 	return g.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error { f(o); return nil },
 		g.jobs, g.tasks, g.groups, g.orders, g.runs, g.advice, g.states, g.runners,
-		g.adviceAge, g.stateAge, g.reportAge, g.runQueue, g.lock, g.cores)
+		g.reports, g.ends, g.adviceAge, g.stateAge, g.reportAge, g.runQueue, g.lock, g.cores)
 }
 
 func (g *loadGauges) observe(o metric.Observer, r *loadReport) {
@@ -83,6 +96,8 @@
 	counts(g.advice, "state", labelled{"queued", int64(r.adviceWaiting)}, labelled{"under_way", int64(r.adviceGiven)})
 	o.ObserveInt64(g.states, int64(r.DirtyStates))
 	counts(g.runners, "state", labelled{"listed", int64(r.Runners)}, labelled{"suspect", int64(r.Suspect)}, labelled{"unheard", int64(r.Unheard)})
+	o.ObserveInt64(g.reports, r.Taken.Reports)
+	counts(g.ends, "repeated", labelled{"false", r.Taken.Ends - r.Taken.Repeated}, labelled{"true", r.Taken.Repeated})
 	o.ObserveFloat64(g.adviceAge, r.adviceOldest.Seconds())
 	o.ObserveFloat64(g.stateAge, r.OldestDirty.Seconds())
 	o.ObserveFloat64(g.reportAge, r.OldestReport.Seconds())
--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -24,7 +24,7 @@
 	// answers holds the times from the decision of a start to its answer, decisions those
 	// of Tick and Decide.
 	answers, decisions durations
-	// last is what the last report told, for the metrics.
+	// last is what the last report of the load told, for the metrics.
 	last atomic.Pointer[loadReport]
 }
 
@@ -81,6 +81,8 @@
 	adviceWaiting, adviceGiven, adviceVMs                 int
 	adviceOldest                                          time.Duration
 	proc                                                  procReading
+	// reports counts the reports of the interval.
+	reports cell.ReportCounts
 }
 
 // loadLoop logs the load once a second until the term ends.
@@ -128,6 +130,10 @@
 	s.mu.Lock()
 	r.Pressure = s.cell.Pressure(now, now.Round(0))
 	s.mu.Unlock()
+	r.reports = r.Taken
+	if before := n.last.Load(); before != nil {
+		r.reports = r.Taken.Since(before.Taken)
+	}
 	return r
 }
 
@@ -195,6 +201,10 @@
 	e.AddInt("runners_suspect", r.Suspect)
 	e.AddInt("runners_unheard", r.Unheard)
 	ms("report_oldest_ms", r.OldestReport)
+	count("reports", r.reports.Reports)
+	count("reports_runs", r.reports.RunningRows)
+	count("reports_ends", r.reports.Ends)
+	count("reports_ends_repeated", r.reports.Repeated)
 	ms("cpu_ms", r.proc.cpu)
 	if r.cores > 0 {
 		ms("cpu_limit_ms", time.Duration(r.cores*float64(r.interval)))
--- a/daemon/internal/cellsched/loadreport_test.go
+++ b/daemon/internal/cellsched/loadreport_test.go
@@ -139,6 +139,8 @@
 		must.Eq(t, int64(simRunners), figure(last, "runners"))
 		must.Less(t, float64(2*time.Second/time.Millisecond), last["report_oldest_ms"].(float64))
 		must.Positive(t, figure(last, "decisions"))
+		must.Positive(t, figure(last, "reports"))
+		must.Eq(t, starts, sum(lines, "reports_ends")-sum(lines, "reports_ends_repeated"))
 	})
 }
 
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -60,6 +60,7 @@
 	dirty                 map[string]*Job
 	// clock is the time of the last call of Tick or Report.
 	clock time.Time
+	taken ReportCounts
 	// inheritClear is set once no unknown run of an earlier scheduler can exist.
 	inheritClear bool
 	// open counts the jobs that have not ended, bytes the memory for all known ones.
--- a/sched/cell/pressure.go
+++ b/sched/cell/pressure.go
@@ -28,6 +28,38 @@
 	// never answered this scheduler. OldestReport is the age of the oldest last report.
 	Runners, Suspect, Unheard int
 	OldestReport              time.Duration
+	// Taken counts the reports since the takeover.
+	Taken ReportCounts
+}
+
+// ReportCounts counts reports of runners and what they list.
+type ReportCounts struct {
+	Reports, RunningRows int64
+	// Ends counts the ends listed, Repeated those of them that were listed before: a
+	// runner repeats an end until it may forget it.
+	Ends, Repeated int64
+}
+
+func (n *ReportCounts) add(r *runner, rep *Report) {
+	n.Reports++
+	n.RunningRows += int64(len(rep.Running))
+	n.Ends += int64(len(rep.Ended))
+	if r.life != rep.Life {
+		return
+	}
+	for i := range rep.Ended {
+		if rep.Ended[i].Number <= r.lastEnd {
+			n.Repeated++
+		}
+	}
+}
+
+// Since returns the counts less earlier ones.
+func (n ReportCounts) Since(before ReportCounts) ReportCounts {
+	return ReportCounts{
+		Reports: n.Reports - before.Reports, RunningRows: n.RunningRows - before.RunningRows,
+		Ends: n.Ends - before.Ends, Repeated: n.Repeated - before.Repeated,
+	}
 }
 
 // PriorityWait counts the waiting groups and tasks of the queues of one priority.
@@ -53,7 +85,7 @@
 // waiting groups, the unsaved jobs and the runs once and allocates next to nothing.
 func (c *Cell) Pressure(now, wall time.Time) Pressure {
 	load := c.Load(now)
-	p := Pressure{Known: len(c.jobs), Open: load.Open, EndedPerSecond: load.EndedPerSecond, Bytes: load.Bytes}
+	p := Pressure{Known: len(c.jobs), Open: load.Open, EndedPerSecond: load.EndedPerSecond, Bytes: load.Bytes, Taken: c.taken}
 	for _, groups := range [][]*group{c.ready, c.backlog.ordered, c.backlog.later, c.backlog.inherited} {
 		for _, g := range groups {
 			if !g.waits(c) {
--- a/sched/cell/pressure_test.go
+++ b/sched/cell/pressure_test.go
@@ -107,6 +107,18 @@
 	must.Eq(t, 2, w.cell.Pressure(w.now, w.now).Stopping)
 }
 
+// Guards against ends that a runner repeats and that look like new ones, and against ends
+// of a new life that look repeated since its numbers begin anew.
+func TestPressureTellsRepeatedEnds(t *testing.T) {
+	w := newWorld(t, 1)
+	before := w.cell.Pressure(w.now, w.now).Taken
+	ends := []EndRow{{Number: 1, Task: TaskRef{Job: "x"}, Execution: 1, How: EndDone}, {Number: 2, Task: TaskRef{Job: "y"}, Execution: 1, How: EndDone}}
+	w.report("r0", Report{Life: 1, Ended: ends[:1]})
+	w.report("r0", Report{Life: 1, Ended: ends})
+	w.report("r0", Report{Life: 2, Ended: ends, Running: []RunningRow{{Task: TaskRef{Job: "z"}, Execution: 1}}})
+	must.Eq(t, ReportCounts{Reports: 3, RunningRows: 1, Ends: 5, Repeated: 1}, w.cell.Pressure(w.now, w.now).Taken.Since(before))
+}
+
 // Measures what one report of the load costs beside the decisions of its second, with 350
 // runners of 20 runs each and 3,000 waiting groups.
 func BenchmarkPressure(b *testing.B) {
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -57,6 +57,7 @@
 	if r == nil {
 		return
 	}
+	c.taken.add(r, &rep)
 	r.suspect = false
 	r.lastHeard = now
 	if r.life != rep.Life && (r.heard || r.life != 0) {
