Make no calls to the advisor that can no longer be of use

Callers of urgent work waited for answers behind calls for jobs that had ended and behind calls whose names were chosen long before.

Cause: a call that waited for a caller was made whatever had become of its job. It is checked when a caller takes it: the step still has to wait, and the call may have waited for 1 s at most; after that the step is asked about anew, with the runners that have room by then.

Ruled out: dropping calls when their job ends, which has to search the queue of calls for each job.

Figures: the two new tests; of 400 waiting steps with room for four, four to eight are asked about.

--- a/daemon/internal/cellsched/advice.go
+++ b/daemon/internal/cellsched/advice.go
@@ -34,6 +34,10 @@
 // outcome in time, the call counts as failed.
 func (s *Scheduler) NextAdvice(ctx context.Context, vm string) (AdviceTask, bool) {
 	id, call, ok := s.lanes.take(ctx, vm)
+	for ok && !s.wanted(&call) {
+		s.Advised(AdviceAnswer{ID: id, Error: "no longer of use"})
+		id, call, ok = s.lanes.take(ctx, vm)
+	}
 	if !ok {
 		return AdviceTask{}, false
 	}
@@ -43,6 +47,12 @@
 	return AdviceTask{ID: id, Step: call.Group, Runners: call.Runners, ExpectedMS: call.Expected.Milliseconds()}, true
 }
 
+func (s *Scheduler) wanted(call *cell.AdviceCall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cell.Wanted(time.Now(), call)
+}
+
 // Advised records the outcome of a call.
 func (s *Scheduler) Advised(a AdviceAnswer) {
 	call, ok := s.lanes.finish(a.ID)
--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -103,6 +103,16 @@
 	call.group.lookAgain = time.Time{}
 }
 
+// staleCall is how long a call may wait for a caller; what has room changes meanwhile, so
+// that other runners are to be named.
+const staleCall = time.Second
+
+// Wanted reports whether the answer to a call that has waited is still of use. A call that
+// is not wanted is to be passed to Advised with an error.
+func (c *Cell) Wanted(now time.Time, call *AdviceCall) bool {
+	return call.group.waits(c) && now.Sub(call.Since) < staleCall
+}
+
 // mayUse returns the set of the runners that may run a group as far as is known; nil
 // stands for all.
 func (c *Cell) mayUse(g *group) runnerSet {
--- a/sched/cell/ask_test.go
+++ b/sched/cell/ask_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,3 +54,34 @@
 	w.join(4, 6)
 	must.Len(t, 1, w.until(3*time.Second))
 }
+
+// Guards against calls that are made for jobs that have ended, or with names that were
+// chosen long ago, while calls of use wait for a caller.
+func TestCallThatWaitedIsCheckedBeforeItIsMade(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{advised()})
+	j := w.add("0000000000000001", small(1))
+	calls := w.cell.Decide(w.now, w.now).Advice
+	must.Len(t, 1, calls)
+	must.True(t, w.cell.Wanted(w.now, &calls[0]))
+	must.False(t, w.cell.Wanted(w.now.Add(2*time.Second), &calls[0]))
+	must.True(t, w.cell.Cancel(w.now, j.ID))
+	must.False(t, w.cell.Wanted(w.now, &calls[0]))
+}
+
+// Guards against calls for steps whose turn is far away: their tickets run out unused, and
+// the callers have no time for the others.
+func TestOnlyStepsWhoseTurnIsNearAreAskedAbout(t *testing.T) {
+	w := newWorld(t, 4)
+	w.cell.SetQueues([]Queue{advised()})
+	for i := range 400 {
+		w.add(fmt.Sprintf("%016x", i+1), small(4))
+	}
+	calls := 0
+	for range 10 {
+		w.now = w.now.Add(4 * time.Millisecond)
+		calls += len(w.cell.Decide(w.now, w.now).Advice)
+	}
+	// There is room for four steps.
+	must.Between(t, 4, calls, 8)
+}
