Reject jobs that cannot come in their expected time

Callers saw jobs accepted that came long after their time or never, and a backlog that outlasted its burst.

Cause: a job was rejected for want of memory only. The scheduler now adds up, five times a second at most, the waiting work that can still come in time by priority, and publishes with its load how long a new job of each queue would wait: the work of its priority and of more urgent ones, over the part of the pool that is at work for its priority, or half of what more urgent work leaves if that is more. From 1.2 times the time that a job may wait a growing part of the new jobs is rejected before they are stored (429, 2009 too_late, with the time until the backlog is down to that, spread), from twice that on all. The draw follows from the id, so a repeated request gets the same answer.

A rejected job is looked up in the store first; if the store does not answer, the job is no longer rejected, since it may have been accepted before.

--- a/api/codes/code.go
+++ b/api/codes/code.go
@@ -33,6 +33,7 @@
 	WriteBudget     Code = 2006
 	RetryBudget     Code = 2007
 	TooManyRequests Code = 2008
+	TooLate         Code = 2009
 )
 
 // Codes of requests whose outcome is not a whole answer.
--- a/daemon/internal/cellsched/admit.go
+++ b/daemon/internal/cellsched/admit.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
 
@@ -31,19 +33,40 @@
 	return s.cell.Load(now)
 }
 
-// Admits reports whether a further job may be accepted, as far as the scheduler's load is
-// known here; if not, after what time the caller should return. The times are spread, so
-// that rejected callers do not return together.
-func (c *Client) Admits(now time.Time) (bool, time.Duration) {
-	var load cell.Load
+// Admits returns nil if a further job may be accepted, as far as the scheduler's load is
+// known here. Otherwise the error says after what time the caller should return; the times
+// are spread, so that rejected callers do not return together.
+func (c *Client) Admits(now time.Time, id string, h JobHeader, body []byte) error {
+	load, known := c.knownLoad(now)
+	if !known {
+		return nil
+	}
+	if ok, after := load.Admits(c.jobMemory); !ok {
+		return codes.QueueFull.With("the cell has more jobs waiting than it can keep", codes.RetryAfter(spread(after)))
+	}
+	q, ok := c.holder.queue(h.Queue)
+	if !ok || load.Waits[h.Queue] == 0 {
+		return nil
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return codes.MalformedBody.Errorf("%w", err)
+	}
+	if ok, after := load.InTime(&q, spec, id); !ok {
+		return codes.TooLate.With("the work that goes before the job takes longer than the job may wait", codes.RetryAfter(spread(after)))
+	}
+	return nil
+}
+
+// knownLoad returns the scheduler's load; false if it is not known here.
+func (c *Client) knownLoad(now time.Time) (cell.Load, bool) {
 	if s := c.holder.Current(); s != nil {
-		load = s.Load(now)
-	} else if r := c.load.Load(); r != nil && now.Sub(r.at) < loadMemory {
-		load = r.load
+		return s.Load(now), true
 	}
-	ok, after := load.Admits(c.jobMemory)
-	if ok {
-		return true, 0
+	if r := c.load.Load(); r != nil && now.Sub(r.at) < loadMemory {
+		return r.load, true
 	}
-	return false, after + rand.N(after/2+1)
+	return cell.Load{}, false
 }
+
+func spread(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
--- a/daemon/internal/cellsched/holder.go
+++ b/daemon/internal/cellsched/holder.go
@@ -42,3 +42,15 @@
 		h.sched.SetQueues(queues)
 	}
 }
+
+// queue returns the policy of a queue that is in force.
+func (h *Holder) queue(name string) (cell.Queue, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.queues {
+		if h.queues[i].Name == name {
+			return h.queues[i], true
+		}
+	}
+	return cell.Queue{}, false
+}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -55,12 +55,15 @@
 	if err != nil {
 		return codes.Internal.Errorf("job not encoded: %w", err)
 	}
-	if ok, wait := j.sched.Admits(time.Now()); !ok {
+	if rejected := j.sched.Admits(time.Now(), id, h, body); rejected != nil {
 		// A job that was accepted before must not be told that it never runs.
-		if j.exists(ctx, id) == nil {
+		switch err := j.exists(ctx, id); {
+		case err == nil:
 			return nil
+		case codes.Of(err) == codes.JobGone:
+			return rejected
 		}
-		return codes.QueueFull.With("the cell has more jobs waiting than it can keep", codes.RetryAfter(wait))
+		// The store does not say whether the job was accepted; storing it is safe.
 	}
 	sub := cellsched.Submission{ID: id, Value: value}
 	if err := j.put(ctx, sub); err != nil {
--- a/sched/cell/admit.go
+++ b/sched/cell/admit.go
@@ -26,6 +26,9 @@
 	Bytes int64 `json:"bytes"`
 	// EndedPerSecond is the recent rate of finished jobs.
 	EndedPerSecond float64 `json:"ended_per_second"`
+	// Waits holds, by queue, how long a new job is expected to wait for its turn; queues
+	// without such a wait are left out.
+	Waits map[string]time.Duration `json:"waits,omitempty"`
 }
 
 // Admits reports whether a further job may be accepted under a limit in bytes; if not,
@@ -45,7 +48,10 @@
 // Load returns the present load.
 func (c *Cell) Load(now time.Time) Load {
 	c.finished.advance(now)
-	return Load{Open: c.open, Bytes: c.bytes, EndedPerSecond: c.finished.perSecond()}
+	if now.Sub(c.waitsAt) >= waitsEvery {
+		c.waits, c.waitsAt = c.expectedWaits(), now
+	}
+	return Load{Open: c.open, Bytes: c.bytes, EndedPerSecond: c.finished.perSecond(), Waits: c.waits}
 }
 
 // weight returns the memory for a job.
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -67,6 +67,9 @@
 	open     int
 	bytes    int64
 	finished endRate
+	// waits are the expected waits by queue, taken at waitsAt; the map is not changed.
+	waits   map[string]time.Duration
+	waitsAt time.Time
 	// nextScan is when Tick looks through the runs again.
 	nextScan time.Time
 	// rosterStale tells whether the store names a runner that was removed.
--- /dev/null
+++ b/sched/cell/intime_test.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a backlog of work that was accepted although it could no longer come in
+// time, and against rejecting urgent work for a backlog of patient work. The load: three
+// times what the cell can do for 15 s. The baseline, which accepts all, is run along.
+func TestHopelessWorkIsRejected(t *testing.T) {
+	const load = 15 * time.Second
+	overload := func(admission bool) *replay {
+		p := newReplay(t, 120, 14, 1)
+		for i := range p.kinds {
+			p.kinds[i].rate *= 3
+			p.kinds[i].burst = 1
+		}
+		var known Load
+		next := p.now
+		p.admit = func(c *Cell, now time.Time, j *Job) bool {
+			if !now.Before(next) {
+				// Entry VMs learn of the load once a second.
+				known, next = c.Load(now), now.Add(time.Second)
+			}
+			ok, after := known.InTime(&p.kindOf(j.Queue).queue, &j.Spec, j.ID)
+			if !ok {
+				must.Between(t, minReturn, after, maxReturn)
+			}
+			return ok || !admission
+		}
+		p.run(load, 0)
+		p.table(load)
+		return p
+	}
+	open := func(p *replay) int {
+		n := 0
+		for _, r := range p.jobs {
+			if r.kind != 0 && r.done == 0 && !r.rejected {
+				n++
+			}
+		}
+		return n
+	}
+	all, some := overload(false), overload(true)
+	t.Logf("patient jobs and gangs open: %d, without admission %d", open(some), open(all))
+	must.LessEq(t, open(all)*2/3, open(some))
+	// The most urgent work goes first; it is not rejected for a backlog of other work.
+	must.Eq(t, 0, some.outcome(0, 0, load).rejected)
+	must.GreaterEq(t, all.outcome(0, 0, load).inTime*98/100, some.outcome(0, 0, load).inTime)
+	// At most 60% of the requests may be rejected or fail on the worst day.
+	rejected := 0
+	for _, r := range some.jobs {
+		if r.rejected {
+			rejected++
+		}
+	}
+	must.Positive(t, rejected)
+	must.LessEq(t, len(some.jobs)*6/10, rejected)
+}
+
+// Guards against rejecting jobs in a cell that does its work in time, and jobs that have no
+// expected time.
+func TestNothingIsRejectedWithoutBacklog(t *testing.T) {
+	q := advised()
+	job := Spec{Steps: []Step{small(1)}}
+	lasting := Spec{Steps: []Step{small(1)}}
+	lasting.Steps[0].LongRunning = true
+	timed := job
+	timed.Repetitions = 3
+	reject := func(wait time.Duration, s *Spec) int {
+		n := 0
+		for i := range 100 {
+			ok, _ := Load{Waits: map[string]time.Duration{"q": wait}}.InTime(&q, s, fmt.Sprintf("%016x", i))
+			if !ok {
+				n++
+			}
+		}
+		return n
+	}
+	// The job takes 1 s and its call 10 ms, and it is expected within twice that.
+	must.Eq(t, 0, reject(0, &job))
+	must.Eq(t, 0, reject(time.Second, &job))
+	must.Between(t, 1, reject(1600*time.Millisecond, &job), 99)
+	must.Eq(t, 100, reject(3*time.Second, &job))
+	must.Eq(t, 0, reject(time.Hour, &lasting))
+	must.Eq(t, 0, reject(time.Hour, &timed))
+}
