Let old work go first on a small part of the cell only

Callers saw all work late once a backlog was a minute old.

Cause: a step that waited a minute beyond its expected time went before all work of its priority. With a backlog that is a matter of all of it at once, and new work came late as well. Such steps now go first, before every priority, as far as their work fits into 2% of the cell; the others wait as before.

Ruled out: no such rule, with which patient work never starts beside a steady flood of more urgent work.

TestOldestWorkIsNotStarved stated that a step of that age is in time by its age alone, which is the fault. It now states when the step may go first, and plays a flood of more urgent work in which it starts, which the code before did not do.

--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -67,6 +67,10 @@
 	open     int
 	bytes    int64
 	finished endRate
+	// promotable is the work of starved groups that may go first, in milli-CPU seconds, as
+	// of promotedAt.
+	promotable float64
+	promotedAt time.Time
 	// waits are the expected waits by queue, taken at waitsAt; the map is not changed.
 	waits   map[string]time.Duration
 	waitsAt time.Time
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -37,6 +37,8 @@
 	rankEnds time.Time
 	// tier is what finishing the group was worth when it was ranked.
 	tier tier
+	// promoted marks a group that goes first because it has waited for very long.
+	promoted bool
 	// reserved holds the runners of the places that are reserved for a gang, one a task.
 	reserved []*runner
 	// nearSince is when the group's turn was first near.
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -23,8 +23,12 @@
 	lateFactor = 3
 	// estimateError is the part of an estimate that a task may be quicker.
 	estimateError = 0.3
-	// starvation is how long a group may wait behind others of its queue's priority.
+	// starvation is how long beyond its expected time a group may wait before it may go
+	// first.
 	starvation = time.Minute
+	// starvedShare is the part of the cell that is spent on groups that have waited for so
+	// long. With more, a backlog that is a minute old would make all new work late.
+	starvedShare = 0.02
 	// tierWeight, priorityWeight and doubtWeight keep tiers and priorities apart; all are
 	// longer than any time in seconds that they order.
 	tierWeight     = 1e13
@@ -45,11 +49,21 @@
 	t, slack := g.standing(age)
 	start := min(max(now.Sub(c.took).Seconds()+slack, -maxStart), maxStart)
 	ends := now.Add(g.tierEnds(age))
+	if !g.promoted && !g.spec.LongRunning {
+		until := g.expected() + starvation - age
+		if until < 0 {
+			until = starvedRetry
+		}
+		ends = earlier(ends, now.Add(until+tierStep))
+	}
 	if !g.due.IsZero() {
 		ends = earlier(ends, now.Add(dueRefresh))
 	}
 	rank := float64(g.queue.Priority)*priorityWeight + start
-	if t == doubtful {
+	switch {
+	case g.promoted:
+		return start - tierWeight, ends
+	case t == doubtful:
 		return rank + doubtWeight, ends
 	}
 	return rank + float64(t)*tierWeight, ends
@@ -80,7 +94,7 @@
 	expected := g.expected()
 	rest := g.rest(g.step)
 	slack := expected - age - rest
-	if age > expected+starvation {
+	if g.promoted {
 		return inTime, slack.Seconds()
 	}
 	quickest := time.Duration(float64(rest) * (1 - estimateError))
@@ -144,7 +158,7 @@
 	expected, rest := g.expected(), g.rest(g.step)
 	quickest := time.Duration(float64(rest) * (1 - estimateError))
 	ends := tierForever
-	for _, at := range [...]time.Duration{expected - rest, expected - quickest, lateFactor*expected - quickest, expected + starvation} {
+	for _, at := range [...]time.Duration{expected - rest, expected - quickest, lateFactor*expected - quickest} {
 		if at >= age {
 			ends = min(ends, at-age)
 		}
@@ -152,6 +166,30 @@
 	return max(ends, 0) + tierStep
 }
 
+// starved reports whether a group has waited for so long that it may go first.
+func (g *group) starved(age time.Duration) bool {
+	return !g.promoted && !g.spec.LongRunning && age > g.expected()+starvation
+}
+
+// starvedRetry is how often a starved group asks again to go first.
+const starvedRetry = time.Second
+
+// promote lets a starved group go first if the part of the cell that is kept for such
+// groups allows it.
+func (c *Cell) promote(now time.Time, g *group) bool {
+	const most = 10
+	gain := starvedShare * float64(c.room.capacity)
+	if !c.promotedAt.IsZero() {
+		c.promotable = min(c.promotable+gain*now.Sub(c.promotedAt).Seconds(), most*gain)
+	}
+	c.promotedAt = now
+	if c.promotable < 0 {
+		return false
+	}
+	c.promotable -= float64(g.waiting) * float64(g.claim().MilliCPU) * g.spec.Estimate.Seconds()
+	return true
+}
+
 // tails returns for each step the estimated time from its start to the end of the
 // longest chain of steps that begins with it.
 func (s *Spec) tails() []time.Duration {
--- a/sched/cell/rank_test.go
+++ b/sched/cell/rank_test.go
@@ -81,9 +81,70 @@
 	must.Eq(t, late, soon)
 	later, _ := g.standing(10 * time.Second)
 	must.Eq(t, expired, later)
+	must.False(t, g.starved(61*time.Second))
+	must.True(t, g.starved(62*time.Second))
+	g.promoted = true
 	last, slack := g.standing(62 * time.Second)
 	must.Eq(t, inTime, last)
 	must.Less(t, 0, slack)
+
+	// In a cell that has more urgent work than it can do, a patient job starts.
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{
+		{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 10},
+		{Name: "patient", Pool: "pool", Priority: 2, MaxAttempts: 3, SlackFactor: 2},
+	})
+	patient := &Job{ID: "00000000000fffff", Queue: "patient", Pool: "pool", Spec: Spec{Steps: []Step{small(1)}}}
+	must.True(t, w.cell.AddJob(w.now, patient, nil))
+	patient.Accepted = w.now.Add(-55 * time.Second)
+	starts := w.flood(20*time.Second, 5)
+	must.Positive(t, starts[patient.ID])
+}
+
+// Guards against a backlog that is a minute old and then goes before all new work, which
+// makes that late as well. The load: one runner for four tasks of 1 s, 100 such tasks that
+// have waited for a minute, and 3 new ones a second.
+func TestOldBacklogLeavesNewWorkInTime(t *testing.T) {
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 1, TargetLatency: 2 * time.Second}})
+	for i := range 100 {
+		w.add(fmt.Sprintf("%016x", i+1), small(1)).Accepted = w.now.Add(-2 * time.Minute)
+	}
+	started := 0
+	for id := range w.flood(20*time.Second, 3) {
+		if id >= "0000000000100000" {
+			started++
+		}
+	}
+	// Nine tenths of the 60 new tasks start while they may still come in time.
+	must.GreaterEq(t, 54, started)
+}
+
+// flood submits tasks of 1 s, so many a second, and returns the jobs that started.
+func (w *world) flood(d time.Duration, perSecond int) map[string]int {
+	starts := make(map[string]int)
+	running := make(map[*Run]time.Time)
+	n := 0x100000
+	for tick := range int(d / (100 * time.Millisecond)) {
+		if tick%10 == 0 {
+			for range perSecond {
+				w.add(fmt.Sprintf("%016x", n), small(1))
+				n++
+			}
+		}
+		for run, at := range running {
+			if w.now.Sub(at) >= time.Second {
+				delete(running, run)
+				w.end(run, EndDone)
+			}
+		}
+		w.cell.OrderSent(w.now, "r0")
+		for _, s := range w.step(100 * time.Millisecond) {
+			starts[s.Run.Task.Job]++
+			running[s.Run] = w.now
+		}
+	}
+	return starts
 }
 
 // Guards against a count of repetitions that fills the memory of the scheduler.
--- a/sched/cell/waiting.go
+++ b/sched/cell/waiting.go
@@ -54,6 +54,9 @@
 
 // insert ranks a group and puts it in its place.
 func (c *Cell) insert(now, wall time.Time, g *group) {
+	if g.starved(g.age(now, wall)) {
+		g.promoted = c.promote(now, g)
+	}
 	g.rank, g.rankEnds = c.rank(c, g, now, wall)
 	g.tier, _ = g.standing(g.age(now, wall))
 	b := &c.backlog
