--- a/sched/cell/begin_test.go
+++ b/sched/cell/begin_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,37 @@
 	w.report("silent", Report{Life: 1})
 	must.Len(t, 1, w.until(time.Second))
 }
+
+// Guards against a takeover that holds up the whole queue: groups that have waited without a
+// chance of room are marked as begun, so that they wait for a silent runner although nothing
+// of them was ever started.
+func TestWorkThatOnlyWaitedIsNotHeldUpAfterTakeover(t *testing.T) {
+	old := newWorld(t, 1)
+	old.cell.SetQueues([]Queue{plain()})
+	const jobs = 64
+	started := make(map[string]bool)
+	for n := range jobs {
+		old.add(fmt.Sprintf("%016x", n), small(1))
+	}
+	for range 10 {
+		for _, s := range old.step(100 * time.Millisecond) {
+			started[s.Run.Task.Job] = true
+		}
+	}
+	must.MapLen(t, 4, started)
+
+	w := newWorld(t, 1)
+	w.cell.SetQueues([]Queue{plain()})
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "silent", Pool: "pool", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Life: 1})
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", n)
+		var saved *SavedJob
+		if value := old.stored[id]; value != nil {
+			var err error
+			saved, err = ParseSavedJob(value)
+			must.NoError(t, err)
+		}
+		w.cell.AddJob(w.now, &Job{ID: id, Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: []Step{small(1)}}}, saved)
+	}
+	must.SliceNotEmpty(t, w.until(time.Second))
+}
