--- a/daemon/internal/cellsched/load_test.go
+++ b/daemon/internal/cellsched/load_test.go
@@ -153,6 +153,33 @@
 	})
 }
 
+// Guards against jobs and cancels that never reach the scheduler after a long load: the
+// changes since the listing were more than a small VM reads within the limit of one watch,
+// and each further one had still more of them.
+func TestWatchCatchesUpAfterLongLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStoredCell(t)
+		defer c.close()
+		c.bitsPerSecond = 10e6
+		s, end := c.term(always)
+		defer end()
+		at, ok := s.load()
+		must.True(t, ok)
+		const jobs = 600
+		for n := range jobs {
+			c.submit(n, 3500)
+		}
+		cancelled := c.submit(jobs, 3500)
+		c.store.Put(CancelKey(cancelled), []byte("{}"))
+		s.spawn(func() { s.watchWork(at) })
+		time.Sleep(15 * time.Second)
+		must.Eq(t, jobs+1, s.jobs())
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		must.Eq(t, cell.Cancelled, s.cell.Job(cancelled).State())
+	})
+}
+
 // BenchmarkLoad compares loading 4,000 jobs over a link of 10 Mbit/s, of which three in four
 // are completed, with the way of before: one listing after the other, with the bodies of all
 // jobs.
