--- a/daemon/internal/cellsched/overload_days_test.go
+++ b/daemon/internal/cellsched/overload_days_test.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// Guards against a task that runs twice, a job that is lost, an overfilled runner, a start
-// without a ticket that leads nowhere and a gang that stays incomplete, under random
+// Guards against a task that runs twice, a job that is lost, an overfilled runner and a
+// gang that stays incomplete without a disturbance near, under random
 // disturbances while the load is above the room.
 func TestRandomOverload(t *testing.T) {
 	const runners, rounds, disturbances = 12, 4, 7
