Count no step that fits nowhere among those whose turn is near

Callers would have seen work wait for seconds behind steps that no runner can run, since these counted as work before it. They take no room from others, so they no longer count.

--- a/sched/cell/near.go
+++ b/sched/cell/near.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -62,6 +63,10 @@
 	}
 	if g.nearSince.IsZero() {
 		g.nearSince = now
+		if !slices.ContainsFunc(c.order, func(r *runner) bool { return r.info.Pool == g.job.Pool && g.fitsEmpty(r) }) {
+			// It takes no room from others at all.
+			g.nearSince = now.Add(-nearPatience - 1)
+		}
 	}
 	needs := int64(g.waiting) * g.claim().MilliCPU
 	if now.Sub(g.nearSince) > nearPatience {
--- a/sched/cell/waiting_test.go
+++ b/sched/cell/waiting_test.go
@@ -95,3 +95,17 @@
 	}
 	must.Positive(t, byJob[timed.ID])
 }
+
+// Guards against steps that no runner can ever run and that keep those behind them from
+// being marked and asked about.
+func TestStepsThatFitNowhereHoldUpNoOthers(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{advised()})
+	for i := range 100 {
+		w.add(fmt.Sprintf("%016x", i+1), Step{Count: 20, Size: small(1).Size, RunnerLabel: "none", Estimate: time.Second})
+	}
+	w.add("00000000000fffff", Step{Count: 1, Size: small(1).Size, Estimate: 3 * time.Second})
+	starts := w.until(500 * time.Millisecond)
+	must.Len(t, 1, starts)
+	must.Eq(t, "00000000000fffff", starts[0].Run.Task.Job)
+}
