Make decisions of a full cell cheaper

Cause: at 350 runners a quarter of a decision sorted runners for names, and a tenth put unchanged runners into the index of room. Sorting needs no stable order with the position as the last key, and unchanged runners are skipped.

Ruled out: nothing else stands out in the profile.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -110,7 +110,7 @@
 // Wanted reports whether the answer to a call that has waited is still of use. A call that
 // is not wanted is to be passed to Advised with an error.
 func (c *Cell) Wanted(now time.Time, call *AdviceCall) bool {
-	return call.group.waits(c) && now.Sub(call.Since) < staleCall
+	return call.group.waits() && now.Sub(call.Since) < staleCall
 }
 
 // mayUse returns the set of the runners that may run a group as far as is known; nil
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -140,7 +140,7 @@
 		return c.gangRenewals(now, g, expired)
 	}
 	chosen := c.eligible(g, expired)
-	slices.SortStableFunc(chosen, leastExpected)
+	slices.SortFunc(chosen, leastExpected)
 	claim, need := g.claim(), g.waiting
 	for i, r := range chosen {
 		if need <= 0 {
@@ -177,13 +177,14 @@
 // nameRunners chooses the runners that a first call names: those with the most room, as
 // few as give the group enough places although a part of them is refused.
 func (c *Cell) nameRunners(now time.Time, g *group) []*runner {
-	var fit []*runner
+	fit := c.candidates[:0]
 	for _, r := range c.order {
 		if r.info.Pool == g.job.Pool && r.usable(now) && !g.advice.asked[r.info.ID] && g.fitsEmpty(r) {
 			fit = append(fit, r)
 		}
 	}
-	slices.SortStableFunc(fit, leastExpected)
+	c.candidates = fit
+	slices.SortFunc(fit, leastExpected)
 	share := c.approvedShare(g.queue)
 	// Enough names that one runner at least is approved, with a small rest of doubt.
 	least := int(math.Ceil(math.Log(noneApproved) / math.Log(1-share)))
--- a/sched/cell/intime.go
+++ b/sched/cell/intime.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, g := range c.backlog.ordered {
-		if p := pools[g.job.Pool]; p != nil && g.tier <= doubtful && !g.spec.LongRunning && g.waits(c) {
+		if p := pools[g.job.Pool]; p != nil && g.tier <= doubtful && !g.spec.LongRunning && g.waits() {
 			p.waiting[g.queue.Priority] += float64(g.waiting) * g.claim().DominantShare(p.capacity) * g.spec.Estimate.Seconds()
 		}
 	}
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -47,7 +47,7 @@
 }
 
 func (c *Cell) reservationHolds(now time.Time, g *group) bool {
-	if !g.waits(c) || g.waiting < len(g.tasks) || len(g.reserved) == 0 {
+	if !g.waits() || g.waiting < len(g.tasks) || len(g.reserved) == 0 {
 		return false
 	}
 	for _, r := range g.reserved {
--- a/sched/cell/room.go
+++ b/sched/cell/room.go
@@ -64,6 +64,7 @@
 			x.free += max(0, free.MilliCPU)
 			x.capacity += r.info.Capacity.MilliCPU
 		}
+		r.indexed = r.indexed && r.seenUsable == usable
 		r.seenFree, r.seenUsable, r.seenLife = free, usable, r.life
 		c.setAvail(r, free)
 	}
@@ -81,14 +82,17 @@
 	x.gained = make(runnerSet, words)
 	for i, r := range c.order {
 		r.position, r.cpuLevel, r.memoryLevel = i, -1, -1
-		r.seenUsable = false
+		r.seenUsable, r.indexed = false, false
 		x.largest = x.largest.Max(r.info.Capacity)
 	}
 }
 
 // setAvail sets what a runner has left in the decision under way.
 func (c *Cell) setAvail(r *runner, avail model.Resources) {
-	r.avail = avail
+	if r.indexed && r.avail == avail {
+		return
+	}
+	r.avail, r.indexed = avail, true
 	cpu, memory := -1, -1
 	if r.seenUsable {
 		cpu, memory = level(avail.MilliCPU, c.room.largest.MilliCPU), level(avail.MemoryMB, c.room.largest.MemoryMB)
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -61,7 +61,9 @@
 	// started.
 	seenFree   model.Resources
 	seenUsable bool
-	seenLife   int64
+	// indexed tells whether the index of room has avail.
+	indexed  bool
+	seenLife int64
 	// expected is what may start there once calls to the advisor are answered, in
 	// milli-CPU.
 	expected int64
@@ -75,9 +77,12 @@
 }
 
 // leastExpected orders runners by the processors that are left and not expected to be
-// taken soon, the most first.
+// taken soon, the most first, and those with the same by id.
 func leastExpected(a, b *runner) int {
-	return cmp.Compare(b.unexpected().MilliCPU, a.unexpected().MilliCPU)
+	if d := cmp.Compare(b.avail.MilliCPU-b.expected, a.avail.MilliCPU-a.expected); d != 0 {
+		return d
+	}
+	return a.position - b.position
 }
 
 // unsavedEnd is an end that may be forgotten once version of job is stored.
--- a/sched/cell/waiting.go
+++ b/sched/cell/waiting.go
@@ -48,8 +48,9 @@
 }
 
 // waits reports whether a group has tasks to start.
-func (g *group) waits(c *Cell) bool {
-	return !g.job.state.Final() && g.waiting > 0 && c.jobs[g.job.ID] == g.job
+func (g *group) waits() bool {
+	// The state of a job that is forgotten is final.
+	return !g.job.state.Final() && g.waiting > 0
 }
 
 // insert ranks a group and puts it in its place.
@@ -135,7 +136,7 @@
 	keep := from
 	for _, g := range b.ordered[from:to] {
 		switch {
-		case !g.waits(c):
+		case !g.waits():
 			g.listed = false
 		case !now.Before(g.rankEnds):
 			b.moved = append(b.moved, g)
