Hold the task of a late start on a restarted runner for the longest lease

A task could run twice: a start without an answer reaches a runner that has restarted, where the end of its lease, meant for the clock of the earlier life, lies far in the future.

The bound now covers the longest lease for orders that an earlier life may have left. The test fails without it.

--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -102,7 +102,7 @@
 		set: set, term: term, store: store, runners: runners, log: log, lease: lease,
 		lanes: newLanes(), metrics: m,
 		cell: cell.New(time.Now(), cell.Config{
-			Lease: lease, OrderTimeout: orderTimeout,
+			Lease: lease, LongestLease: set.MaxHold, OrderTimeout: orderTimeout,
 			InheritWait:    election.OutageHold + lease + time.Second,
 			FirstExecution: (term.Number-1)*executionsPerTerm + 1,
 			RemoteFactor:   set.RemoteFactor,
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -11,6 +11,8 @@
 type Config struct {
 	// Lease is how long runs outlive the last renewal.
 	Lease time.Duration
+	// LongestLease is the longest lease that a runner grants, whatever an order asks for.
+	LongestLease time.Duration
 	// OrderTimeout is how long an unanswered order is waited for.
 	OrderTimeout time.Duration
 	// InheritWait is how long runs of an earlier scheduler may exist on a runner
@@ -177,10 +179,14 @@
 // OrderSent extends the time until which runs on the runner may exist.
 func (c *Cell) OrderSent(now time.Time, id string) {
 	if r := c.runners[id]; r != nil {
-		bound := now.Add(c.cfg.Lease + leaseMargin(c.cfg.Lease))
-		if bound.After(r.leaseBound) {
-			r.leaseBound = bound
-		}
+		r.extendLease(now, c.cfg.Lease)
+	}
+}
+
+// extendLease records that runs may exist for the length of a lease that begins now.
+func (r *runner) extendLease(now time.Time, lease time.Duration) {
+	if bound := now.Add(lease + leaseMargin(lease)); bound.After(r.leaseBound) {
+		r.leaseBound = bound
 	}
 }
 
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -102,6 +102,9 @@
 	for _, run := range r.sortedRuns() {
 		if run.Phase == Sending || run.Phase == Unsure {
 			run.Phase = Unsure
+			// The end of its lease was meant for the clock of the earlier life, so that this
+			// one may run it for as long as it runs anything.
+			r.extendLease(now, c.cfg.LongestLease)
 			if !run.stopSent.IsZero() {
 				// A stop that the earlier life acknowledged means nothing to this one.
 				run.stopAcked = time.Time{}
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -89,3 +89,18 @@
 	must.Len(t, 3, before)
 	must.SliceEmpty(t, indexes())
 }
+
+// Guards against a task that runs twice: an unanswered start reaches a runner that has
+// restarted, whose clock makes the order's lease as long as leases may be.
+func TestLateStartOnRestartedRunnerHoldsItsTask(t *testing.T) {
+	w := newWorld(t, 2)
+	w.cell.cfg.LongestLease = 10 * time.Second
+	w.cell.SetQueues([]Queue{plain()})
+	w.add("0000000000000001", small(1))
+	run := w.decided(time.Second)[0].Run
+	w.cell.StartAnswered(w.now, run, StartUnknown, "")
+	w.report(run.Runner, Report{Life: 2})
+	w.cell.Unreachable(run.Runner)
+	must.SliceEmpty(t, w.until(10*time.Second))
+	must.Len(t, 1, w.until(2*time.Second))
+}
