Tell the VM's share of a processor in the scheduler's load

The line `[sched] load` leaves cpu_limit_ms out while the share is not known, so that an operator cannot see that a VM is at its limit. The settings now pass the share that the platform names.

--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -90,7 +90,7 @@
 	set := cellsched.Settings{
 		VM: boot.VM, MaxHold: boot.MaxHold, EarlyStart: boot.EarlyStart,
 		StatusKept: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreLimit: v.pace.Limit,
-		StoreWrites: boot.WritesPerS,
+		StoreWrites: boot.WritesPerS, Cores: boot.ProcessorShare,
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), boot.MinLeaseTTL, func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
