--- a/daemon/internal/cellsched/overload_days_test.go
+++ b/daemon/internal/cellsched/overload_days_test.go
@@ -31,6 +31,8 @@
 	loadEnd = time.Minute
 	// ciRunners is small enough for the race detector.
 	ciRunners = 24
+	// loadWrites is how many writes a second the store of a grown deployment takes.
+	loadWrites = 1200
 	// slowStore is how much later a slow store answers.
 	slowStore = 240 * time.Millisecond
 )
--- a/daemon/internal/cellsched/overload_test.go
+++ b/daemon/internal/cellsched/overload_test.go
@@ -304,7 +304,7 @@
 	advisor := platform.NewAdvisor(dial, loadAdvisor)
 	log := s.logger(vm)
 	elector := election.New(vm.store, name, name, 0, func(ctx context.Context, term election.Term) {
-		sched, err := New(Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour}, term, vm.store, runners, log)
+		sched, err := New(Settings{VM: name, MaxHold: 6 * time.Second, StatusKept: time.Hour, StoreWrites: loadWrites}, term, vm.store, runners, log)
 		must.NoError(s.t, err)
 		vm.holder.Run(ctx, sched)
 	}, func() time.Duration { return time.Since(s.began) }, log)
