--- /dev/null
+++ b/daemon/internal/cellsched/overload_play_test.go
@@ -0,0 +1,145 @@
+package cellsched
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/cell"
+)
+
+const loadTick = 20 * time.Millisecond
+
+// play lets jobs come for a time.
+func (s *loadSim) play(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(loadTick) {
+		for i, k := range s.kinds {
+			s.mu.Lock()
+			rate := k.perRunner * float64(s.size.runners) * s.factor[i] * loadTick.Seconds()
+			n := 0
+			for p := s.random.Float64(); rate > 0 && p > math.Exp(-rate); p *= s.random.Float64() {
+				n++
+			}
+			s.mu.Unlock()
+			for range n {
+				s.running.Go(func() { s.submit(k) })
+			}
+		}
+	}
+}
+
+// watch notes when the jobs end, as the store tells it.
+func (s *loadSim) watch() {
+	for ; s.ctx.Err() == nil; sleep(s.ctx, 100*time.Millisecond) {
+		s.mu.Lock()
+		open, now := 0, time.Now()
+		for id, j := range s.jobs {
+			if !j.accepted || !j.ended.IsZero() {
+				continue
+			}
+			open++
+			value := s.store.Value(StateKey(id))
+			if value == nil {
+				continue
+			}
+			state, err := cell.ParseSavedJob(value)
+			must.NoError(s.t, err)
+			if state.State.Final() {
+				j.ended, j.state = now, state.State
+				s.second().ended++
+				if now.Sub(j.sent) <= j.expected {
+					s.second().inTime++
+				}
+			}
+		}
+		s.second().open = open
+		calls := 0
+		for _, vm := range s.vms {
+			calls = max(calls, vm.processor.served())
+		}
+		s.second().calls += calls
+		s.mu.Unlock()
+	}
+}
+
+func (s *loadSim) setFactor(kind int, f float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.factor[kind] = f
+}
+
+// finish ends the load and waits until every accepted job has ended.
+func (s *loadSim) finish(limit time.Duration) {
+	for i := range s.kinds {
+		s.setFactor(i, 0)
+	}
+	time.Sleep(2 * callerDeadline)
+	for end := time.Now().Add(limit); s.open() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Second)
+	}
+}
+
+func (s *loadSim) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, j := range s.jobs {
+		if j.accepted && j.ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *loadSim) close() {
+	s.stop()
+	s.running.Wait()
+	for _, h := range s.hosts {
+		_ = h.Close()
+	}
+	// Calls that the stand-ins are still answering, and timers of advice.
+	time.Sleep(10 * time.Second)
+}
+
+func (s *loadSim) report() {
+	if os.Getenv("SIM_LOG") == "" && !s.t.Failed() {
+		return
+	}
+	for i, x := range s.seconds {
+		var logs []string
+		for _, m := range []string{
+			"[sched] run started", "[sched] run not started", "[sched] run stopped", "[sched] stop not answered", "[sched] run lost", "[sched] runner lost",
+			"[sched] runner regained", "[sched] runner suspect", "[sched] states not stored", "[election] term begins", "[sched] advice",
+		} {
+			if n := x.logs[m]; n > 0 {
+				logs = append(logs, fmt.Sprintf("%s %d", strings.TrimPrefix(m, "[sched] "), n))
+			}
+		}
+		s.t.Logf("%3d s: submitted %3d, accepted %3d, ended %3d, in time %3d, open %4d, calls %4d; %s", i, x.submitted, x.accepted, x.ended, x.inTime, x.open, x.calls, strings.Join(logs, ", "))
+	}
+}
+
+// inTime counts the jobs that ended in their expected time since a moment.
+func (s *loadSim) inTime(since time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, j := range s.jobs {
+		if j.ended.After(since) && j.ended.Sub(j.sent) <= j.expected {
+			n++
+		}
+	}
+	return n
+}
+
+// living returns the VMs that have not been killed.
+func (s *loadSim) living() []*loadVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.vms)
+}
--- a/daemon/internal/cellsched/overload_test.go
+++ b/daemon/internal/cellsched/overload_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,7 +20,6 @@
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
-	"rhubarbstall.example/sched/model"
 	"rhubarbstall.example/standin/cellrunner"
 	"rhubarbstall.example/standin/cellstore"
 	"rhubarbstall.example/standin/memnet"
@@ -38,105 +33,6 @@
 	callerDeadline = 3 * time.Second
 )
 
-// loadKind is one kind of jobs; perRunner is its number of jobs a second for each runner.
-type loadKind struct {
-	queue         cell.Queue
-	perRunner     float64
-	steps, tasks  float64
-	maxTasks      int
-	work          time.Duration
-	size          model.Resources
-	gangs         float64
-	estimateError float64
-	approved      float64
-}
-
-// loadKinds fill about nine tenths of the runners' cores together.
-func loadKinds() []*loadKind {
-	advice := func(base, perRunner time.Duration) *cell.AdvicePolicy {
-		return &cell.AdvicePolicy{Base: base, PerRunner: perRunner, Validity: 1500 * time.Millisecond}
-	}
-	queue := func(name string, priority int, target time.Duration, a *cell.AdvicePolicy) cell.Queue {
-		return cell.Queue{Name: name, Pool: simPool, Priority: priority, MaxAttempts: simAttempts, SlackFactor: 1.5, TargetLatency: target, Advice: a}
-	}
-	return []*loadKind{
-		{
-			queue: queue("preview", 0, 250*time.Millisecond, advice(12*time.Millisecond, 170*time.Microsecond)), perRunner: 110.0 / 350,
-			steps: 1, tasks: 3.2, maxTasks: 12, work: 800 * time.Millisecond,
-			size: model.Resources{MilliCPU: 5000, MemoryMB: 9100}, gangs: 0.3, estimateError: 0.5, approved: 0.7,
-		},
-		{
-			queue: queue("variant", 2, 3*time.Second, advice(170*time.Millisecond, 2300*time.Microsecond)), perRunner: 7.87 / 350,
-			steps: 1.5, tasks: 25, maxTasks: 80, work: 3400 * time.Millisecond,
-			size: model.Resources{MilliCPU: 3500, MemoryMB: 6400}, estimateError: 0.2, approved: 0.45,
-		},
-		{
-			queue: queue("render", 1, time.Second, advice(700*time.Millisecond, 10*time.Millisecond)), perRunner: 3.81 / 350,
-			steps: 1.2, tasks: 20, maxTasks: 40, work: 6200 * time.Millisecond,
-			size: model.Resources{MilliCPU: 9000, MemoryMB: 13000}, gangs: 1, estimateError: 0.5, approved: 0.3,
-		},
-	}
-}
-
-// processor serves the calls of one VM in turn, one each gap.
-type processor struct {
-	gap  time.Duration
-	mu   sync.Mutex
-	next time.Time
-	used int
-}
-
-// take waits until the processor has served one call.
-func (p *processor) take() {
-	p.mu.Lock()
-	p.used++
-	p.mu.Unlock()
-	p.work(p.gap)
-}
-
-// served returns the number of calls since it was last asked.
-func (p *processor) served() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := p.used
-	p.used = 0
-	return n
-}
-
-// work waits until the processor has done work of a length, after all that came before.
-func (p *processor) work(d time.Duration) {
-	p.mu.Lock()
-	end := time.Now()
-	if p.next.After(end) {
-		end = p.next
-	}
-	end = end.Add(d)
-	p.next = end
-	p.mu.Unlock()
-	time.Sleep(time.Until(end))
-}
-
-// dialer returns a dial function whose connections take the processor for each call.
-func (p *processor) dialer(dial platform.Dial) platform.Dial {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &slowConn{Conn: c, p: p}, nil
-	}
-}
-
-type slowConn struct {
-	net.Conn
-	p *processor
-}
-
-func (c *slowConn) Write(b []byte) (int, error) {
-	c.p.take()
-	return c.Conn.Write(b)
-}
-
 // loadSize is the size of a deployment under load.
 type loadSize struct {
 	runners, vms int
@@ -409,50 +305,6 @@
 	return true
 }
 
-// sample returns a value of a distribution with a long tail; s.mu is held.
-func (s *loadSim) sample(mean, spread float64) float64 {
-	s2 := math.Log(1 + spread*spread)
-	return math.Exp(math.Log(mean) - s2/2 + math.Sqrt(s2)*s.random.NormFloat64())
-}
-
-// draw returns a random job of a kind in the form in which callers send it.
-func (s *loadSim) draw(k *loadKind) (string, []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	j := &loadJob{kind: k, gang: s.random.Float64() < k.gangs, sent: time.Now()}
-	n := int(k.steps)
-	if s.random.Float64() < k.steps-float64(n) {
-		n++
-	}
-	var steps []map[string]any
-	var chain time.Duration
-	for i := range n {
-		// A gang is to fit onto half of the runners that may run it.
-		widest := min(k.maxTasks, int(k.approved*float64(s.size.runners))/2*3)
-		count := min(max(1, int(math.Round(s.sample(k.tasks, 0.8)))), widest)
-		work := min(time.Duration(s.sample(float64(k.work), 0.5)), 5*k.work/2)
-		step := map[string]any{
-			"count": count, "cpu": k.size.MilliCPU, "requested_memory_mb": k.size.MemoryMB, "gang_scheduled": j.gang,
-			"estimated_ms": max(1, int64(float64(work.Milliseconds())*s.sample(1, k.estimateError))),
-		}
-		if i > 0 {
-			step["after"] = []int{i - 1}
-		}
-		steps = append(steps, step)
-		j.counts, j.work = append(j.counts, count), append(j.work, work)
-		chain += work + k.queue.Advice.CallTime(30)
-	}
-	j.expected = k.queue.TargetLatency + time.Duration(k.queue.SlackFactor*float64(chain))
-	id := fmt.Sprintf("%016x", len(s.jobs)+1)
-	s.jobs[id] = j
-	s.second().submitted++
-	body, err := json.Marshal(map[string]any{"specification": "x", "steps": steps})
-	must.NoError(s.t, err)
-	value, err := EncodeJob(JobHeader{Queue: k.queue.Name, Pool: simPool, AcceptedMS: time.Now().UnixMilli()}, body)
-	must.NoError(s.t, err)
-	return id, value
-}
-
 // submit hands a job in as a caller does, who tries other VMs until his deadline.
 func (s *loadSim) submit(k *loadKind) {
 	id, value := s.draw(k)
@@ -480,134 +332,3 @@
 		sleep(ctx, 100*time.Millisecond)
 	}
 }
-
-const loadTick = 20 * time.Millisecond
-
-// play lets jobs come for a time.
-func (s *loadSim) play(d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(loadTick) {
-		for i, k := range s.kinds {
-			s.mu.Lock()
-			rate := k.perRunner * float64(s.size.runners) * s.factor[i] * loadTick.Seconds()
-			n := 0
-			for p := s.random.Float64(); rate > 0 && p > math.Exp(-rate); p *= s.random.Float64() {
-				n++
-			}
-			s.mu.Unlock()
-			for range n {
-				s.running.Go(func() { s.submit(k) })
-			}
-		}
-	}
-}
-
-// watch notes when the jobs end, as the store tells it.
-func (s *loadSim) watch() {
-	for ; s.ctx.Err() == nil; sleep(s.ctx, 100*time.Millisecond) {
-		s.mu.Lock()
-		open, now := 0, time.Now()
-		for id, j := range s.jobs {
-			if !j.accepted || !j.ended.IsZero() {
-				continue
-			}
-			open++
-			value := s.store.Value(StateKey(id))
-			if value == nil {
-				continue
-			}
-			state, err := cell.ParseSavedJob(value)
-			must.NoError(s.t, err)
-			if state.State.Final() {
-				j.ended, j.state = now, state.State
-				s.second().ended++
-				if now.Sub(j.sent) <= j.expected {
-					s.second().inTime++
-				}
-			}
-		}
-		s.second().open = open
-		calls := 0
-		for _, vm := range s.vms {
-			calls = max(calls, vm.processor.served())
-		}
-		s.second().calls += calls
-		s.mu.Unlock()
-	}
-}
-
-func (s *loadSim) setFactor(kind int, f float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.factor[kind] = f
-}
-
-// finish ends the load and waits until every accepted job has ended.
-func (s *loadSim) finish(limit time.Duration) {
-	for i := range s.kinds {
-		s.setFactor(i, 0)
-	}
-	time.Sleep(2 * callerDeadline)
-	for end := time.Now().Add(limit); s.open() > 0 && time.Now().Before(end); {
-		time.Sleep(time.Second)
-	}
-}
-
-func (s *loadSim) open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, j := range s.jobs {
-		if j.accepted && j.ended.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *loadSim) close() {
-	s.stop()
-	s.running.Wait()
-	for _, h := range s.hosts {
-		_ = h.Close()
-	}
-	// Calls that the stand-ins are still answering, and timers of advice.
-	time.Sleep(10 * time.Second)
-}
-
-func (s *loadSim) report() {
-	if os.Getenv("SIM_LOG") == "" && !s.t.Failed() {
-		return
-	}
-	for i, x := range s.seconds {
-		var logs []string
-		for _, m := range []string{
-			"[sched] run started", "[sched] run not started", "[sched] run stopped", "[sched] stop not answered", "[sched] run lost", "[sched] runner lost",
-			"[sched] runner regained", "[sched] runner suspect", "[sched] states not stored", "[election] term begins", "[sched] advice",
-		} {
-			if n := x.logs[m]; n > 0 {
-				logs = append(logs, fmt.Sprintf("%s %d", strings.TrimPrefix(m, "[sched] "), n))
-			}
-		}
-		s.t.Logf("%3d s: submitted %3d, accepted %3d, ended %3d, in time %3d, open %4d, calls %4d; %s", i, x.submitted, x.accepted, x.ended, x.inTime, x.open, x.calls, strings.Join(logs, ", "))
-	}
-}
-
-// inTime counts the jobs that ended in their expected time since a moment.
-func (s *loadSim) inTime(since time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, j := range s.jobs {
-		if j.ended.After(since) && j.ended.Sub(j.sent) <= j.expected {
-			n++
-		}
-	}
-	return n
-}
-
-// living returns the VMs that have not been killed.
-func (s *loadSim) living() []*loadVM {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.vms)
-}
