Count handovers that no larger VM follows in the store

Found in review: the pause before a handover grew only on the VM that handed over. With ten small VMs and a larger one that greets but cannot take the role it went round among the small ones, 25 to 27 terms a minute, each of which loads everything anew.

The count now lies beside the largest capacity in the store and starts anew only with a VM that is larger than the one that handed over. The test allows 8 terms a minute; it fails before.

--- a/daemon/internal/election/capacity.go
+++ b/daemon/internal/election/capacity.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,8 +21,8 @@
 	// handoverGain is how many times larger another VM has to be for the role to be handed
 	// over, since a change of the holder costs a fraction of a second.
 	handoverGain = 1.5
-	// handoverAfter is how long a larger VM has to be known first; the pause doubles each
-	// time that no larger VM took the role.
+	// handoverAfter is how long a larger VM has to be known first; the pause doubles with each
+	// handover that no larger VM has followed.
 	handoverAfter = 1500 * time.Millisecond
 	// maxHandoverDoublings bounds that pause to about a minute and a half.
 	maxHandoverDoublings = 6
@@ -66,7 +66,26 @@
 }
 
 func (e *Elector) newHandover() *handover {
-	return &handover{own: e.standing.Own, pause: handoverAfter << min(e.returned, maxHandoverDoublings)}
+	return &handover{own: e.standing.Own, pause: handoverAfter << min(e.futile, maxHandoverDoublings)}
+}
+
+// offers is what the VMs offer as scheduler as far as a holder knew.
+type offers struct {
+	// Largest is the largest capacity in cores.
+	Largest float64 `json:"largest_cores"`
+	// Futile is how many handovers in a row no larger VM has followed, this one included,
+	// and From the capacity in cores of the VM that handed over.
+	Futile int     `json:"futile_handovers,omitempty"`
+	From   float64 `json:"handed_over_by_cores,omitempty"`
+}
+
+// claimed returns the offers that a new holder records.
+func (e *Elector) claimed(last offers) *offers {
+	next := &offers{Largest: max(e.standing.Own, e.largest(time.Now()))}
+	if e.standing.Own < last.From*handoverGain {
+		next.Futile, next.From = last.Futile, last.From
+	}
+	return next
 }
 
 // due reports whether the role is to be handed over, given the largest capacity among the
@@ -82,18 +101,19 @@
 	return now.Sub(h.since) >= h.pause
 }
 
-// recordCapacity tells the other VMs before a handover that a larger VM is there, so that
-// no other small one takes the role.
-func (e *Elector) recordCapacity(ctx context.Context, t Term, capacity float64) {
+// recordHandover tells the other VMs before a handover that a larger VM is there, so that no
+// other small one takes the role, and counts handovers that no larger VM follows.
+func (e *Elector) recordHandover(ctx context.Context, t Term, largest float64) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	_, err := e.store.Commit(ctx, platform.Txn{
-		Expected: []platform.Condition{t.Guard},
-		Write:    []platform.Write{{Key: capacityKey, Value: encodeCapacity(capacity)}},
-	})
+	value, err := json.Marshal(offers{Largest: largest, Futile: e.futile + 1, From: e.standing.Own})
+	if err == nil {
+		_, err = e.store.Commit(ctx, platform.Txn{
+			Expected: []platform.Condition{t.Guard},
+			Write:    []platform.Write{{Key: capacityKey, Value: value}},
+		})
+	}
 	if err != nil {
-		e.log.Info("[election] capacity not recorded", zap.Int64("term", t.Number), zap.Error(err))
+		e.log.Info("[election] handover not recorded", zap.Int64("term", t.Number), zap.Error(err))
 	}
 }
-
-func encodeCapacity(cores float64) []byte { return strconv.AppendFloat(nil, cores, 'g', -1, 64) }
--- a/daemon/internal/election/election.go
+++ b/daemon/internal/election/election.go
@@ -24,8 +24,8 @@
 	prefix    = "lead/"
 	holderKey = "lead/holder"
 	termKey   = "lead/term"
-	// capacityKey holds the largest capacity among the VMs that the last holder knew, so
-	// that smaller VMs leave a vacant role to larger ones.
+	// capacityKey holds what the VMs offer as far as the last holder knew, so that smaller
+	// VMs leave a vacant role to larger ones.
 	capacityKey = "lead/capacity"
 	// LeaseTTL bounds the time without a scheduler after its VM is lost. It covers some
 	// renewals at a slow store, whose answers take about 300 ms. The platform may ask
@@ -84,10 +84,8 @@
 	renewed atomic.Int64
 
 	standing Standing
-	// yielded tells whether the last term of this VM ended by a handover, returned how
-	// often in a row no larger VM took the role then.
-	yielded  bool
-	returned int
+	// futile is how often in a row no larger VM took the role after a handover.
+	futile int
 
 	mu       sync.Mutex
 	current  Holder
@@ -154,15 +152,12 @@
 			wait.For(ctx, retryPause)
 			return nil
 		}
-		if term.capacity >= e.standing.Own*handoverGain && !e.vacantAfter(ctx, deferral) {
+		if term.offers.Largest >= e.standing.Own*handoverGain && !e.vacantAfter(ctx, deferral) {
 			return nil
 		}
 		wait.For(ctx, rand.N(maxJitter))
 		return e.campaign(ctx, term)
 	}
-	if holder.VM != e.self.VM {
-		e.yielded, e.returned = false, 0
-	}
 	e.setCurrent(holder)
 	return e.follow(ctx, at)
 }
@@ -180,8 +175,7 @@
 // termRecord is the counter of terms as it lies in the store.
 type termRecord struct {
 	number, revision int64
-	// capacity is the largest capacity in cores that the last holder knew.
-	capacity float64
+	offers           offers
 }
 
 func (e *Elector) read(ctx context.Context) (Holder, termRecord, int64, error) {
@@ -206,12 +200,9 @@
 			}
 			t.number, t.revision = n, item.Revision
 		case capacityKey:
-			n, err := strconv.ParseFloat(string(item.Value), 64)
-			if err != nil {
+			if err := json.Unmarshal(item.Value, &t.offers); err != nil {
 				e.log.Error("[election] capacity record unreadable", zap.Error(err))
-				continue
 			}
-			t.capacity = n
 		}
 	}
 	return h, t, page.At, nil
@@ -248,7 +239,8 @@
 	next := e.self
 	next.Term = last.number + 1
 	sent := e.clock()
-	revision, err := e.claim(callCtx, next, lease, []platform.Condition{{Key: holderKey}, {Key: termKey, Revision: last.revision}}, true)
+	claimed := e.claimed(last.offers)
+	revision, err := e.claim(callCtx, next, lease, []platform.Condition{{Key: holderKey}, {Key: termKey, Revision: last.revision}}, claimed)
 	if err != nil {
 		var conflict *platform.ConflictError
 		if errors.As(err, &conflict) {
@@ -261,26 +253,26 @@
 	e.setCurrent(next)
 	e.setLease(lease)
 	e.renewed.Store(int64(sent))
-	if e.yielded {
-		e.returned++
-	}
-	e.yielded = false
+	e.futile = claimed.Futile
 	e.serve(ctx, Term{Number: next.Term, Guard: platform.Condition{Key: termKey, Revision: revision}, Valid: e.valid})
 	return nil
 }
 
-func (e *Elector) claim(ctx context.Context, h Holder, lease int64, expected []platform.Condition, newTerm bool) (int64, error) {
+func (e *Elector) claim(ctx context.Context, h Holder, lease int64, expected []platform.Condition, newTerm *offers) (int64, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
 		return 0, err
 	}
 	txn := platform.Txn{Expected: expected, Write: []platform.Write{{Key: holderKey, Value: value, Lease: lease}}}
-	if newTerm {
-		capacity := max(e.standing.Own, e.largest(time.Now()))
+	if newTerm != nil {
+		value, err := json.Marshal(newTerm)
+		if err != nil {
+			return 0, err
+		}
 		txn.Write = append(
 			txn.Write,
 			platform.Write{Key: termKey, Value: strconv.AppendInt(nil, h.Term, 10)},
-			platform.Write{Key: capacityKey, Value: encodeCapacity(capacity)},
+			platform.Write{Key: capacityKey, Value: value},
 		)
 	}
 	return e.store.Commit(ctx, txn)
--- /dev/null
+++ b/daemon/internal/election/handover_test.go
@@ -0,0 +1,29 @@
+package election
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a cell whose role goes round among its small VMs every few seconds while a
+// larger VM is named that cannot take it: each of them starts the pause anew.
+func TestRoleSettlesAmongSmallVMsIfNoLargerVMTakesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCandidates(t)
+		defer c.close()
+		for i := range 10 {
+			v := c.prepare(fmt.Sprintf("small%d", i))
+			v.elector.SetStanding(Standing{Own: 0.2, Largest: func(time.Time) float64 { return 0.8 }})
+			c.run(v)
+		}
+		time.Sleep(time.Minute)
+		_, term := c.holder(nil)
+		must.NotNil(t, term)
+		t.Logf("term after a minute: %d", term.term.Number)
+		must.LessEq(t, 8, term.term.Number)
+	})
+}
--- a/daemon/internal/election/renew.go
+++ b/daemon/internal/election/renew.go
@@ -63,8 +63,7 @@
 			if largest := e.largest(time.Now()); change.due(time.Now(), largest) && e.away() < e.ttl {
 				e.log.Info("[election] role handed over to a larger VM", zap.Int64("term", t.Number),
 					zap.Float64("own", e.standing.Own), zap.Float64("largest", largest))
-				e.recordCapacity(ctx, t, largest)
-				e.yielded = true
+				e.recordHandover(ctx, t, largest)
 				return
 			}
 			if underWay == maxRenewals {
@@ -139,7 +138,7 @@
 	}
 	h := e.self
 	h.Term = t.Number
-	if _, err := e.claim(callCtx, h, lease, []platform.Condition{{Key: holderKey}, t.Guard}, false); err != nil {
+	if _, err := e.claim(callCtx, h, lease, []platform.Condition{{Key: holderKey}, t.Guard}, nil); err != nil {
 		e.drop(lease)
 		return err
 	}
