--- a/daemon/internal/cellsched/lanes.go
+++ b/daemon/internal/cellsched/lanes.go
@@ -56,8 +56,18 @@
 	return len(l.vms)
 }
 
-// take waits for a call that a VM is to make; false if the context ended first.
+// takeShare of the time that a VM waits is waited for a call. The rest is for the way there
+// and back: a call that is given out after the VM has stopped waiting is lost for seconds.
+const takeShare = 0.6
+
+// take waits for a call that a VM is to make; false if none came in a part of the context's
+// time.
 func (l *lanes) take(ctx context.Context, vm string) (int64, cell.AdviceCall, bool) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(takeShare*float64(time.Until(deadline))))
+		defer cancel()
+	}
 	for {
 		l.mu.Lock()
 		l.vms[vm] = time.Now()
