Keep full pools, awaited states and late gangs from holding up others

Demand and room now count by pool and label. - States that nothing waits for were never stored while awaited ones filled each write, so runners repeated all their ends. Each write keeps a place for them. - A gang on a VM too slow to confirm it in 1.2 s was tried 45 times a minute. The pause between attempts grows from 0.5 to 8 s. - An order withheld while the store is away put its runner into quarantine for 3 s. It says nothing about the runner. A decision also passes over groups that ended since it was prepared.

--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -56,6 +56,8 @@
 	listed bool
 	// readyAt is the steady time from which the group may start again.
 	readyAt time.Time
+	// incomplete counts the attempts in a row in which the gang did not become complete.
+	incomplete int
 	// begun tells whether the group is marked as one of which runs may exist. The
 	// mark is stored before the first start, so that the next scheduler knows.
 	begun bool
--- a/sched/cell/near.go
+++ b/sched/cell/near.go
@@ -31,9 +31,42 @@
 	f.perSecond = keep*f.perSecond + (1-keep)*float64(freed)/dt
 }
 
-// demand is what the groups before one wait for whose turn is near, in milli-CPU.
+// runnerClass names the runners that a group may run on as far as its pool and label go.
+// Groups of one class compete for the same room; those of others do not count for them.
+type runnerClass struct {
+	pool, label string
+}
+
+func (g *group) class() runnerClass { return runnerClass{g.job.Pool, g.spec.RunnerLabel} }
+
+// demand is what the groups of a class before one wait for whose turn is near, and the room
+// of the class, in milli-CPU.
 type demand struct {
-	all, gangs int64
+	all, gangs     int64
+	free, capacity int64
+}
+
+// demandOf returns the demand of a group's class in the decision under way.
+func (c *Cell) demandOf(g *group, demands map[runnerClass]*demand) *demand {
+	class := g.class()
+	d := demands[class]
+	if d == nil {
+		d = new(demand)
+		for _, r := range c.order {
+			if r.seenUsable && r.info.Pool == class.pool && (class.label == "" || r.hasLabel(class.label)) {
+				d.free += max(0, r.seenFree.MilliCPU)
+				d.capacity += r.info.Capacity.MilliCPU
+			}
+		}
+		demands[class] = d
+	}
+	return d
+}
+
+// freed returns the room that ending work is expected to free in the class, in milli-CPU a
+// second.
+func (c *Cell) freed(d *demand) float64 {
+	return c.freeing.perSecond * float64(d.capacity) / float64(max(1, c.room.capacity))
 }
 
 // nearGangs is how many times the room that gangs may reserve those may need whose turn is
@@ -55,10 +88,10 @@
 	if a := g.queue.Advice; a != nil {
 		horizon = a.CallTime(len(g.tasks)) + min(a.Validity/2, nearHorizon)
 	}
-	if float64(ahead.all) > float64(c.room.free)+c.freeing.perSecond*horizon.Seconds() {
+	if float64(ahead.all) > float64(ahead.free)+c.freed(ahead)*horizon.Seconds() {
 		return false
 	}
-	if g.spec.Gang && float64(ahead.gangs) > nearGangs*reserveShare*float64(c.room.capacity) {
+	if g.spec.Gang && float64(ahead.gangs) > nearGangs*reserveShare*float64(ahead.capacity) {
 		return false
 	}
 	if g.nearSince.IsZero() {
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -136,11 +136,11 @@
 	g := run.group
 	r.remove(run)
 	c.release(now, g, run.Task.Index, run)
-	g.readyAt = now.Add(refusedPause)
+	g.pauseUntil(now.Add(refusedPause))
 	switch reason {
 	case startTicket:
 		delete(g.advice.tickets, r.info.ID)
-	case "room", startLate, startWithdrawn:
+	case "room", "gone", startLate, startWithdrawn:
 	default:
 		r.unhealthyUntil = now.Add(sickPause)
 	}
@@ -154,6 +154,13 @@
 // stop that has to be repeated once takes 1.5 s.
 const gangAssembly = 1200 * time.Millisecond
 
+// gangPause is kept before a gang that did not become complete starts again; it doubles with
+// each such attempt up to maxGangPause, since the orders of one make a slow VM slower.
+const (
+	gangPause    = 500 * time.Millisecond
+	maxGangPause = 8 * time.Second
+)
+
 // stopIncomplete stops a gang of which a member has not come in time or cannot come.
 func (c *Cell) stopIncomplete(now time.Time, run *Run) {
 	g := run.group
@@ -163,11 +170,26 @@
 	// A member without a run has none on its way either.
 	gone := g.waiting > 0 && c.runsKnown(g)
 	if gone || (!run.met && now.Sub(run.Started) > gangAssembly) {
+		g.pauseGang(now)
 		c.event(Event{Kind: GangIncomplete, Task: run.Task, Execution: run.Execution, Runner: run.Runner, Age: now.Sub(run.Started)})
 		c.stopGang(now, g)
 	}
 }
 
+// pauseGang delays the next attempt to start a gang.
+func (g *group) pauseGang(now time.Time) {
+	pause := min(gangPause<<min(g.incomplete, 8), maxGangPause)
+	g.incomplete++
+	g.pauseUntil(now.Add(pause))
+}
+
+// pauseUntil keeps a group from starting before a time.
+func (g *group) pauseUntil(at time.Time) {
+	if at.After(g.readyAt) {
+		g.readyAt = at
+	}
+}
+
 // meet marks the members of a gang as met once all of them are confirmed.
 func (g *group) meet() {
 	if !g.spec.Gang || g.waiting > 0 {
@@ -181,6 +203,7 @@
 			return
 		}
 	}
+	g.incomplete = 0
 	for i := range g.tasks {
 		g.tasks[i].live[0].met = true
 	}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -39,13 +39,16 @@
 	c.takeReady(now, wall)
 	front, sweep := c.inView(now, wall)
 	c.applyReservations(now)
-	var ahead demand
+	demands := make(map[runnerClass]*demand)
 	for _, part := range [...][]*group{front, sweep} {
 		for _, g := range part {
 			if len(d.Starts) >= maxStarts {
 				break
 			}
-			near := c.isNear(now, g, &ahead)
+			if !g.waits() {
+				continue
+			}
+			near := c.isNear(now, g, c.demandOf(g, demands))
 			c.decide(now, wall, g, near, &d)
 		}
 	}
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -47,32 +47,53 @@
 	return c.TakeBatch(limit, func(JobState) int { return 1 })
 }
 
+// progressPart is the part of a batch, one in so many, that is kept for states that nothing
+// waits for.
+const progressPart = 15
+
 // TakeBatch is like TakeDirty, but the jobs cost at most budget together; cost tells what a
 // job of a state costs, at least 1. States that something waits for come first: marks, without
 // which nothing starts, and final states, without which no caller learns of them. Done tasks
-// of a job that goes on only let its runners forget ends.
+// of a job that goes on let its runners forget ends, which they repeat until then.
 func (c *Cell) TakeBatch(budget int, cost func(JobState) int) ([]Dirty, error) {
-	var out []Dirty
-	for _, awaited := range []bool{true, false} {
-		for id, j := range c.dirty {
-			if budget == 0 {
-				return out, nil
-			}
-			if j.awaited != awaited || j.writing || cost(j.state) > budget {
-				continue
-			}
-			value, err := json.Marshal(j.save())
-			if err != nil {
-				return out, fmt.Errorf("state of job %s: %w", id, err)
-			}
-			budget -= cost(j.state)
-			delete(c.dirty, id)
-			j.writing, j.awaited, j.writingAwaited = true, false, awaited
-			j.writingSince, j.dirtySince = j.dirtySince, time.Time{}
-			out = append(out, Dirty{ID: id, Value: value, Version: j.version, State: j.state})
+	b := batch{left: budget, cost: cost}
+	kept := max(1, budget/progressPart)
+	b.left -= kept
+	b.take(c, true)
+	b.left += kept
+	b.take(c, false)
+	b.take(c, true)
+	return b.out, b.err
+}
+
+// batch gathers the states of one write.
+type batch struct {
+	left int
+	cost func(JobState) int
+	out  []Dirty
+	err  error
+}
+
+// take adds changed states, either awaited ones or others.
+func (b *batch) take(c *Cell, awaited bool) {
+	for id, j := range c.dirty {
+		if b.left <= 0 || b.err != nil {
+			return
+		}
+		if j.awaited != awaited || j.writing || b.cost(j.state) > b.left {
+			continue
+		}
+		value, err := json.Marshal(j.save())
+		if err != nil {
+			b.err = fmt.Errorf("state of job %s: %w", id, err)
+			return
 		}
+		b.left -= b.cost(j.state)
+		delete(c.dirty, id)
+		j.writing, j.awaited, j.writingAwaited = true, false, awaited
+		j.writingSince, j.dirtySince = j.dirtySince, time.Time{}
+		b.out = append(b.out, Dirty{ID: id, Value: value, Version: j.version, State: j.state})
 	}
-	return out, nil
 }
 
 // HasDirty reports whether TakeDirty has a job to give.
