Bring no removed job back, and look jobs up without using a client's time

Jobs are remembered for a minute with the revision of their removal. - The look-up before a rejection retried until the client's deadline while the store was away, so that the client could not try another VM. It has one call's time. - The answer to an order that is taken in after a later report was taken for a restart of the runner, which asked for everything again.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -140,7 +140,8 @@
 	defer s.mu.Unlock()
 	var unknown []platform.Item
 	for _, item := range withPrefix(items, jobPrefix) {
-		if s.cell.Job(strings.TrimPrefix(item.Key, jobPrefix)) == nil {
+		id := strings.TrimPrefix(item.Key, jobPrefix)
+		if s.cell.Job(id) == nil && item.Revision > s.swept[id].revision {
 			unknown = append(unknown, item)
 		}
 	}
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -179,17 +179,39 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, s.set.storeLimit())
 	defer cancel()
-	if _, err := s.store.Commit(ctx, txn); err != nil {
+	revision, err := s.store.Commit(ctx, txn)
+	if err != nil {
 		s.log.Warn("[sched] finished jobs not removed", zap.Int("jobs", len(ids)), zap.Error(err))
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget(time.Now(), ids, revision)
+	return true
+}
+
+// sweptMemory is how long a removed job is remembered; a listing takes less.
+const sweptMemory = time.Minute
+
+// sweptJob is a removed job.
+type sweptJob struct {
+	// revision is that of the removal; a later record is that of another job.
+	revision int64
+	at       time.Time
+}
+
+// forget drops jobs whose records were removed; s.mu is held.
+func (s *Scheduler) forget(now time.Time, ids []string, revision int64) {
+	for id, old := range s.swept {
+		if now.Sub(old.at) > sweptMemory {
+			delete(s.swept, id)
+		}
+	}
 	for _, id := range ids {
 		s.cell.RemoveJob(id)
 		delete(s.revisions, id)
+		s.swept[id] = sweptJob{revision: revision, at: now}
 	}
-	return true
 }
 
 // stored reports a job's state as the store has it.
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -94,7 +94,8 @@
 // clock then begins at 0.
 func (l *runnerLoop) checkClock(c platform.Clock) {
 	l.mu.Lock()
-	back := c.Reading < l.clock
+	// Answers that overtake each other differ by less than an order waits.
+	back := c.Reading < l.clock-orderTimeout
 	l.mu.Unlock()
 	if back {
 		l.restarted.Store(true)
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -71,6 +71,9 @@
 	cell  *cell.Cell
 	loops map[string]*runnerLoop
 	ready bool
+	// swept holds the jobs that were removed lately, which a listing that was read before may
+	// still name.
+	swept map[string]sweptJob
 	// revisions holds the revision of each stored state.
 	revisions map[string]int64
 
@@ -107,7 +110,7 @@
 			FirstExecution: (term.Number-1)*executionsPerTerm + 1,
 			RemoteFactor:   set.RemoteFactor,
 		}),
-		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64),
+		loops: make(map[string]*runnerLoop), revisions: make(map[string]int64), swept: make(map[string]sweptJob),
 		ends: newEndWaits(),
 		kick: make(chan struct{}, 1), dirty: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1), saved: make(chan struct{}),
 	}, nil
--- /dev/null
+++ b/daemon/internal/cellsched/sweep_test.go
@@ -0,0 +1,69 @@
+package cellsched
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+func newIdleScheduler(t *testing.T) *Scheduler {
+	term := election.Term{Number: 1, Valid: func() bool { return true }}
+	s, err := New(Settings{VM: "vm", MaxHold: 6 * time.Second}, term, nil, nil, zap.NewNop())
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	s.ctx, s.stepDown = ctx, stop
+	return s
+}
+
+// Guards against a busy VM that asks runners again for nothing: the answer to an order that
+// is taken in after that of a later hold is no sign of a restart.
+func TestLateAnswerIsNotTakenForRestart(t *testing.T) {
+	s := newIdleScheduler(t)
+	l := newRunnerLoop(s, cell.RunnerInfo{ID: "r0", Address: "r0:80", Pool: "pool"})
+	interrupted := false
+	l.interrupt = func() { interrupted = true }
+	// The runner answered the order at 999 ms and the hold at 1000 ms of its clock.
+	l.setClock(time.Now(), platform.Clock{Reading: time.Second})
+	l.checkClock(platform.Clock{Reading: time.Second - time.Millisecond})
+	must.False(t, l.restarted.Load())
+	must.False(t, interrupted)
+}
+
+// Guards against a cancelled job that starts: a listing that was read before the job's records
+// were removed must not bring it back.
+func TestOldListingBringsNoRemovedJobBack(t *testing.T) {
+	s := newIdleScheduler(t)
+	const id = "0000000000000001"
+	body, err := json.Marshal(map[string]any{"specification": "x", "steps": []map[string]any{
+		{"count": 1, "cpu": 1000, "requested_memory_mb": 100, "estimated_ms": 900},
+	}})
+	must.NoError(t, err)
+	value, err := EncodeJob(JobHeader{Queue: "q", Pool: "pool"}, body)
+	must.NoError(t, err)
+	listing := []platform.Item{{Key: JobKey(id), Value: value, Revision: 3, Created: 3}}
+	s.addWork(listing)
+	must.NotNil(t, s.cell.Job(id))
+	must.True(t, s.cell.Cancel(time.Now(), id))
+	batch, err := s.cell.TakeDirty(1)
+	must.NoError(t, err)
+	must.SliceLen(t, 1, batch)
+	s.cell.Saved(batch[0])
+	// sweep removes the records and the job between the reading of a page and the end of the
+	// listing.
+	s.forget(time.Now(), []string{id}, 7)
+	s.addWork(listing)
+	must.Nil(t, s.cell.Job(id))
+	// A job that is handed in later under the same id is another one.
+	listing[0].Revision = 8
+	s.addWork(listing)
+	must.NotNil(t, s.cell.Job(id))
+}
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -57,7 +57,7 @@
 	}
 	if rejected := j.sched.Admits(time.Now(), id, h, body); rejected != nil {
 		// A job that was accepted before must not be told that it never runs.
-		switch err := j.exists(ctx, id); {
+		switch err := j.existsSoon(ctx, id); {
 		case err == nil:
 			return nil
 		case codes.Of(err) == codes.JobGone:
@@ -179,6 +179,14 @@
 	return codes.PlatformUnavailable.With("the job cannot be looked up", codes.RetryAfter(time.Second))
 }
 
+// existsSoon is like exists, but leaves the time in which the job could be stored if the
+// store does not answer.
+func (j *Jobs) existsSoon(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, j.pace.Limit())
+	defer cancel()
+	return j.exists(ctx, id)
+}
+
 func (j *Jobs) get(ctx context.Context, key string) (platform.Item, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, j.pace.Limit())
