--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -40,9 +40,7 @@
 	Runners []string
 	// Expected is how long the advisor takes.
 	Expected time.Duration
-	// Urgent calls go before others.
-	Urgent bool
-	// Due is when the answer is needed; calls are served in this order.
+	// Rank is that of the group; calls are made in this order.
 	Rank  float64
 	Since time.Time
 
--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -36,7 +36,7 @@
 	a.inFlight, a.fullSince = true, time.Time{}
 	call := AdviceCall{
 		Group: g.key(), Expected: g.queue.Advice.CallTime(len(named)),
-		Urgent: g.queue.Priority == 0, Rank: g.rank, Since: now,
+		Rank: g.rank, Since: now,
 		group: g, lives: make(map[string]int64, len(named)),
 	}
 	for _, r := range named {
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -46,9 +46,8 @@
 	ready   []*group
 	backlog backlog
 	room    roomIndex
-	// reservers holds the gangs for which room is reserved, reservedCPU what they take.
-	reservers   []*group
-	reservedCPU int64
+	// reservers holds the gangs for which room is reserved.
+	reservers []*group
 	// approvals holds the share of named runners that the advisor approves, by queue.
 	approvals map[string]float64
 	// freeing is the rate at which work ends.
--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -146,7 +146,7 @@
 			t.live = append(t.live[:i], t.live[i+1:]...)
 			if len(t.live) == 0 && !t.done {
 				g.waiting++
-				c.enlist(now, g)
+				c.enlist(g)
 			}
 			break
 		}
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -27,8 +27,6 @@
 	gangFailed []int64
 	// gangCheckpoint is the checkpoint that all members start from.
 	gangCheckpoint string
-	// readySince is when the group last became startable.
-	readySince time.Time
 	// avoid holds runners on which a task of the group failed or stalled.
 	avoid  map[string]bool
 	advice advice
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -46,7 +46,7 @@
 	}
 	c.open++
 	for _, g := range j.groups {
-		c.enlist(now, g)
+		c.enlist(g)
 	}
 	return true
 }
@@ -63,12 +63,11 @@
 }
 
 // enlist puts a group among the startable ones if it has tasks to start.
-func (c *Cell) enlist(now time.Time, g *group) {
+func (c *Cell) enlist(g *group) {
 	if g.listed || g.blockers > 0 || g.waiting == 0 || g.job.state.Final() {
 		return
 	}
 	g.listed = true
-	g.readySince = now
 	c.ready = append(c.ready, g)
 }
 
@@ -84,7 +83,7 @@
 		for _, a := range uniqueInts(g.spec.After) {
 			if a == step {
 				g.blockers--
-				c.enlist(now, g)
+				c.enlist(g)
 			}
 		}
 	}
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -42,8 +42,8 @@
 
 // rankOf orders groups by what they are still worth, then by priority, then by the time
 // at which they have to start: late work of the most urgent queue is worth less for its
-// size than work of any queue that comes in time. Between changes of the tier a rank does not depend on the
-// time at which it is taken.
+// size than work of any queue that comes in time. Between changes of the tier a rank does
+// not depend on the time at which it is taken.
 func rankOf(c *Cell, g *group, now, wall time.Time) (float64, time.Time) {
 	age := g.age(now, wall)
 	t, slack := g.standing(age)
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -43,7 +43,6 @@
 	}
 	clear(c.reservers[len(keep):])
 	c.reservers = keep
-	c.reservedCPU = total
 }
 
 func (c *Cell) reservationHolds(now time.Time, g *group) bool {
