Renew the tickets of a gang together

Tickets are valid for 1.35 s. A call named only places whose ticket had run out, so by the time of the answer the others had, and never were all valid at once.

Ruled out: a call that got lost (each has its answer) and room (the places were free). A call now names every place whose ticket runs out before its answer. The test fails before (only one of two named).

--- a/sched/cell/ask.go
+++ b/sched/cell/ask.go
@@ -137,7 +137,7 @@
 func (c *Cell) renewals(now time.Time, g *group) []*runner {
 	expired := func(r *runner) bool { _, ok := g.allowed(now, r); return !ok }
 	if g.spec.Gang {
-		return c.gangRenewals(now, g, expired)
+		return c.gangRenewals(now, g)
 	}
 	chosen := c.eligible(g, expired)
 	slices.SortFunc(chosen, leastExpected)
@@ -155,23 +155,33 @@
 
 // gangRenewals returns the runners of a gang's reserved places, or of those that are free,
 // that need tickets, once all places are about to be free.
-func (c *Cell) gangRenewals(now time.Time, g *group, expired func(*runner) bool) []*runner {
+func (c *Cell) gangRenewals(now time.Time, g *group) []*runner {
 	if g.waiting < len(g.tasks) {
 		return nil
 	}
 	chosen := g.reserved
 	if len(chosen) == 0 {
 		chosen = c.planGang(g, func(*runner) bool { return true })
-	} else if ready := g.reservedReady(now); ready > g.queue.Advice.CallTime(len(slices.Compact(slices.Clone(chosen)))) {
+	}
+	call := g.queue.Advice.CallTime(len(slices.Compact(slices.Clone(chosen))))
+	if len(g.reserved) > 0 && g.reservedReady(now) > call {
 		return nil
 	}
+	// Tickets that run out before the answer are renewed with the others: all places need a
+	// valid one at the same time.
+	answered := now.Add(call + ticketMargin)
 	var out []*runner
 	for _, r := range chosen {
-		if expired(r) && !slices.Contains(out, r) {
+		if _, ok := g.allowed(answered, r); !ok && !slices.Contains(out, r) {
 			out = append(out, r)
 		}
 	}
-	return out
+	for _, r := range out {
+		if _, ok := g.allowed(now, r); !ok {
+			return out
+		}
+	}
+	return nil
 }
 
 // nameRunners chooses the runners that a first call names: those with the most room, as
--- a/sched/cell/gangs_test.go
+++ b/sched/cell/gangs_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -137,3 +138,35 @@
 	must.Len(t, 1, stopped)
 	must.Eq(t, 1, stopped[0].Execution)
 }
+
+// Guards against a gang that waits beside free room: a ticket that runs out before the
+// advisor has answered for the other places is renewed together with theirs.
+func TestTicketsOfAGangAreValidAtTheSameTime(t *testing.T) {
+	const call = 700 * time.Millisecond
+	w := newWorld(t, 2)
+	w.cell.SetQueues([]Queue{{
+		Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2,
+		Advice: &AdvicePolicy{Base: call, Validity: 1500 * time.Millisecond},
+	}})
+	gang := small(8)
+	gang.Gang = true
+	g := w.add("0000000000000001", gang).groups[0]
+	w.step(100 * time.Millisecond)
+	g.advice = advice{asked: map[string]bool{}, approved: map[string]bool{}, tickets: map[string]ticket{}}
+	for _, id := range []string{"r0", "r1"} {
+		answer := AdviceCall{Runners: []string{id}, Expected: call, group: g, lives: map[string]int64{id: 1}}
+		w.cell.Advised(w.now, answer, w.now, []Approval{{Runner: id, Ticket: "t"}}, nil)
+	}
+	// The ticket of r0 outlives the next look, but not the next answer.
+	g.advice.tickets["r0"] = ticket{value: "t", life: 1, until: w.now.Add(call / 2)}
+	g.advice.tickets["r1"] = ticket{value: "t", life: 1, until: w.now}
+	var named []string
+	for range 3 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for _, c := range w.cell.Decide(w.now, w.now).Advice {
+			named = append(named, c.Runners...)
+		}
+	}
+	slices.Sort(named)
+	must.Eq(t, []string{"r0", "r1"}, named)
+}
