--- /dev/null
+++ b/sched/cell/grown_check_test.go
@@ -0,0 +1,89 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// checkIdle notes the groups that wait although they could run.
+func (w *grownWorld) checkIdle() {
+	var used, capacity int64
+	for _, r := range w.cell.order {
+		used += r.used.MilliCPU
+		capacity += r.info.Capacity.MilliCPU
+	}
+	waits := make(map[*group]time.Time)
+	for _, g := range w.cell.ready {
+		if g.waiting < len(g.tasks) || g.job.state.Final() || 2*used >= capacity || w.room(g) < 2*len(g.tasks) {
+			continue
+		}
+		since, ok := w.idleSince[g]
+		if !ok {
+			since = w.now
+		}
+		waits[g] = since
+		if idle := w.now.Sub(since); idle > lostAfter {
+			w.passedOver[g.key()] = idle
+		}
+	}
+	w.idleSince = waits
+}
+
+// room counts the tasks of a group that fit at once on the runners that may run it.
+func (w *grownWorld) room(g *group) int {
+	n := 0
+	for _, r := range w.cell.order {
+		if !w.approves(g, r.info.ID) {
+			continue
+		}
+		for room := r.info.Capacity.Sub(r.used); g.claim().Fits(room); n++ {
+			room = room.Sub(g.claim())
+		}
+	}
+	return n
+}
+
+// log prints one line a second.
+func (w *grownWorld) log() {
+	for i, s := range w.seconds {
+		if len(s.decide) == 0 {
+			continue
+		}
+		w.t.Logf("%3d s: submitted %3d, ended %3d, in time %3d %v, starts %4d, useful %6.0f core-s, waiting %4d, advice %4d, states %4d, decision %v",
+			i, s.submitted, s.ended, s.inTime, s.inTimeOf, s.starts, s.useful, s.waiting, s.advice, s.states, median(s.decide))
+	}
+}
+
+func median(d []time.Duration) time.Duration {
+	d = slices.Clone(d)
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
+// between adds up what happened from one second to another, without the latter.
+func (w *grownWorld) between(from, to int) grownSecond {
+	sum := grownSecond{inTimeOf: make([]int, len(w.kinds))}
+	for _, s := range w.seconds[from:to] {
+		sum.submitted += s.submitted
+		sum.ended += s.ended
+		sum.inTime += s.inTime
+		sum.starts += s.starts
+		sum.useful += s.useful
+		sum.waiting = max(sum.waiting, s.waiting)
+		sum.decide = append(sum.decide, s.decide...)
+		for i, n := range s.inTimeOf {
+			sum.inTimeOf[i] += n
+		}
+	}
+	return sum
+}
+
+// drain plays until every accepted job has ended, without further load.
+func (w *grownWorld) drain() {
+	w.factor = make([]float64, len(w.kinds))
+	w.play(finishTime)
+	for end := w.now.Add(2 * time.Minute); w.open > 0 && w.now.Before(end); {
+		w.play(100 * time.Millisecond)
+		w.checkIdle()
+	}
+}
