Count the bytes of a cell's VM by link and log them with its load

Change: the cell's connections to runners, store, advisor and callers are counted like those to peers; the load line shows bytes sent and received by link beside the link's bandwidth. Tests: TestCountsAcceptedConnections; daemon tests pass.

--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -9,9 +9,13 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"rhubarbstall.example/daemon/internal/netcount"
 	"rhubarbstall.example/sched/cell"
 )
 
+// bytesPerMbit converts a bandwidth from Mbit/s to bytes per second.
+const bytesPerMbit = 1e6 / 8
+
 // loadLogInterval is the interval at which the load is logged.
 const loadLogInterval = time.Second
 
@@ -81,6 +85,10 @@
 	adviceQueued, adviceAssigned, adviceVMs               int
 	adviceOldest                                          time.Duration
 	process                                               processUsage
+	// traffic is what the whole VM sent and received in the interval, not only its scheduler.
+	traffic netcount.Traffic
+	// linkMbps is the bandwidth of the VM's network link; 0 if unknown.
+	linkMbps float64
 	// intervalReports counts the runners' reports in the interval.
 	intervalReports cell.ReportCounts
 }
@@ -100,7 +108,7 @@
 	proc := newProcessMonitor()
 	tick := time.NewTicker(loadLogInterval)
 	defer tick.Stop()
-	last := time.Now()
+	last, traffic := time.Now(), netcount.Snapshot()
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -110,6 +118,8 @@
 		now := time.Now()
 		r := s.collectLoad(now, now.Sub(last), proc)
 		last = now
+		total := netcount.Snapshot()
+		r.traffic, traffic = total.Since(traffic), total
 		s.loadCounts.lastReport.Store(r)
 		s.log.Info("[sched] load", zap.Int64("term", s.term.Number), zap.Inline(r))
 	}
@@ -119,7 +129,7 @@
 func (s *Scheduler) collectLoad(now time.Time, interval time.Duration, proc *processMonitor) *loadReport {
 	counts := &s.loadCounts
 	r := &loadReport{
-		interval: interval, cores: s.settings.Cores,
+		interval: interval, cores: s.settings.Cores, linkMbps: s.settings.LinkMbps,
 		startsOrdered: counts.startsOrdered.Swap(0), startsOK: counts.startsOK.Swap(0), startsRefused: counts.startsRefused.Swap(0), startsUnknown: counts.startsUnknown.Swap(0),
 		stopsOrdered: counts.stopsOrdered.Swap(0), stopsOK: counts.stopsOK.Swap(0), stopsUnanswered: counts.stopsUnanswered.Swap(0),
 		startsInFlight: counts.startsInFlight.Load(), stopsInFlight: counts.stopsInFlight.Load(),
@@ -213,6 +223,18 @@
 	e.AddUint64("heap_bytes", r.process.heap)
 	count("job_bytes", r.Bytes)
 	e.AddUint64("goroutines", r.process.goroutines)
+	sent, received := r.traffic.Total()
+	count("sent_bytes", sent)
+	count("received_bytes", received)
+	if r.linkMbps > 0 {
+		count("link_limit_bytes", int64(r.linkMbps*bytesPerMbit*r.interval.Seconds()))
+	}
+	for l, t := range r.traffic {
+		if t.Sent > 0 || t.Received > 0 {
+			count("sent_"+netcount.Link(l).String()+"_bytes", t.Sent)
+			count("received_"+netcount.Link(l).String()+"_bytes", t.Received)
+		}
+	}
 	return nil
 }
 
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -51,6 +51,8 @@
 	StoreTimeout func() time.Duration
 	// Cores is the VM's CPU limit in cores; 0 if unknown.
 	Cores float64
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 }
 
 // storeTimeout returns the timeout of a write to the store.
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -16,6 +16,7 @@
 	"rhubarbstall.example/daemon/internal/cellsched"
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/front"
+	"rhubarbstall.example/daemon/internal/netcount"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/daemon/internal/storehealth"
 	"rhubarbstall.example/daemon/internal/wait"
@@ -76,7 +77,7 @@
 	v.health = storehealth.New(time.Now(), func(unreachable bool, sinceSuccess time.Duration) {
 		log.Info("[vm] reachability of the store changed", zap.Bool("away", unreachable), zap.Duration("since", sinceSuccess))
 	})
-	v.store = platform.NewStore(platform.TCPDialer(), boot.StoreAddr, func(c platform.StoreCall) {
+	v.store = platform.NewStore(netcount.WrapDial(netcount.Platform, platform.TCPDialer()), boot.StoreAddr, func(c platform.StoreCall) {
 		now := time.Now()
 		durations.record(c, now)
 		if c.Cancelled {
@@ -91,11 +92,11 @@
 			v.storeTimeout.ObserveTimeout(now, c.Sent)
 		}
 	})
-	runners := platform.NewRunners(platform.TCPDialer())
+	runners := platform.NewRunners(netcount.WrapDial(netcount.Runner, platform.TCPDialer()))
 	set := cellsched.Settings{
 		VM: boot.VM, MaxLease: boot.MaxHold, EarlyStart: boot.EarlyStart,
 		JobRetention: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreTimeout: v.storeTimeout.Timeout,
-		StoreWritesPerSecond: boot.WritesPerS, Cores: boot.ProcessorShare,
+		StoreWritesPerSecond: boot.WritesPerS, Cores: boot.ProcessorShare, LinkMbps: boot.LinkMbps,
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), boot.MinLeaseTTL, func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
@@ -158,7 +159,7 @@
 	}
 	failed := make(chan error, 4)
 	for _, serve := range []func() error{
-		func() error { return server.Serve(clients) },
+		func() error { return server.Serve(netcount.Listen(netcount.Caller, clients)) },
 		func() error { return readiness.Serve(ready) },
 		func() error { return peerServer.Serve(peers) },
 		operators.ListenAndServe,
@@ -179,7 +180,7 @@
 	v.spawn(func() { v.client.RunPeerDiscovery(base) })
 	if v.boot.AdvisorAddr != "" {
 		v.spawn(func() {
-			v.client.RunAdvisorCalls(base, platform.NewAdvisor(platform.TCPDialer(), v.boot.AdvisorAddr), v.log)
+			v.client.RunAdvisorCalls(base, platform.NewAdvisor(netcount.WrapDial(netcount.Advisor, platform.TCPDialer()), v.boot.AdvisorAddr), v.log)
 		})
 	}
 	select {
--- a/daemon/internal/netcount/conn.go
+++ b/daemon/internal/netcount/conn.go
@@ -20,9 +20,13 @@
 // Dial returns a dial function whose connections are counted for a link. timeout limits each
 // connection attempt.
 func Dial(l Link, timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout}
+	return WrapDial(l, (&net.Dialer{Timeout: timeout}).DialContext)
+}
+
+// WrapDial returns a dial function that counts the connections of dial for a link.
+func WrapDial(l Link, dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, addr)
+		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
@@ -30,6 +34,23 @@
 	}
 }
 
+// Listen returns a listener that counts the connections of inner for a link.
+func Listen(l Link, inner net.Listener) net.Listener { return &listener{inner, l} }
+
+type listener struct {
+	net.Listener
+	link Link
+}
+
+// Accept implements net.Listener.
+func (n *listener) Accept() (net.Conn, error) {
+	c, err := n.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(n.link, c), nil
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/daemon/internal/netcount/conn_test.go
+++ b/daemon/internal/netcount/conn_test.go
@@ -37,3 +37,33 @@
 	must.Eq(t, int64(5), received-receivedBefore)
 	must.Eq(t, otherBefore, other)
 }
+
+// Guards against traffic of accepted connections that is missing from the totals of the VM's
+// link, so that a full link looks idle.
+func TestCountsAcceptedConnections(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l := Listen(Caller, inner)
+	defer l.Close()
+	before := Snapshot()
+	go func() {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Write([]byte("hello"))
+	}()
+	c, err := l.Accept()
+	must.NoError(t, err)
+	_, err = io.ReadAll(c)
+	must.NoError(t, err)
+	_, err = c.Write([]byte("ok"))
+	must.NoError(t, err)
+	got := Snapshot().Since(before)
+	must.Eq(t, int64(5), got[Caller].Received)
+	must.Eq(t, int64(2), got[Caller].Sent)
+	sent, received := got.Total()
+	must.Eq(t, int64(2), sent)
+	must.Eq(t, int64(5), received)
+}
--- a/daemon/internal/netcount/link.go
+++ b/daemon/internal/netcount/link.go
@@ -13,12 +13,15 @@
 	Platform
 	Worker
 	Upstream
+	Runner
+	Advisor
+	Caller
 	linkCount
 )
 
 // String returns the value of the metric's link attribute.
 func (l Link) String() string {
-	return [...]string{"peer", "platform", "worker", "upstream"}[l]
+	return [...]string{"peer", "platform", "worker", "upstream", "runner", "advisor", "caller"}[l]
 }
 
 // totals holds the bytes counted for one link since the process started.
@@ -34,3 +37,33 @@
 func Bytes(l Link) (sent, received int64) {
 	return byLink[l].sent.Load(), byLink[l].received.Load()
 }
+
+// Traffic holds the bytes sent and received on each link.
+type Traffic [linkCount]struct{ Sent, Received int64 }
+
+// Snapshot returns the traffic since the process started, without TCP and IP headers.
+func Snapshot() Traffic {
+	var t Traffic
+	for l := range linkCount {
+		t[l].Sent, t[l].Received = Bytes(l)
+	}
+	return t
+}
+
+// Since returns the traffic after an earlier snapshot.
+func (t Traffic) Since(before Traffic) Traffic {
+	for l := range t {
+		t[l].Sent -= before[l].Sent
+		t[l].Received -= before[l].Received
+	}
+	return t
+}
+
+// Total returns the sums over all links.
+func (t Traffic) Total() (sent, received int64) {
+	for l := range t {
+		sent += t[l].Sent
+		received += t[l].Received
+	}
+	return sent, received
+}
