Bound the bytes of orders under way to runners

Cause: a decision sent all its starts at once. Starts carry the payload of the job, so a burst waited longer in the VM's own link than the 500 ms after which an order counts as unanswered. Each such order was followed by a stop, a new renewal and, since the connection was closed, a new connection: more bytes for the same link, which kept it full after the burst. Timeouts follow measured times up to 1.5 s; a late answer is awaited as long again, so that the connection is kept and a late refusal or success is still known. A stop is not repeated while one is under way. A runner's restart is detected by when the call was sent, not by a fixed difference.

--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -46,7 +46,6 @@
 
 // countStartOutcome counts the outcome of a start order and records its latency.
 func (s *Scheduler) countStartOutcome(run *cell.Run, outcome cell.StartOutcome) {
-	s.loadCounts.startsInFlight.Add(-1)
 	took := time.Since(run.Started)
 	s.loadCounts.startLatencies.record(took)
 	s.metrics.startDuration.Record(context.Background(), took.Seconds())
@@ -60,16 +59,30 @@
 	}
 }
 
-// countStopOutcome counts whether a stop order was acknowledged.
-func (s *Scheduler) countStopOutcome(ok bool) {
+// countStartAnswered counts a start order whose outcome is known or whose answer is not awaited any
+// more.
+func (s *Scheduler) countStartAnswered() { s.loadCounts.startsInFlight.Add(-1) }
+
+// stopOutcome is what has become of a stop order. The values label a metric.
+type stopOutcome string
+
+const (
+	stopAcked      stopOutcome = "ok"
+	stopUnanswered stopOutcome = "unanswered"
+	// stopRepeated means that the order was not sent, because an earlier one is under way.
+	stopRepeated stopOutcome = "repeated"
+)
+
+// countStopOutcome counts the outcome of a stop order.
+func (s *Scheduler) countStopOutcome(outcome stopOutcome) {
 	s.loadCounts.stopsInFlight.Add(-1)
-	if ok {
+	s.metrics.countStop(string(outcome))
+	switch outcome {
+	case stopAcked:
 		s.loadCounts.stopsOK.Add(1)
-		s.metrics.countStop("ok")
-		return
+	case stopUnanswered:
+		s.loadCounts.stopsUnanswered.Add(1)
 	}
-	s.loadCounts.stopsUnanswered.Add(1)
-	s.metrics.countStop("unanswered")
 }
 
 // loadReport is the scheduler's backlog at one time, and its activity in the interval before.
@@ -83,6 +96,7 @@
 	startsInFlight, stopsInFlight                         int64
 	startLatencies, decisionDurations, lockWaits          durationSummary
 	adviceQueued, adviceAssigned, adviceVMs               int
+	orders                                                orderQueueStats
 	adviceOldest                                          time.Duration
 	process                                               processUsage
 	// traffic is what the whole VM sent and received in the interval, not only its scheduler.
@@ -136,6 +150,7 @@
 		startLatencies: counts.startLatencies.takeSummary(), decisionDurations: counts.decisionDurations.takeSummary(), lockWaits: s.mu.waits.takeSummary(),
 		process: proc.read(),
 	}
+	r.orders = s.orders.stats()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
 	s.mu.Lock()
 	r.Stats = s.cell.Stats(now, now.Round(0))
@@ -188,6 +203,10 @@
 	count("stops_unanswered", r.stopsUnanswered)
 	count("starts_in_flight", r.startsInFlight)
 	count("stops_in_flight", r.stopsInFlight)
+	e.AddInt("starts_queued", r.orders.queuedStarts)
+	e.AddInt("small_orders_queued", r.orders.queuedSmall)
+	e.AddInt("window_bytes", r.orders.window)
+	e.AddInt("window_used_bytes", r.orders.inFlight)
 	ms("start_p50_ms", r.startLatencies.p50)
 	ms("start_p99_ms", r.startLatencies.p99)
 	e.AddInt("runs", r.Runs)
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,40 +12,108 @@
 	"rhubarbstall.example/sched/cell"
 )
 
+// queueOrders queues the orders of a decision.
+func (s *Scheduler) queueOrders(d *cell.Decisions) {
+	for _, st := range d.Stops {
+		if !s.orders.beginStop(st.Run) {
+			s.countStopOutcome(stopRepeated)
+			continue
+		}
+		s.orders.addSmall(func(bytes int) {
+			s.sendStop(st.Run, bytes)
+			s.orders.endStop(st.Run)
+		})
+	}
+	for _, p := range d.Paces {
+		s.orders.addSmall(func(bytes int) { s.sendPace(p, bytes) })
+	}
+	for _, st := range d.Starts {
+		s.orders.addStart(len(st.Payload)+len(st.Checkpoint)+len(st.Ticket), func(bytes int) { s.sendStart(st, bytes) })
+	}
+	s.sendQueuedOrders()
+}
+
+// sendQueuedOrders sends the queued orders for which the send window has room.
+func (s *Scheduler) sendQueuedOrders() {
+	for _, o := range s.orders.take(time.Now()) {
+		go o.send()
+	}
+}
+
+// finishOrder returns the room of an order in the send window.
+func (s *Scheduler) finishOrder(bytes int, answered bool, took time.Duration) {
+	if s.orders.finish(time.Now(), bytes, answered, took) {
+		s.requestDecision()
+	}
+	s.sendQueuedOrders()
+}
+
+// callRunner makes a call that carries an order of some bytes. If there is no answer in time, it
+// calls overdue and waits on, as long again: a late answer still tells what has become of the
+// order, and the connection can be kept.
+func (s *Scheduler) callRunner(bytes int, overdue func(), call func(ctx context.Context) error) error {
+	timeout := s.orders.timeout()
+	ctx, cancel := context.WithTimeout(s.ctx, lateAnswerFactor*timeout)
+	defer cancel()
+	sent := time.Now()
+	timer := time.AfterFunc(timeout, func() {
+		s.orders.timedOut(time.Now())
+		overdue()
+	})
+	err := call(ctx)
+	timer.Stop()
+	var refused *platform.RefusedError
+	s.finishOrder(bytes, err == nil || errors.As(err, &refused), time.Since(sent))
+	return err
+}
+
 // sendStart sends a start order and records its outcome.
-func (s *Scheduler) sendStart(st cell.StartOrder) {
+func (s *Scheduler) sendStart(st cell.StartOrder, bytes int) {
 	run := st.Run
 	l, leaseEnd, staleReason := s.prepareStart(st)
+	if staleReason == "" && (l == nil || s.ctx.Err() != nil || !s.term.Valid()) {
+		staleReason = "gone"
+	}
 	if staleReason != "" {
 		s.recordStart(run, cell.StartRefused, staleReason, nil)
+		s.countStartAnswered()
+		s.finishOrder(bytes, false, 0)
 		return
 	}
-	if l == nil || s.ctx.Err() != nil || !s.term.Valid() {
-		s.recordStart(run, cell.StartRefused, "gone", nil)
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	clock, err := s.runners.Start(ctx, l.address(), platform.StartOrder{
-		Task: run.Task, Execution: run.Execution, Payload: st.Payload, Checkpoint: st.Checkpoint,
-		Ticket: st.Ticket, LeaseEnd: leaseEnd, FencingToken: s.term.Number,
+	sent := time.Now()
+	var clock platform.RunnerClock
+	var overdue atomic.Bool
+	err := s.callRunner(bytes, func() {
+		overdue.Store(true)
+		s.recordStart(run, cell.StartUnknown, "", errOverdue)
+		l.renewNow()
+	}, func(ctx context.Context) (err error) {
+		clock, err = s.runners.Start(ctx, l.address(), platform.StartOrder{
+			Task: run.Task, Execution: run.Execution, Payload: st.Payload, Checkpoint: st.Checkpoint,
+			Ticket: st.Ticket, LeaseEnd: leaseEnd, FencingToken: s.term.Number,
+		})
+		return err
 	})
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
-		l.detectRestart(clock)
+		l.detectRestart(sent, clock)
 		s.recordStart(run, cell.StartOK, "", nil)
 	case errors.As(err, &refused):
 		s.stepDownIfFenced(err)
 		s.recordStart(run, cell.StartRefused, refused.Reason, err)
 	case errors.Is(err, platform.ErrNotSent):
 		s.recordStart(run, cell.StartRefused, "unreachable", err)
-	default:
+	case !overdue.Load():
 		s.recordStart(run, cell.StartUnknown, "", err)
 		l.renewNow()
 	}
+	s.countStartAnswered()
 }
 
+// errOverdue is logged for an order whose answer is late; it may still arrive.
+var errOverdue = errors.New("no answer in time")
+
 // prepareStart returns the loop of the order's runner, or nil if the runner was removed, and the
 // end of the lease that the order grants. If the order must no longer be sent, staleReason is
 // the reason and no lease is granted.
@@ -82,29 +151,33 @@
 }
 
 // sendStop sends a stop order. The cell repeats an order that was not acknowledged.
-func (s *Scheduler) sendStop(run *cell.Run) {
+func (s *Scheduler) sendStop(run *cell.Run, bytes int) {
 	s.mu.Lock()
 	l := s.runnerLoops[run.Runner]
 	s.mu.Unlock()
 	if l == nil {
-		s.countStopOutcome(false)
+		s.countStopOutcome(stopUnanswered)
+		s.finishOrder(bytes, false, 0)
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	_, err := s.runners.Stop(ctx, l.address(), run.Task, run.Execution, s.term.Number)
-	s.countStopOutcome(err == nil)
+	err := s.callRunner(bytes, func() {}, func(ctx context.Context) error {
+		_, err := s.runners.Stop(ctx, l.address(), run.Task, run.Execution, s.term.Number)
+		return err
+	})
 	if err != nil {
+		s.countStopOutcome(stopUnanswered)
 		s.stepDownIfFenced(err)
 		s.log.Warn("[sched] stop order failed", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
 			zap.String("runner", run.Runner), zap.Error(err))
 		return
 	}
+	s.countStopOutcome(stopAcked)
 	s.log.Info("[sched] run stopped", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
 	s.mu.Lock()
 	s.cell.RecordStopAck(time.Now(), run)
+	confirmed := run.Confirmed()
 	s.mu.Unlock()
-	if !run.Confirmed() {
+	if !confirmed {
 		// The run may never have begun, and then the runner reports no end of it. A renewal
 		// now shows whether the runner still has the run.
 		l.renewNow()
@@ -112,17 +185,19 @@
 }
 
 // sendPace sends an order that changes the pace of a run, in percent of its full speed.
-func (s *Scheduler) sendPace(p cell.PaceOrder) {
+func (s *Scheduler) sendPace(p cell.PaceOrder, bytes int) {
 	run := p.Run
 	s.mu.Lock()
 	l := s.runnerLoops[run.Runner]
 	s.mu.Unlock()
 	if l == nil || !s.term.Valid() {
+		s.finishOrder(bytes, false, 0)
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-	defer cancel()
-	_, err := s.runners.SetSpeed(ctx, l.address(), run.Task, run.Execution, s.term.Number, p.Percent)
+	err := s.callRunner(bytes, func() {}, func(ctx context.Context) error {
+		_, err := s.runners.SetSpeed(ctx, l.address(), run.Task, run.Execution, s.term.Number, p.Percent)
+		return err
+	})
 	s.log.Info("[sched] pace order finished", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
 		zap.String("runner", run.Runner), zap.Int("percent", p.Percent), zap.Error(err))
 	if err != nil {
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -56,9 +56,9 @@
 	starts := s.cell.Decide(now, now).Starts
 	must.Len(t, 2, starts)
 
-	s.sendStart(starts[0])
+	s.sendStart(starts[0], startOrderBytes)
 	must.Eq(t, 1, orders.Load())
 	s.cell.Cancel(now, job.ID)
-	s.sendStart(starts[1])
+	s.sendStart(starts[1], startOrderBytes)
 	must.Eq(t, 1, orders.Load())
 }
--- a/daemon/internal/cellsched/overload_kinds_test.go
+++ b/daemon/internal/cellsched/overload_kinds_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -97,7 +98,7 @@
 	id := fmt.Sprintf("%016x", len(s.jobs)+1)
 	s.jobs[id] = j
 	s.currentSecond().submitted++
-	body, err := json.Marshal(map[string]any{"specification": "x", "steps": steps})
+	body, err := json.Marshal(map[string]any{"specification": strings.Repeat("x", max(1, s.size.payloadBytes)), "steps": steps})
 	must.NoError(s.t, err)
 	value, err := EncodeJob(JobHeader{Queue: k.queue.Name, Pool: simPool, AcceptedMS: time.Now().UnixMilli()}, body)
 	must.NoError(s.t, err)
--- a/daemon/internal/cellsched/overload_test.go
+++ b/daemon/internal/cellsched/overload_test.go
@@ -39,6 +39,9 @@
 	runners, vms int
 	// callsPerSecond is how many calls the processor of a VM serves.
 	callsPerSecond int
+	// linkBytesPerSecond is the bandwidth of a VM's link; 0 for no limit. payloadBytes is the
+	// length of the payload that each start order carries.
+	linkBytesPerSecond, payloadBytes int
 }
 
 // loadSim simulates a cell under load, with an in-memory network and a virtual clock. The
@@ -190,6 +193,9 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	p := &processor{timePerCall: time.Second / time.Duration(s.size.callsPerSecond)}
 	dial := p.dialer(s.net.Dialer(name))
+	if s.size.linkBytesPerSecond > 0 {
+		dial = memnet.NewUplink(s.size.linkBytesPerSecond).Dialer(dial)
+	}
 	vm := &loadVM{name: name, local: new(LocalScheduler), store: platform.NewStore(dial, simStore, nil), processor: p, stop: stop, done: make(chan struct{})}
 	s.vms = append(s.vms, vm)
 	s.mu.Unlock()
@@ -202,7 +208,7 @@
 	advisor := platform.NewAdvisor(dial, loadAdvisor)
 	log := s.logger(vm)
 	elector := election.New(vm.store, name, name, 0, func(ctx context.Context, term election.Term) {
-		sched, err := New(Settings{VM: name, MaxLease: 6 * time.Second, JobRetention: time.Hour, StoreWritesPerSecond: loadWritesPerSecond}, term, vm.store, runners, log)
+		sched, err := New(Settings{VM: name, MaxLease: 6 * time.Second, JobRetention: time.Hour, StoreWritesPerSecond: loadWritesPerSecond, LinkMbps: float64(s.size.linkBytesPerSecond) * 8 / 1e6}, term, vm.store, runners, log)
 		must.NoError(s.t, err)
 		vm.local.Run(ctx, sched)
 	}, func() time.Duration { return time.Since(s.startedAt) }, log)
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -94,12 +94,17 @@
 	l.clock, l.clockReadAt = c.Reading, at
 }
 
-// detectRestart detects from the clock reading in an answer whether the runner has restarted,
-// because the clock of a restarted runner begins at 0.
-func (l *runnerLoop) detectRestart(c platform.RunnerClock) {
+// clockSlack allows for a runner clock that is up to 2% slow over the longest time between two
+// readings.
+const clockSlack = 100 * time.Millisecond
+
+// detectRestart detects from the clock reading in the answer to a call whether the runner has
+// restarted, because the clock of a restarted runner begins at 0. Answers can arrive out of order:
+// the reading was taken after the call was sent, and so is at most that much older than the last
+// one.
+func (l *runnerLoop) detectRestart(sentAt time.Time, c platform.RunnerClock) {
 	l.mu.Lock()
-	// Answers can arrive out of order, but their readings differ by less than orderTimeout.
-	wentBack := c.Reading < l.clock-orderTimeout
+	wentBack := c.Reading < l.clock-max(0, l.clockReadAt.Sub(sentAt))-clockSlack
 	l.mu.Unlock()
 	if wentBack {
 		l.restarted.Store(true)
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -17,9 +17,13 @@
 )
 
 const (
-	// orderTimeout is many times the round-trip time to a runner. A later answer counts as
-	// lost.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout is many times the round-trip time to a runner. Without an answer by then, it
+	// is unknown whether the order was carried out. It grows up to maxOrderTimeout with the
+	// measured round-trip times.
+	orderTimeout    = 500 * time.Millisecond
+	maxOrderTimeout = 1500 * time.Millisecond
+	// lateAnswerFactor times the timeout is how long the answer to an order is awaited in all.
+	lateAnswerFactor = 2
 	// leaseLimit bounds the time after which the tasks of a runner that does not answer start
 	// on other runners.
 	leaseLimit = 6 * time.Second
@@ -71,6 +75,7 @@
 	runners       *platform.Runners
 	log           *zap.Logger
 	adviceQueue   *adviceQueue
+	orders        *orderQueue
 	metrics       *metrics
 	leaseDuration time.Duration
 	// loadCounts holds the counts for the load report.
@@ -112,7 +117,7 @@
 	lease := min(set.MaxLease-leaseMargin, leaseLimit)
 	return &Scheduler{
 		settings: set, term: term, store: store, runners: runners, log: log, leaseDuration: lease,
-		adviceQueue: newAdviceQueue(), metrics: m,
+		adviceQueue: newAdviceQueue(), orders: newOrderQueue(set.LinkMbps), metrics: m,
 		cell: cell.New(time.Now(), cell.Config{
 			Lease: lease, MaxLease: set.MaxLease, OrderTimeout: orderTimeout,
 			// An earlier scheduler may still grant leases for StoreOutageTolerance. The added
@@ -207,8 +212,10 @@
 		return
 	}
 	now := time.Now()
+	maxStarts := s.orders.maxStarts()
 	s.mu.Lock()
 	begin := time.Now()
+	s.cell.SetMaxStarts(maxStarts)
 	s.cell.Tick(now)
 	d := s.cell.Decide(now, now.Round(0))
 	s.recordDecision(begin, &d)
@@ -216,15 +223,7 @@
 	dirty := s.cell.HasDirty()
 	s.mu.Unlock()
 	s.logEvents(events)
-	for _, st := range d.Starts {
-		go s.sendStart(st)
-	}
-	for _, st := range d.Stops {
-		go s.sendStop(st.Run)
-	}
-	for _, p := range d.Paces {
-		go s.sendPace(p)
-	}
+	s.queueOrders(&d)
 	for _, call := range d.Advice {
 		s.adviceQueue.add(call)
 	}
--- a/daemon/internal/cellsched/stalerecords_test.go
+++ b/daemon/internal/cellsched/stalerecords_test.go
@@ -33,11 +33,24 @@
 	l.cancelRenewal = func() { interrupted = true }
 	// The runner answered the order at 999 ms and the lease renewal at 1000 ms of its clock.
 	l.setClock(time.Now(), platform.RunnerClock{Reading: time.Second})
-	l.detectRestart(platform.RunnerClock{Reading: time.Second - time.Millisecond})
+	now := time.Now()
+	l.detectRestart(now, platform.RunnerClock{Reading: time.Second - time.Millisecond})
+	// The answer to an order that was sent 900 ms before the renewal was answered.
+	l.detectRestart(now.Add(-900*time.Millisecond), platform.RunnerClock{Reading: 120 * time.Millisecond})
 	must.False(t, l.restarted.Load())
 	must.False(t, interrupted)
 }
 
+// Guards against ends that nobody has seen and a restarted runner drops, because the restart of a
+// runner that had been up for less than a second goes unnoticed.
+func TestEarlyRestartIsDetected(t *testing.T) {
+	s := newIdleScheduler(t)
+	l := newRunnerLoop(s, cell.RunnerInfo{ID: "r0", Address: "r0:80", Pool: "pool"})
+	l.setClock(time.Now(), platform.RunnerClock{Reading: 400 * time.Millisecond})
+	l.detectRestart(time.Now(), platform.RunnerClock{Reading: 10 * time.Millisecond})
+	must.True(t, l.restarted.Load())
+}
+
 // Guards against a cancelled job that starts, because a listing that was read before the job's
 // records were removed adds the job again.
 func TestStaleListingDoesNotRestoreRemovedJob(t *testing.T) {
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -54,7 +54,11 @@
 	// approves.
 	approvalShares map[string]float64
 	// freedCPU is the rate at which ending runs free CPU.
-	freedCPU freedCPURate
+	freedCPU movingRate
+	// starts is the rate of starts, and lookaheadTasks the number of waiting tasks within the
+	// look-ahead that the decision in progress has visited.
+	starts         startRate
+	lookaheadTasks int
 	// candidateBuf is a buffer that is reused from group to group.
 	candidateBuf []*runner
 	// indexBuilds counts how often the index free was rebuilt. lastGroupNumber is the
@@ -74,6 +78,8 @@
 	openJobs     int
 	memoryBytes  int64
 	finishedJobs windowedRate
+	// maxStarts is how many starts one decision may order.
+	maxStarts int
 	// promotionBudget is how much work of starved groups may be promoted, in milli-CPU
 	// seconds, as of promotionRefilledAt.
 	promotionBudget     float64
@@ -92,7 +98,7 @@
 // New returns an empty cell; now is the time of the takeover.
 func New(now time.Time, cfg Config) *Cell {
 	return &Cell{
-		cfg: cfg, takeoverAt: now, lastUpdate: now, rank: rankOf,
+		cfg: cfg, takeoverAt: now, lastUpdate: now, rank: rankOf, maxStarts: maxStartsPerDecision,
 		queues:  make(map[string]*Queue),
 		jobs:    make(map[string]*Job),
 		runners: make(map[string]*runner),
@@ -100,6 +106,11 @@
 	}
 }
 
+// SetMaxStarts limits the starts that the next decisions may order to what the caller can send
+// soon. Tasks beyond it wait in the backlog, where more urgent ones may still overtake them. A
+// gang is started as a whole if the limit is not reached before it.
+func (c *Cell) SetMaxStarts(n int) { c.maxStarts = max(0, min(n, maxStartsPerDecision)) }
+
 // SetQueues replaces the queue policies. Jobs of a removed queue keep its last policy.
 func (c *Cell) SetQueues(queues []Queue) {
 	for i := range queues {
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -11,24 +11,48 @@
 // expire unused, and calls for groups that can start would wait behind calls for those that
 // cannot.
 
-// freedCPUWindow is the time constant of the rate at which ending runs free CPU.
-const freedCPUWindow = 2 * time.Second
+// movingRateWindow is the time constant of a movingRate.
+const movingRateWindow = 2 * time.Second
 
-// freedCPURate is an exponential moving average of the CPU that ending runs free.
-type freedCPURate struct {
-	at                time.Time
-	milliCPUPerSecond float64
+// movingRate is an exponential moving average of a quantity per second.
+type movingRate struct {
+	at        time.Time
+	perSecond float64
 }
 
-func (f *freedCPURate) add(now time.Time, freed int64) {
+func (f *movingRate) add(now time.Time, amount int64) {
 	dt := now.Sub(f.at).Seconds()
 	if f.at.IsZero() || dt <= 0 {
 		f.at = now
 		return
 	}
 	f.at = now
-	keep := math.Exp(-dt / freedCPUWindow.Seconds())
-	f.milliCPUPerSecond = keep*f.milliCPUPerSecond + (1-keep)*float64(freed)/dt
+	keep := math.Exp(-dt / movingRateWindow.Seconds())
+	f.perSecond = keep*f.perSecond + (1-keep)*float64(amount)/dt
+}
+
+// startRate tells how many starts the caller can send. While the VM's link is the limit, tickets
+// for more groups than can start would expire unused, and the calls for them take the same link.
+type startRate struct {
+	movingRate
+	// limitedAt is when a decision last ordered as many starts as it might.
+	limitedAt time.Time
+}
+
+// startsWithin returns how many starts can be sent within a time; false if that is not limited.
+func (c *Cell) startsWithin(now time.Time, d time.Duration) (float64, bool) {
+	if c.starts.limitedAt.IsZero() || now.Sub(c.starts.limitedAt) > movingRateWindow {
+		return 0, false
+	}
+	return float64(c.maxStarts) + c.starts.perSecond*d.Seconds(), true
+}
+
+// recordStarts updates the rate of starts after a decision that ordered n of them.
+func (c *Cell) recordStarts(now time.Time, n int) {
+	c.starts.add(now, int64(n))
+	if n >= c.maxStarts && c.maxStarts < maxStartsPerDecision {
+		c.starts.limitedAt = now
+	}
 }
 
 // runnerClass identifies the runners that a group may run on by pool and label. Groups of
@@ -69,7 +93,7 @@
 // expectedFreedRate returns the CPU that ending runs are expected to free in the class, in
 // milli-CPU per second.
 func (c *Cell) expectedFreedRate(d *demand) float64 {
-	return c.freedCPU.milliCPUPerSecond * float64(d.capacityMilliCPU) / float64(max(1, c.free.capacityMilliCPU))
+	return c.freedCPU.perSecond * float64(d.capacityMilliCPU) / float64(max(1, c.free.capacityMilliCPU))
 }
 
 // lookaheadGangFactor limits the CPU that gangs within the look-ahead need to a multiple of
@@ -97,6 +121,9 @@
 	if float64(before.allMilliCPU) > float64(before.freeMilliCPU)+c.expectedFreedRate(before)*horizon.Seconds() {
 		return false
 	}
+	if n, limited := c.startsWithin(now, horizon); limited && float64(c.lookaheadTasks) > n {
+		return false
+	}
 	if g.spec.Gang && float64(before.gangMilliCPU) > lookaheadGangFactor*maxReservedShare*float64(before.capacityMilliCPU) {
 		return false
 	}
@@ -115,5 +142,6 @@
 		before.gangMilliCPU += needs
 	}
 	before.allMilliCPU += needs
+	c.lookaheadTasks += g.waitingTasks
 	return true
 }
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -41,6 +41,7 @@
 	front, sweep := c.groupsToConsider(now, wall)
 	c.applyReservations(now)
 	demands := make(map[runnerClass]*demand)
+	c.lookaheadTasks = 0
 	for _, part := range [...][]*group{front, sweep} {
 		for _, g := range part {
 			if len(d.Starts) >= maxStartsPerDecision {
@@ -53,6 +54,7 @@
 			c.decideGroup(now, wall, g, inLookahead, &d)
 		}
 	}
+	c.recordStarts(now, len(d.Starts))
 	d.Stops = c.TakeStops()
 	d.Paces, c.paces = c.paces, nil
 	return d
@@ -79,6 +81,14 @@
 		return
 	}
 	c.returnReservation(g)
+	if len(d.Starts) >= c.maxStarts {
+		// The tasks wait for the link and not for capacity, so nothing is reserved.
+		if inLookahead || len(g.reservedRunners) > 0 {
+			c.requestAdvice(now, g, d)
+		}
+		c.deductReservation(g)
+		return
+	}
 	if g.beginMarkStored() && c.anyRunnerMayFit(g.claim(), permitted) {
 		if g.spec.Gang {
 			c.placeGang(now, g, d)
@@ -96,7 +106,7 @@
 		c.requestAdvice(now, g, d)
 	}
 	c.deductReservation(g)
-	if g.beginMarkStored() {
+	if g.beginMarkStored() && len(d.Starts) < c.maxStarts {
 		g.retryAt = now.Add(groupRetryInterval)
 	}
 }
@@ -163,6 +173,9 @@
 		return
 	}
 	for _, index := range g.waitingIndexes() {
+		if len(d.Starts) >= c.maxStarts {
+			return
+		}
 		r := c.bestFit(g, candidates)
 		if r == nil {
 			return
