Wait for the ends of a silent runner that still has an entry

Cause: expiry of the lease was taken as proof that the run is gone. It proves only that nothing runs any more; a runner keeps the ends that nobody has acknowledged. Change: while such a runner has an entry in the store, which is removed three heartbeats after it dies, its runs are given up 8 s after their leases instead of at once, also after a takeover. Event: silent runner awaited. Tests: TestFinishedRunOfSilentRunnerIsNotRepeated and TestTakeoverWaitsForEndsOfSilentRunner fail before; two others bound the wait. TestRunsOfReportedRunnerExpireAfterOwnLease and TestTaskWaitsForLateStartOnRestartedRunner are about the end of leases and left the silent runner listed; they now remove its entry, with the same bounds as before. What is given up: a task on a runner that lives and can be reached by nobody for longer than its lease starts elsewhere 8 s later than before.

--- a/sched/cell/cell_test.go
+++ b/sched/cell/cell_test.go
@@ -46,6 +46,7 @@
 	first := w.stepUntilStart(time.Second)
 	must.Len(t, 1, first)
 	w.cell.MarkUnreachable(first[0].Run.Runner)
+	w.cell.UnlistRunner(first[0].Run.Runner)
 	second := w.stepUntilStart(8 * time.Second)
 	must.Len(t, 1, second)
 	must.NotEq(t, first[0].Run.Runner, second[0].Run.Runner)
--- a/sched/cell/events.go
+++ b/sched/cell/events.go
@@ -9,6 +9,7 @@
 const (
 	EventRunnerSuspect         EventKind = "runner suspect"
 	EventRunnerLeasesLapsed    EventKind = "leases of runner lapsed"
+	EventSilentRunnerAwaited   EventKind = "silent runner awaited"
 	EventRunnerRestarted       EventKind = "runner restarted"
 	EventRunnerQuarantined     EventKind = "runner quarantined"
 	EventInheritedRunsKnown    EventKind = "inherited runs known"
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -61,7 +61,7 @@
 	}
 	c.reportCounts.add(r, &rep)
 	r.suspect = false
-	r.lastReportAt = now
+	r.lastReportAt, r.endsAwaited = now, false
 	if r.incarnation != rep.Incarnation && (r.reported || r.incarnation != 0) {
 		c.handleRestart(now, r)
 	}
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -103,6 +103,7 @@
 	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
 	w.report(run.Runner, Report{Incarnation: 2})
 	w.cell.MarkUnreachable(run.Runner)
+	w.cell.UnlistRunner(run.Runner)
 	must.SliceEmpty(t, w.stepUntilStart(10*time.Second))
 	must.Len(t, 1, w.stepUntilStart(2*time.Second))
 }
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -54,6 +54,8 @@
 	// leasesExpireAt is when the leases of all runs that were started there have expired.
 	leasesExpireAt time.Time
 	lastReportAt   time.Time
+	// endsAwaited tells whether the leases have expired and the ends of the runs are awaited.
+	endsAwaited bool
 	// available is the free capacity less the reservations of gangs, in the decision in
 	// progress.
 	available model.Resources
--- /dev/null
+++ b/sched/cell/silentrunner_test.go
@@ -0,0 +1,83 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against finished work that runs again: the task ended on a runner that lives and only
+// could not be heard for longer than its leases, because the scheduler's VM or the network
+// between them was overloaded.
+func TestFinishedRunOfSilentRunnerIsNotRepeated(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	j := w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	w.cell.RenewLease(w.now, run.Runner)
+	w.cell.MarkUnreachable(run.Runner)
+	must.SliceEmpty(t, w.stepUntilStart(w.cell.cfg.Lease+leaseMargin(w.cell.cfg.Lease)+silentRunnerGrace-time.Second))
+	w.endRun(run, EndDone)
+	w.writeStates()
+	must.Eq(t, Completed, j.VisibleState())
+	must.SliceEmpty(t, w.stepUntilStart(time.Minute))
+}
+
+// Guards against a task that waits forever for a runner that cannot be reached.
+func TestTaskOfUnreachableRunnerStartsElsewhere(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	w.cell.RenewLease(w.now, run.Runner)
+	w.cell.MarkUnreachable(run.Runner)
+	second := w.stepUntilStart(w.cell.cfg.Lease + leaseMargin(w.cell.cfg.Lease) + silentRunnerGrace + time.Second)
+	must.Len(t, 1, second)
+	must.NotEq(t, run.Runner, second[0].Run.Runner)
+}
+
+// Guards against waiting for a runner that is gone: once its entry is removed, its runs are given
+// up when their leases have expired.
+func TestTaskOfRemovedRunnerStartsAfterItsLease(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	w.cell.RenewLease(w.now, run.Runner)
+	w.cell.MarkUnreachable(run.Runner)
+	w.cell.UnlistRunner(run.Runner)
+	must.SliceEmpty(t, w.stepUntilStart(w.cell.cfg.Lease))
+	must.Len(t, 1, w.stepUntilStart(time.Second))
+}
+
+// Guards against finished work that runs again after a takeover, because the runner that holds
+// its end lives and answers the new scheduler late.
+func TestTakeoverWaitsForEndsOfSilentRunner(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	saved, err := ParseSavedJob(w.stored["0000000000000001"])
+	must.NoError(t, err)
+
+	next := newTestCell(t, 0)
+	next.cell.SetQueues([]Queue{plainQueue()})
+	for _, id := range []string{"r0", "r1"} {
+		next.cell.SetRunner(next.now, w.cell.runners[id].info)
+	}
+	next.cell.SetStoredRoster(next.cell.Roster())
+	other := "r0"
+	if run.Runner == other {
+		other = "r1"
+	}
+	j := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: []Step{smallStep(1)}}}
+	must.True(t, next.cell.AddJob(next.now, j, saved))
+	for range int((next.cell.cfg.InheritedRunTimeout + silentRunnerGrace - time.Second) / (100 * time.Millisecond)) {
+		next.report(other, Report{Incarnation: 1})
+		must.SliceEmpty(t, next.step(100*time.Millisecond))
+	}
+	next.endRun(run, EndDone)
+	next.writeStates()
+	must.Eq(t, Completed, j.VisibleState())
+}
