Let a step that fits start behind a backlog that doesn't fit

Cause: found while a test was read. TestGroupBehindLongBacklogUsesFreeCapacity took any start for the one that it waits for, and what it saw was the blocking task, started again after the lease of its silent runner had expired. With a runner that reports, the step behind 3,000 larger ones never started, although it fits: larger steps that wait for capacity use up the look-ahead, so no decision tries a step behind them. Change: a group that fits on a runner now, and is no gang, is also within the look-ahead while the groups before it that fit now leave free capacity. The test reports the blocker as active and names the job that must start; it fails before and passes now.

--- a/sched/cell/backlog_test.go
+++ b/sched/cell/backlog_test.go
@@ -46,13 +46,23 @@
 	blocker := smallStep(1)
 	blocker.LongRunning = true
 	w.addJob("0000000000000001", blocker)
-	must.Len(t, 1, w.stepUntilStart(time.Second))
+	blocked := w.stepUntilStart(time.Second)
+	must.Len(t, 1, blocked)
 	for i := range 3000 {
 		w.addJob(fmt.Sprintf("%016x", i+2), Step{Count: 1, Size: model.Resources{MilliCPU: 4000, MemoryMB: 100}, Estimate: time.Second})
 	}
 	j := &Job{ID: "00000000000fffff", Queue: "last", Pool: "pool", Spec: Spec{Steps: []Step{smallStep(1)}}}
 	must.True(t, w.cell.AddJob(w.now, j, nil))
-	must.Len(t, 1, w.stepUntilStart(10*time.Second))
+	var starts []StartOrder
+	for range 100 {
+		// The blocker stays active all the time.
+		w.report("r0", Report{Incarnation: 1, Running: []ReportedRun{{Task: blocked[0].Run.Task, Execution: blocked[0].Run.Execution, Percent: 100}}})
+		if starts = w.step(100 * time.Millisecond); len(starts) > 0 {
+			break
+		}
+	}
+	must.Len(t, 1, starts)
+	must.Eq(t, j.ID, starts[0].Run.Task.Job)
 }
 
 // Guards against steps that may not start yet, for example because of a due time or a
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -69,6 +69,8 @@
 	// allMilliCPU is the CPU that the groups within the look-ahead wait for, and
 	// gangMilliCPU the part of it that gangs wait for.
 	allMilliCPU, gangMilliCPU int64
+	// fittingMilliCPU is the part of what they wait for that fits on a runner now.
+	fittingMilliCPU int64
 	// freeMilliCPU and capacityMilliCPU are the free and the total CPU of the class.
 	freeMilliCPU, capacityMilliCPU int64
 }
@@ -118,7 +120,10 @@
 	if a := g.queue.Advice; a != nil {
 		horizon = a.CallTime(len(g.tasks)) + min(a.Validity/2, maxLookahead)
 	}
-	if float64(before.allMilliCPU) > float64(before.freeMilliCPU)+c.expectedFreedRate(before)*horizon.Seconds() {
+	fits := c.anyRunnerMayFit(g.claim(), nil)
+	if float64(before.allMilliCPU) > float64(before.freeMilliCPU)+c.expectedFreedRate(before)*horizon.Seconds() &&
+		(!fits || g.spec.Gang || before.fittingMilliCPU > before.freeMilliCPU) {
+		// A group that fits now may still use capacity that is too small for those before it.
 		return false
 	}
 	if n, limited := c.startsWithin(now, horizon); limited && float64(c.lookaheadTasks) > n {
@@ -142,6 +147,9 @@
 		before.gangMilliCPU += needs
 	}
 	before.allMilliCPU += needs
+	if fits {
+		before.fittingMilliCPU += needs
+	}
 	c.lookaheadTasks += g.waitingTasks
 	return true
 }
