Let a panic in a peer method end only the call

Cause: net/rpc calls methods without recover, so one unexpected message could end the process of the VM that it was sent to, and, since callers repeat calls at other VMs, theirs (operators of similar systems saw this). Change: the peer server answers such a call with Internal and logs method, sender, value and stack. A VM that stores a job through such a peer takes the outcome as unknown: the panic may have come after the write, so 'not stored' could be false. Test: TestPanickingMethodEndsOnlyTheCall; without the change the test process ends with the panic.

--- a/daemon/internal/app/app.go
+++ b/daemon/internal/app/app.go
@@ -75,6 +75,7 @@
 	}
 	a.peers = peer.NewClient(self.ID)
 	a.peerServer = peer.NewServer()
+	a.peerServer.LogTo(a.log)
 	a.store = platform.New(platform.Config{
 		Addrs:           a.cfg.PlatformAddrs,
 		WritesPerSecond: a.writesPerSecond,
--- a/daemon/internal/cellsched/proxy.go
+++ b/daemon/internal/cellsched/proxy.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/peer"
 )
 
@@ -72,6 +73,9 @@
 		c.peers.CloseIfSilent(to.Addr, silentConnectionTimeout)
 		c.directory.RecordContact(time.Now(), to, true)
 		return PutUnknown, err
+	case codes.Of(err) == codes.Internal && !errors.Is(err, peer.ErrNotSent):
+		// The method failed unexpectedly, perhaps after its write.
+		return PutUnknown, err
 	}
 	c.directory.RecordContact(time.Now(), to, true)
 	return PutNotStored, err
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -152,6 +152,7 @@
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(v.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	peerServer := peer.NewServer()
+	peerServer.LogTo(v.log)
 	cellsched.Register(peerServer, v.client)
 	operators, err := v.operatorServer(metrics)
 	if err != nil {
--- a/daemon/internal/peer/peer_test.go
+++ b/daemon/internal/peer/peer_test.go
@@ -94,3 +94,23 @@
 	must.Eq(t, spans[0].SpanContext().TraceID(), spans[1].SpanContext().TraceID())
 	must.Eq(t, spans[1].SpanContext().SpanID(), spans[0].Parent().SpanID())
 }
+
+// Guards against a message that ends the whole process, and, repeated at other entry VMs, theirs: a
+// panic in a method must end only the call. Its outcome is not "not run".
+func TestPanickingMethodEndsOnlyTheCall(t *testing.T) {
+	s := NewServer()
+	Handle(s, "panic", func(_ context.Context, _ string, e *echo) (*echo, error) {
+		var none map[string]string
+		none["x"] = "y"
+		return e, nil
+	})
+	Handle(s, "echo", func(_ context.Context, _ string, e *echo) (*echo, error) { return e, nil })
+	c := NewClient("a")
+	defer c.Close()
+	addr := startServer(t, s)
+	_, err := Call[echo, echo](t.Context(), c, addr, "panic", &echo{})
+	must.Eq(t, codes.Internal, codes.Of(err))
+	must.NotEq(t, codes.OutcomeNotRun, codes.OutcomeOf(err))
+	_, err = Call[echo, echo](t.Context(), c, addr, "echo", &echo{})
+	must.NoError(t, err)
+}
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/netcount"
@@ -41,6 +42,7 @@
 	slots  chan struct{}
 	tracer trace.Tracer
 	rpc    *rpc.Server
+	log    *zap.Logger
 }
 
 // NewServer returns a server without methods.
@@ -51,6 +53,7 @@
 		slots:    make(chan struct{}, maxServerCalls),
 		tracer:   otel.Tracer("rhubarbstall/peer"),
 		rpc:      rpc.NewServer(),
+		log:      zap.NewNop(),
 	}
 	if err := s.rpc.RegisterName(serviceName, &service{server: s}); err != nil {
 		panic(err) // The service type is fixed, so this is a programming error.
@@ -58,6 +61,22 @@
 	return s
 }
 
+// LogTo sets the logger. It must be called before Serve.
+func (s *Server) LogTo(log *zap.Logger) { s.log = log }
+
+// handle calls a method. A panic ends only this call: net/rpc would let it end the process, and a
+// caller that repeats its call would end the other entry VMs as well.
+func (s *Server) handle(ctx context.Context, h handlerFunc, req *Request) (body []byte, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("[peers] method panicked", zap.String("method", req.Method), zap.String("from", req.From),
+				zap.Any("panic", p), zap.Stack("stack"))
+			body, err = nil, codes.Internal.Errorf("peer method %s panicked: %v", req.Method, p)
+		}
+	}()
+	return h(ctx, req.From, req.Body)
+}
+
 // Handle registers a method. All methods must be registered before Serve is called.
 func Handle[A, R any](s *Server, method string, h func(ctx context.Context, from string, args *A) (*R, error)) {
 	s.mu.Lock()
@@ -148,7 +167,7 @@
 		trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("peer.from", req.From)))
 	defer span.End()
-	body, err := h(ctx, req.From, req.Body)
+	body, err := s.handle(ctx, h, req)
 	if err != nil {
 		span.RecordError(err)
 	}
