--- a/daemon/internal/front/handler.go
+++ b/daemon/internal/front/handler.go
@@ -166,8 +166,14 @@
 func (h *Handler) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	code := codes.Of(err)
 	status := code.Info().Status
+	reason := zap.Error(err)
+	if code != codes.Internal {
+		// The code and the message tell the cause. A stack trace for each refused request would
+		// be most of the log while callers are refused.
+		reason = zap.String("error", err.Error())
+	}
 	h.log.Info("[front] request refused or failed", zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", r.URL.Path),
-		zap.Int("status", status), zap.Int("code", int(code)), zap.Error(err))
+		zap.Int("status", status), zap.Int("code", int(code)), reason)
 	if after := codes.RetryAfterOf(err); after > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
 	}
