Send the list of VMs in heartbeats only when it changes

Cause: each VM calls the scheduler's VM every second and got the list of all VMs, so the bytes and the encoding grow with the square of their number: 25,000 bytes a second with 18 VMs on the small twin, by the same size of an entry about 1.7 MB a second with 147. Change: the caller sends the checksum of the list that it has; the answer holds the list only if it differs. The caller applies its own copy otherwise, so what a VM knows is as before. VMs of earlier releases send no checksum and get the list, and theirs is read as before. Test: TestHeartbeatSendsListOfVMsOnlyWhenItChanges, 146 VMs: answers under 300 bytes after the first ones; before, each has the whole list.

--- a/daemon/internal/cellsched/discovery.go
+++ b/daemon/internal/cellsched/discovery.go
@@ -27,12 +27,18 @@
 type helloArgs struct {
 	From             VMAddr `json:"from"`
 	StoreUnreachable bool   `json:"away"`
+	// KnownVMs is the checksum of the list of VMs that the called VM sent last; 0 if none. The
+	// list is as long as there are VMs, and each of them calls the scheduler's VM every second,
+	// so sending it each time would cost bytes in proportion to the square of their number.
+	KnownVMs uint64 `json:"known_vms,omitempty"`
 }
 
 type helloReply struct {
 	Holder           election.Holder `json:"holder"`
 	StoreUnreachable bool            `json:"away"`
-	VMs              []VMAddr        `json:"vms"`
+	// VMs is nil if the caller knows the list with the checksum VMsSum.
+	VMs    []VMAddr `json:"vms"`
+	VMsSum uint64   `json:"vms_sum,omitempty"`
 	// Load is the scheduler's load; only the scheduler's VM sets it.
 	Load *cell.Load `json:"load,omitempty"`
 }
@@ -41,9 +47,10 @@
 func (c *Client) handleHello(a *helloArgs) *helloReply {
 	now := time.Now()
 	c.directory.RecordContact(now, a.From, a.StoreUnreachable)
-	r := &helloReply{
-		Holder: c.elector.Current(), StoreUnreachable: c.storeUnreachable(),
-		VMs: append(c.directory.Contacted(now), VMAddr{VM: c.vm, Addr: c.addr}),
+	vms := append(c.directory.Contacted(now), VMAddr{VM: c.vm, Addr: c.addr})
+	r := &helloReply{Holder: c.elector.Current(), StoreUnreachable: c.storeUnreachable(), VMs: vms, VMsSum: vmListSum(vms)}
+	if a.KnownVMs == r.VMsSum {
+		r.VMs = nil
 	}
 	if s := c.local.Current(); s != nil {
 		load := s.Load(now)
@@ -101,7 +108,11 @@
 func (c *Client) sendHello(ctx context.Context, to VMAddr, storeUnreachable bool) (*helloReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	r, err := peer.Call[helloArgs, helloReply](ctx, c.peers, to.Addr, methodHello, &helloArgs{From: c.self(), StoreUnreachable: storeUnreachable})
+	known := c.reportedVMs.Load()
+	if known == nil || known.from != to {
+		known = &vmList{from: to}
+	}
+	r, err := peer.Call[helloArgs, helloReply](ctx, c.peers, to.Addr, methodHello, &helloArgs{From: c.self(), StoreUnreachable: storeUnreachable, KnownVMs: known.sum})
 	if err != nil {
 		c.peers.CloseIfSilent(to.Addr, silentConnectionTimeout)
 		c.log.Debug("[peers] hello call failed", zap.String("vm", to.VM), zap.Error(err))
@@ -109,6 +120,10 @@
 	}
 	now := time.Now()
 	c.directory.RecordContact(now, to, r.StoreUnreachable)
+	if r.VMs == nil && r.VMsSum == known.sum {
+		r.VMs = known.vms
+	}
+	c.reportedVMs.Store(&vmList{to, r.VMsSum, r.VMs})
 	c.directory.AddReported(now, r.VMs)
 	if r.Load != nil {
 		c.schedulerLoad.Store(&loadReading{*r.Load, now})
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -122,6 +122,8 @@
 	jobMemoryBytes int64
 	// schedulerLoad is the load that a scheduler on another VM last reported.
 	schedulerLoad atomic.Pointer[loadReading]
+	// reportedVMs is the list of VMs that another VM sent last.
+	reportedVMs atomic.Pointer[vmList]
 }
 
 // ClientConfig holds the dependencies and limits of a Client.
