Select the runners that a call names without sorting all

Change: a bounded heap selects the first 100, then only these are sorted; the order has no ties, so the result is that of the sort.

--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -196,7 +196,7 @@
 		}
 	}
 	c.candidateBuf = fit
-	slices.SortFunc(fit, byCPUAfterExpected)
+	fit = sortSmallest(fit, maxRunnersPerCall, byCPUAfterExpected)
 	share := c.approvalShare(g.queue)
 	// With minNamed runners, the probability that none is approved is at most
 	// noneApprovedProbability.
@@ -211,7 +211,7 @@
 	}
 	claim := g.claim()
 	for i, r := range fit {
-		if i >= maxRunnersPerCall || (i >= minNamed && slotsWanted <= 0) {
+		if i >= minNamed && slotsWanted <= 0 {
 			return fit[:i]
 		}
 		left, slots := r.availableAfterExpected(), 0
