--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -36,7 +36,33 @@
 // sendQueuedOrders sends the queued orders for which the send window has room.
 func (s *Scheduler) sendQueuedOrders() {
 	for _, o := range s.orders.take(time.Now()) {
-		go o.send()
+		select {
+		case s.idleSenders <- o:
+		default:
+			go s.sendOrders(o)
+		}
+	}
+}
+
+// senderIdleTimeout is how long a goroutine that sends orders waits for the next one.
+const senderIdleTimeout = time.Second
+
+// sendOrders sends an order, and further ones as long as there are any. The stack of a goroutine
+// grows several times within its first call to a runner, which a new goroutine for each order would
+// repeat thousands of times a second.
+func (s *Scheduler) sendOrders(o queuedOrder) {
+	idle := time.NewTimer(senderIdleTimeout)
+	defer idle.Stop()
+	for {
+		o.send()
+		idle.Reset(senderIdleTimeout)
+		select {
+		case o = <-s.idleSenders:
+		case <-idle.C:
+			return
+		case <-s.ctx.Done():
+			return
+		}
 	}
 }
 
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -76,13 +76,15 @@
 
 // Scheduler runs the cell's scheduler for one term.
 type Scheduler struct {
-	settings      Settings
-	term          election.Term
-	store         *platform.Store
-	runners       *platform.Runners
-	log           *zap.Logger
-	adviceQueue   *adviceQueue
-	orders        *orderQueue
+	settings    Settings
+	term        election.Term
+	store       *platform.Store
+	runners     *platform.Runners
+	log         *zap.Logger
+	adviceQueue *adviceQueue
+	orders      *orderQueue
+	// idleSenders passes orders to goroutines that wait for one.
+	idleSenders   chan queuedOrder
 	metrics       *metrics
 	leaseDuration time.Duration
 	// loadCounts holds the counts for the load report.
@@ -128,7 +130,7 @@
 	lease := min(set.MaxLease-leaseMargin, leaseLimit)
 	return &Scheduler{
 		settings: set, term: term, store: store, runners: runners, log: log, leaseDuration: lease,
-		adviceQueue: newAdviceQueue(), orders: newOrderQueue(set.LinkMbps), metrics: m,
+		adviceQueue: newAdviceQueue(), orders: newOrderQueue(set.LinkMbps), idleSenders: make(chan queuedOrder), metrics: m,
 		cell: cell.New(time.Now(), cell.Config{
 			Lease: lease, MaxLease: set.MaxLease, OrderTimeout: orderTimeout,
 			// An earlier scheduler may still grant leases for StoreOutageTolerance. The added
