Send no stop orders after the term has run out

Cause: starts and paces check the term right before they are sent, stops did not. A scheduler that was paused for some seconds between a decision and its orders could stop a run that the next scheduler had adopted, on runners which that one had not called yet (no task runs twice by it, but its work is lost). Change: stops check the term too; the cell repeats them if the term goes on. Tests: TestExpiredTermSendsNoOrders fails before (one stop reaches the runner). TestLateAnswerConfirmsTheRun for late answers.

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -185,7 +185,11 @@
 	s.mu.Lock()
 	l := s.runnerLoops[run.Runner]
 	s.mu.Unlock()
-	if l == nil {
+	if l == nil || !s.term.Valid() {
+		// A scheduler of a later term may have adopted the run. If this term goes on, the cell
+		// repeats the order.
+		s.log.Info("[sched] stop order not sent", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
+			zap.String("runner", run.Runner), zap.Bool("runner_known", l != nil))
 		s.countStopOutcome(stopUnanswered)
 		s.finishOrder(bytes, false, 0)
 		return
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,26 +18,43 @@
 	"rhubarbstall.example/standin/memnet"
 )
 
-// Guards against a task that starts long after the cancellation of its job was acknowledged: on a
-// busy VM, a start order may be sent long after the decision, and after the cancellation.
-func TestCancelledStartIsNotSent(t *testing.T) {
-	var orders atomic.Int64
+// orderTest holds a scheduler with one runner and the decided starts of a job of two tasks.
+type orderTest struct {
+	s      *Scheduler
+	job    string
+	starts []cell.StartOrder
+	// startCalls and stopCalls count the calls that reached the runner; valid is the term's
+	// validity.
+	startCalls, stopCalls atomic.Int64
+	valid                 atomic.Bool
+}
+
+// newOrderTest returns an orderTest whose runner answers each call after a delay.
+func newOrderTest(t *testing.T, answerDelay time.Duration) *orderTest {
+	o := new(orderTest)
+	o.valid.Store(true)
 	network := memnet.New()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		orders.Add(1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/run-stop") {
+			o.stopCalls.Add(1)
+		} else {
+			o.startCalls.Add(1)
+		}
+		time.Sleep(answerDelay)
 		_, _ = w.Write([]byte(`{"clock_ms":1}`))
 	})}
 	listener := network.Listen("r0:80")
 	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
+	t.Cleanup(func() { _ = server.Close() })
 
 	runners := platform.NewRunners(network.Dialer("vm"))
-	defer runners.Close()
-	term := election.Term{Number: 1, Valid: func() bool { return true }}
+	t.Cleanup(runners.Close)
+	term := election.Term{Number: 1, Valid: o.valid.Load}
 	s, err := New(Settings{VM: "vm", MaxLease: 6 * time.Second}, term, nil, runners, zap.NewNop())
 	must.NoError(t, err)
 	s.ctx, s.stepDown = context.WithCancel(context.Background())
-	defer s.stepDown()
+	t.Cleanup(s.stepDown)
+	o.s = s
 
 	info := cell.RunnerInfo{ID: "r0", Address: "r0:80", Pool: simPool, Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Incarnation: 1}
 	s.runnerLoops[info.ID] = newRunnerLoop(s, info)
@@ -53,12 +71,45 @@
 	dirty, err := s.cell.TakeDirty(1)
 	must.NoError(t, err)
 	s.cell.MarkSaved(dirty[0])
-	starts := s.cell.Decide(now, now).Starts
-	must.Len(t, 2, starts)
+	o.job, o.starts = job.ID, s.cell.Decide(now, now).Starts
+	must.Len(t, 2, o.starts)
+	return o
+}
+
+// Guards against a task that starts long after the cancellation of its job was acknowledged: on a
+// busy VM, a start order may be sent long after the decision, and after the cancellation.
+func TestCancelledStartIsNotSent(t *testing.T) {
+	o := newOrderTest(t, 0)
+	o.s.sendStart(o.starts[0], startOrderBytes)
+	must.Eq(t, 1, o.startCalls.Load())
+	o.s.cell.Cancel(time.Now(), o.job)
+	o.s.sendStart(o.starts[1], startOrderBytes)
+	must.Eq(t, 1, o.startCalls.Load())
+}
 
-	s.sendStart(starts[0], startOrderBytes)
-	must.Eq(t, 1, orders.Load())
-	s.cell.Cancel(now, job.ID)
-	s.sendStart(starts[1], startOrderBytes)
-	must.Eq(t, 1, orders.Load())
+// Guards against a process that was paused between a decision and its orders and then acts on a
+// term that has run out: another scheduler may have adopted the run that it would stop.
+func TestExpiredTermSendsNoOrders(t *testing.T) {
+	o := newOrderTest(t, 0)
+	o.s.sendStart(o.starts[0], startOrderBytes)
+	must.Eq(t, 1, o.startCalls.Load())
+	o.valid.Store(false)
+	o.s.sendStart(o.starts[1], startOrderBytes)
+	o.s.sendStop(o.starts[0].Run, smallOrderBytes)
+	must.Eq(t, 1, o.startCalls.Load())
+	must.Eq(t, 0, o.stopCalls.Load())
+}
+
+// Guards against work that is stopped and run again because the answer to its start was late: the
+// run that it confirms is kept.
+func TestLateAnswerConfirmsTheRun(t *testing.T) {
+	o := newOrderTest(t, orderTimeout+orderTimeout/2)
+	o.s.sendStart(o.starts[0], startOrderBytes)
+	must.Eq(t, 1, o.startCalls.Load())
+	must.Eq(t, cell.Active, o.starts[0].Run.Phase)
+	must.Eq(t, 1, o.s.loadCounts.startsUnknown.Load())
+	must.Eq(t, 1, o.s.loadCounts.startsOK.Load())
+	now := time.Now()
+	o.s.cell.HandleReport(now, now, "r0", cell.Report{Incarnation: 1, Running: []cell.ReportedRun{{Task: o.starts[0].Run.Task, Execution: o.starts[0].Run.Execution}}})
+	must.SliceEmpty(t, o.s.cell.TakeStops())
 }
