Restore each step of a stored state once

Cause: a stored state that names a step twice was applied twice, so that its done tasks were counted twice, the count of open tasks became negative and the job never ended. The scheduler doesn't write such states; it was found by feeding malformed ones (operators of similar systems told of messages that take a process down). Change: a step that is named again is left out. Tests: TestMalformedStoredStateIsHarmless fails before (job stays 'running'); TestMalformedReportIsHarmless and TestRunnerOfRosterWithoutEntryGetsNoWork pass before and after.

--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -204,10 +204,12 @@
 // restore applies a stored state to a new job.
 func (s *SavedJob) restore(j *Job) {
 	j.state, j.savedState, j.started = s.State, s.State, s.Started
+	restored := make(map[int]bool, len(s.Groups))
 	for _, x := range s.Groups {
-		if x.Index < 0 || x.Index >= len(j.groups) {
+		if x.Index < 0 || x.Index >= len(j.groups) || restored[x.Index] {
 			continue
 		}
+		restored[x.Index] = true
 		x.restore(j.groups[x.Index])
 	}
 }
