Take late answers of a watch as a sign of outdated entries

Change: the check is off only while the VM's other calls say too that the store cannot be reached; the age counts from the listing of a new term on; margin 0.3 s, so that a store that answers after 240 ms does not stop starts where the drain timeout is 2 s. Tests: TestUnansweredWatchMakesEntriesOutdated fails before.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -238,7 +238,6 @@
 			apply(all, true)
 			age.applied(listedAt)
 		default:
-			age.failed()
 			if s.ctx.Err() == nil {
 				s.log.Warn("[sched] watching the store failed; retrying", zap.String("prefix", prefix), zap.Duration("slack", slack), zap.Error(err))
 			}
--- a/daemon/internal/cellsched/runnerlist.go
+++ b/daemon/internal/cellsched/runnerlist.go
@@ -12,11 +12,13 @@
 
 // listRunners reads the entries of the runners and starts a loop for each runner.
 func (s *Scheduler) listRunners() (int64, bool) {
+	begin := time.Now()
 	items, at, ok := s.listAll(platform.RunnerPrefix)
 	if !ok {
 		return 0, false
 	}
 	s.applyRunners(items, true)
+	s.runnersAge.applied(begin)
 	return at, true
 }
 
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -37,7 +37,7 @@
 	minDecisionInterval = 4 * time.Millisecond
 	// drainMargin is how long before the end of DrainTimeout the known entries of runners count as
 	// outdated: the time for an order to be sent and to arrive.
-	drainMargin = 500 * time.Millisecond
+	drainMargin = 300 * time.Millisecond
 	// tickInterval is the longest time after which a timeout is noticed.
 	tickInterval = 100 * time.Millisecond
 )
@@ -62,6 +62,8 @@
 	// DrainTimeout is how long after it reported that it drains a runner may still be given work;
 	// 0 for no limit.
 	DrainTimeout time.Duration
+	// StoreUnreachable reports whether this VM currently cannot reach the store; nil for never.
+	StoreUnreachable func() bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64
 }
@@ -220,11 +222,16 @@
 
 // runnersOutdated reports whether the known entries of runners are so old that a runner may have
 // been draining for too long to be given work. Work then waits until the entries are current, which
-// also leaves the processor to the watch that brings them.
+// also leaves the processor to the watch that brings them. While the store cannot be reached, waiting
+// would only stop the work that is stored already. That a watch call got no answer in time is no sign
+// of that: on a busy VM its answer may only be late.
 func (s *Scheduler) runnersOutdated(now time.Time) bool {
 	if s.settings.DrainTimeout <= 0 {
 		return false
 	}
+	if s.settings.StoreUnreachable != nil && s.settings.StoreUnreachable() {
+		return false
+	}
 	outdated, age := s.runnersAge.exceeds(now, max(s.settings.DrainTimeout-drainMargin, drainMargin))
 	if s.runnersWereOutdated.Swap(outdated) != outdated {
 		s.log.Warn("[sched] age of the runners' entries changed", zap.Bool("outdated", outdated), zap.Duration("age", age))
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -97,6 +97,7 @@
 		VM: boot.VM, MaxLease: boot.MaxHold, DrainTimeout: boot.DrainTimeout, EarlyStart: boot.EarlyStart,
 		JobRetention: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreTimeout: v.storeTimeout.Timeout,
 		StoreWritesPerSecond: boot.WritesPerS, Cores: boot.ProcessorShare, LinkMbps: boot.LinkMbps,
+		StoreUnreachable: func() bool { return v.health.Unreachable(time.Now()) },
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), boot.MinLeaseTTL, func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
