--- a/daemon/internal/cellsched/loadmetrics.go
+++ b/daemon/internal/cellsched/loadmetrics.go
@@ -13,7 +13,7 @@
 // VM that runs the scheduler has them.
 type loadGauges struct {
 	meter                                                 metric.Meter
-	jobs, tasks, groups, orders, runs                     metric.Int64ObservableGauge
+	jobs, tasks, groups, orders, window, runs             metric.Int64ObservableGauge
 	advice, states, runners                               metric.Int64ObservableGauge
 	reports, ends                                         metric.Int64ObservableCounter
 	adviceAge, stateAge, reportAge, runQueue, cores, lock metric.Float64ObservableGauge
@@ -29,6 +29,7 @@
 		{&g.tasks, "rhubarbstall.cell.waiting.tasks", "Tasks that wait for their start, by priority"},
 		{&g.groups, "rhubarbstall.cell.waiting.groups", "Steps with tasks that wait for their start, by reason"},
 		{&g.orders, "rhubarbstall.cell.orders.in_flight", "Orders to runners without an answer yet, by kind"},
+		{&g.window, "rhubarbstall.cell.orders.window", "Bytes of orders that may be without an answer, and that are"},
 		{&g.runs, "rhubarbstall.cell.runs", "Runs that take room on runners, by what is known of them"},
 		{&g.advice, "rhubarbstall.cell.advice.calls", "Calls to the advisor that wait for a VM or are under way"},
 		{&g.states, "rhubarbstall.cell.states.dirty", "Changed states of jobs that wait for a write"},
@@ -73,7 +74,7 @@
 // register makes f the callback that observes the metrics until it is unregistered.
 func (g *loadGauges) register(f func(metric.Observer)) (metric.Registration, error) {
 	return g.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error { f(o); return nil },
-		g.jobs, g.tasks, g.groups, g.orders, g.runs, g.advice, g.states, g.runners,
+		g.jobs, g.tasks, g.groups, g.orders, g.window, g.runs, g.advice, g.states, g.runners,
 		g.reports, g.ends, g.adviceAge, g.stateAge, g.reportAge, g.runQueue, g.lock, g.cores)
 }
 
@@ -90,7 +91,9 @@
 	w := &r.WaitReasons
 	counts(g.groups, "reason", labelledCount{"inherited", int64(w.Inherited)}, labelledCount{"paused", int64(w.Paused)}, labelledCount{"due", int64(w.NotDue)},
 		labelledCount{"mark", int64(w.MarkNotStored)}, labelledCount{"advice", int64(w.AwaitingAdvice)}, labelledCount{"room", int64(w.NoCapacity)})
-	counts(g.orders, "kind", labelledCount{"start", r.startsInFlight}, labelledCount{"stop", r.stopsInFlight})
+	counts(g.orders, "kind", labelledCount{"start", r.startsInFlight}, labelledCount{"stop", r.stopsInFlight},
+		labelledCount{"start_queued", int64(r.orders.queuedStarts)}, labelledCount{"small_queued", int64(r.orders.queuedSmall)})
+	counts(g.window, "state", labelledCount{"size", int64(r.orders.window)}, labelledCount{"used", int64(r.orders.inFlight)})
 	counts(g.runs, "state", labelledCount{"unanswered", int64(r.Unconfirmed)}, labelledCount{"unsure", int64(r.OutcomeUnknown)}, labelledCount{"stopping", int64(r.Stopping)},
 		labelledCount{"active", int64(r.Runs - r.Unconfirmed - r.OutcomeUnknown - r.Stopping)})
 	counts(g.advice, "state", labelledCount{"queued", int64(r.adviceQueued)}, labelledCount{"under_way", int64(r.adviceAssigned)})
