--- a/daemon/internal/cellsched/orderqueue.go
+++ b/daemon/internal/cellsched/orderqueue.go
@@ -31,7 +31,7 @@
 type orderQueue struct {
 	mu     sync.Mutex
 	window *sendwindow.Window
-	// stops and paces go before starts: they are small, and a stop may have a time limit.
+	// small holds stops and paces. They go before starts: a stop may have a time limit.
 	small, starts []queuedOrder
 	// stopping holds the runs whose stop is queued or under way.
 	stopping map[*cell.Run]bool
@@ -56,13 +56,10 @@
 			n = max(n, 1)
 		}
 	}
-	q.limited = n < maxStartsWithoutLimit
+	q.limited = n < cell.MaxStartsPerDecision
 	return n
 }
 
-// maxStartsWithoutLimit is a number of starts that no decision exceeds.
-const maxStartsWithoutLimit = 100
-
 // addStart queues a start with a payload of the given size.
 func (q *orderQueue) addStart(payloadBytes int, send func(bytes int)) {
 	q.mu.Lock()
--- a/daemon/internal/cellsched/overload_scenarios_test.go
+++ b/daemon/internal/cellsched/overload_scenarios_test.go
@@ -38,6 +38,16 @@
 	slowStoreDelay = 240 * time.Millisecond
 )
 
+// deploymentSize is the size of a deployment under load.
+type deploymentSize struct {
+	runners, vms int
+	// callsPerSecond is how many calls the processor of a VM serves.
+	callsPerSecond int
+	// linkBytesPerSecond is the bandwidth of a VM's link; 0 for no limit. payloadBytes is the
+	// length of the payload that each start order carries.
+	linkBytesPerSecond, payloadBytes int
+}
+
 // sizeForRunners returns the size of a deployment in which the number of entry VMs and the calls
 // that each of them serves are proportional to the number of runners. Normal load takes two
 // thirds of these calls.
--- a/daemon/internal/cellsched/overload_test.go
+++ b/daemon/internal/cellsched/overload_test.go
@@ -34,16 +34,6 @@
 	callerDeadline = 3 * time.Second
 )
 
-// deploymentSize is the size of a deployment under load.
-type deploymentSize struct {
-	runners, vms int
-	// callsPerSecond is how many calls the processor of a VM serves.
-	callsPerSecond int
-	// linkBytesPerSecond is the bandwidth of a VM's link; 0 for no limit. payloadBytes is the
-	// length of the payload that each start order carries.
-	linkBytesPerSecond, payloadBytes int
-}
-
 // loadSim simulates a cell under load, with an in-memory network and a virtual clock. The
 // processors of its VMs serve a limited number of calls a second.
 type loadSim struct {
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -98,7 +98,7 @@
 // New returns an empty cell; now is the time of the takeover.
 func New(now time.Time, cfg Config) *Cell {
 	return &Cell{
-		cfg: cfg, takeoverAt: now, lastUpdate: now, rank: rankOf, maxStarts: maxStartsPerDecision,
+		cfg: cfg, takeoverAt: now, lastUpdate: now, rank: rankOf, maxStarts: MaxStartsPerDecision,
 		queues:  make(map[string]*Queue),
 		jobs:    make(map[string]*Job),
 		runners: make(map[string]*runner),
@@ -110,7 +110,7 @@
 // SetMaxStarts limits the starts that the next decisions may order to what the caller can send
 // soon. Tasks beyond it wait in the backlog, where more urgent ones may still overtake them. A
 // gang is started as a whole if the limit is not reached before it.
-func (c *Cell) SetMaxStarts(n int) { c.maxStarts = max(0, min(n, maxStartsPerDecision)) }
+func (c *Cell) SetMaxStarts(n int) { c.maxStarts = max(0, min(n, MaxStartsPerDecision)) }
 
 // SetQueues replaces the queue policies. Jobs of a removed queue keep its last policy.
 func (c *Cell) SetQueues(queues []Queue) {
@@ -256,36 +256,6 @@
 	}
 }
 
-// silentRunnerGrace is how long after the end of its leases a runner that still has an entry may be
-// silent before its runs are given up. A runner removes no end that nobody has acknowledged, so one
-// that lives and only cannot be reached may hold the successful end of a run. The grace is longer
-// than a partition usually lasts; the entry of a runner that died is removed sooner.
-const silentRunnerGrace = 8 * time.Second
-
-// givenUpAt returns when the runs of a runner that stays silent are given up.
-func (r *runner) givenUpAt(leasesExpireAt time.Time) time.Time {
-	if r.listed {
-		return leasesExpireAt.Add(silentRunnerGrace)
-	}
-	return leasesExpireAt
-}
-
-// giveUpSilentRunner treats the runs of a runner as lost once no run can exist there and its ends
-// are no longer awaited.
-func (c *Cell) giveUpSilentRunner(now time.Time, r *runner) {
-	if !now.After(r.leasesExpireAt) || now.Sub(r.lastReportAt) <= c.cfg.OrderTimeout || (len(r.runs) == 0 && r.reported) {
-		return
-	}
-	if now.After(r.givenUpAt(r.leasesExpireAt)) {
-		c.loseAllRuns(now, r)
-		return
-	}
-	if len(r.runs) > 0 && !r.endsAwaited {
-		r.endsAwaited = true
-		c.event(Event{Kind: EventSilentRunnerAwaited, Runner: r.info.ID, Count: len(r.runs), Age: now.Sub(r.lastReportAt)})
-	}
-}
-
 // loseAllRuns treats all runs of a runner as lost, after its leases have expired or another
 // incarnation has replaced it.
 func (c *Cell) loseAllRuns(now time.Time, r *runner) {
@@ -297,26 +267,6 @@
 	}
 }
 
-// checkInheritedRuns sets inheritedRunsKnown once every run of an earlier scheduler is
-// known.
-func (c *Cell) checkInheritedRuns(now time.Time) {
-	limit := c.takeoverAt.Add(c.cfg.InheritedRunTimeout)
-	for _, r := range c.sortedRunners {
-		expiry := r.leasesExpireAt
-		if expiry.After(limit) {
-			expiry = limit
-		}
-		if !r.reported && !now.After(r.givenUpAt(expiry)) {
-			return
-		}
-	}
-	if len(c.sortedRunners) == 0 && !now.After(limit) {
-		return
-	}
-	c.inheritedRunsKnown = true
-	c.event(Event{Kind: EventInheritedRunsKnown, Age: now.Sub(c.takeoverAt)})
-}
-
 // sortedRuns returns the runs by task and execution, so that decisions do not depend on map
 // order. The slice is cached until a run is added or removed, which most reports do not do;
 // callers must not change it.
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -64,7 +64,7 @@
 	for priority, rate := range c.starts.byPriority {
 		rate.add(now, counts[priority])
 	}
-	if n >= c.maxStarts && c.maxStarts < maxStartsPerDecision {
+	if n >= c.maxStarts && c.maxStarts < MaxStartsPerDecision {
 		c.starts.limitedAt = now
 	}
 }
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -22,9 +22,10 @@
 	Advice []AdviceCall
 }
 
+// MaxStartsPerDecision keeps a decision short; the next decision continues.
+const MaxStartsPerDecision = 100
+
 const (
-	// maxStartsPerDecision keeps a decision short; the next decision continues.
-	maxStartsPerDecision = 100
 	// groupRetryInterval is how often a group that found no capacity is tried again even if
 	// no runner that it may use has gained any: capacity that was reserved for others may
 	// be available again.
@@ -44,7 +45,7 @@
 	c.lookaheadTasks = 0
 	for _, part := range [...][]*group{front, sweep} {
 		for _, g := range part {
-			if len(d.Starts) >= maxStartsPerDecision {
+			if len(d.Starts) >= MaxStartsPerDecision {
 				break
 			}
 			if !g.hasWaitingTasks() {
--- /dev/null
+++ b/sched/cell/silentrunner.go
@@ -0,0 +1,57 @@
+package cell
+
+import "time"
+
+// A runner that is silent may be gone, or it may only not be heard: the network, or the VM of the
+// scheduler, is overloaded or cut off. Its leases bound how long it runs anything; how long its ends are
+// awaited depends on whether it still has an entry.
+
+// silentRunnerGrace is how long after the end of its leases a runner that still has an entry may be
+// silent before its runs are given up. A runner removes no end that nobody has acknowledged, so one
+// that lives and only cannot be reached may hold the successful end of a run. The grace is longer
+// than a partition usually lasts; the entry of a runner that died is removed sooner.
+const silentRunnerGrace = 8 * time.Second
+
+// givenUpAt returns when the runs of a runner that stays silent are given up.
+func (r *runner) givenUpAt(leasesExpireAt time.Time) time.Time {
+	if r.listed {
+		return leasesExpireAt.Add(silentRunnerGrace)
+	}
+	return leasesExpireAt
+}
+
+// giveUpSilentRunner treats the runs of a runner as lost once no run can exist there and its ends
+// are no longer awaited.
+func (c *Cell) giveUpSilentRunner(now time.Time, r *runner) {
+	if !now.After(r.leasesExpireAt) || now.Sub(r.lastReportAt) <= c.cfg.OrderTimeout || (len(r.runs) == 0 && r.reported) {
+		return
+	}
+	if now.After(r.givenUpAt(r.leasesExpireAt)) {
+		c.loseAllRuns(now, r)
+		return
+	}
+	if len(r.runs) > 0 && !r.endsAwaited {
+		r.endsAwaited = true
+		c.event(Event{Kind: EventSilentRunnerAwaited, Runner: r.info.ID, Count: len(r.runs), Age: now.Sub(r.lastReportAt)})
+	}
+}
+
+// checkInheritedRuns sets inheritedRunsKnown once every run of an earlier scheduler is
+// known.
+func (c *Cell) checkInheritedRuns(now time.Time) {
+	limit := c.takeoverAt.Add(c.cfg.InheritedRunTimeout)
+	for _, r := range c.sortedRunners {
+		expiry := r.leasesExpireAt
+		if expiry.After(limit) {
+			expiry = limit
+		}
+		if !r.reported && !now.After(r.givenUpAt(expiry)) {
+			return
+		}
+	}
+	if len(c.sortedRunners) == 0 && !now.After(limit) {
+		return
+	}
+	c.inheritedRunsKnown = true
+	c.event(Event{Kind: EventInheritedRunsKnown, Age: now.Sub(c.takeoverAt)})
+}
--- a/standin/memnet/uplink.go
+++ b/standin/memnet/uplink.go
@@ -121,4 +121,3 @@
 	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
-
