Take a pause of starts for no sign of a slow link

Cause: found when the change was read. A decision that may order no starts because the runners' entries are outdated counted as limited by the send window, so for two seconds new jobs were rejected by a rate of starts that fell to zero; a decision with nothing to start counted as limited too. Change: a pause is told apart, leaves the rates as they are, and only a decision that held back a start counts as limited.

--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -246,13 +246,13 @@
 		return
 	}
 	now := time.Now()
-	maxStarts := s.orders.maxStarts()
-	if s.runnersOutdated(now) {
-		maxStarts = 0
-	}
+	maxStarts, paused := s.orders.maxStarts(), s.runnersOutdated(now)
 	s.mu.Lock()
 	begin := time.Now()
 	s.cell.SetMaxStarts(maxStarts)
+	if paused {
+		s.cell.PauseStarts()
+	}
 	s.cell.Tick(now)
 	d := s.cell.Decide(now, now.Round(0))
 	s.recordDecision(begin, &d)
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -80,6 +80,9 @@
 	finishedJobs windowedRate
 	// maxStarts is how many starts one decision may order.
 	maxStarts int
+	// startsPaused tells that no starts may be ordered at present; startsHeldBack that the
+	// decision in progress held back a start because of maxStarts.
+	startsPaused, startsHeldBack bool
 	// promotionBudget is how much work of starved groups may be promoted, in milli-CPU
 	// seconds, as of promotionRefilledAt.
 	promotionBudget     float64
@@ -110,7 +113,13 @@
 // SetMaxStarts limits the starts that the next decisions may order to what the caller can send
 // soon. Tasks beyond it wait in the backlog, where more urgent ones may still overtake them. A
 // gang is started as a whole if the limit is not reached before it.
-func (c *Cell) SetMaxStarts(n int) { c.maxStarts = max(0, min(n, MaxStartsPerDecision)) }
+func (c *Cell) SetMaxStarts(n int) {
+	c.maxStarts, c.startsPaused = max(0, min(n, MaxStartsPerDecision)), false
+}
+
+// PauseStarts makes the next decisions order no starts until SetMaxStarts is called. That says nothing
+// about how many starts the caller can send.
+func (c *Cell) PauseStarts() { c.maxStarts, c.startsPaused = 0, true }
 
 // SetQueues replaces the queue policies. Jobs of a removed queue keep its last policy.
 func (c *Cell) SetQueues(queues []Queue) {
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -35,7 +35,7 @@
 // for more groups than can start would expire unused, and the calls for them take the same link.
 type startRate struct {
 	movingRate
-	// limitedAt is when a decision last ordered as many starts as it might.
+	// limitedAt is when a decision last held back a start.
 	limitedAt time.Time
 	// byPriority holds the rates of the priorities.
 	byPriority map[int]*movingRate
@@ -51,8 +51,15 @@
 
 // recordStarts updates the rates of starts after a decision.
 func (c *Cell) recordStarts(now time.Time, starts []StartOrder) {
-	n := len(starts)
-	c.starts.add(now, int64(n))
+	if c.startsPaused {
+		// The rates stay as they were.
+		c.starts.at = now
+		for _, rate := range c.starts.byPriority {
+			rate.at = now
+		}
+		return
+	}
+	c.starts.add(now, int64(len(starts)))
 	counts := make(map[int]int64)
 	for i := range starts {
 		priority := starts[i].Run.group.queue.Priority
@@ -64,7 +71,7 @@
 	for priority, rate := range c.starts.byPriority {
 		rate.add(now, counts[priority])
 	}
-	if n >= c.maxStarts && c.maxStarts < MaxStartsPerDecision {
+	if c.startsHeldBack && c.maxStarts < MaxStartsPerDecision {
 		c.starts.limitedAt = now
 	}
 }
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -42,7 +42,7 @@
 	front, sweep := c.groupsToConsider(now, wall)
 	c.applyReservations(now)
 	demands := make(map[runnerClass]*demand)
-	c.lookaheadTasks = 0
+	c.lookaheadTasks, c.startsHeldBack = 0, false
 	for _, part := range [...][]*group{front, sweep} {
 		for _, g := range part {
 			if len(d.Starts) >= MaxStartsPerDecision {
@@ -84,6 +84,7 @@
 	c.returnReservation(g)
 	if len(d.Starts) >= c.maxStarts {
 		// The tasks wait for the link and not for capacity, so nothing is reserved.
+		c.startsHeldBack = true
 		if inLookahead || len(g.reservedRunners) > 0 {
 			c.requestAdvice(now, g, d)
 		}
@@ -175,6 +176,7 @@
 	}
 	for _, index := range g.waitingIndexes() {
 		if len(d.Starts) >= c.maxStarts {
+			c.startsHeldBack = true
 			return
 		}
 		r := c.bestFit(g, candidates)
