Keep serving when no file descriptor is free, and use fewer

Up to five connections to each of 3,000 runners exceed its 8,192 descriptors, and the first failed accept ended the peer server and with it the process. Change: a failed accept is logged and retried with a growing pause. Idle connections to runners take a third of the descriptors at most; each runner has one more in use for its renewal. Tests: TestServerOutlivesFailedAccepts fails before.

--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -93,6 +93,7 @@
 		}
 	})
 	runners := platform.NewRunners(netcount.WrapDial(netcount.Runner, platform.TCPDialer()))
+	runners.LimitIdleConnections(int(idleRunnerConnShare * float64(boot.FileDescriptors)))
 	set := cellsched.Settings{
 		VM: boot.VM, MaxLease: boot.MaxHold, DrainTimeout: boot.DrainTimeout, EarlyStart: boot.EarlyStart,
 		JobRetention: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreTimeout: v.storeTimeout.Timeout,
@@ -115,6 +116,10 @@
 	return v, nil
 }
 
+// idleRunnerConnShare is the share of the file descriptors that idle connections to runners may take. Each
+// runner has one more in use, and callers, other VMs and the store need the rest.
+const idleRunnerConnShare = 1.0 / 3
+
 // linkMbpsPerCore is the network bandwidth that the scheduler needs for each core that it
 // uses.
 const linkMbpsPerCore = 50
--- a/daemon/internal/peer/peer_test.go
+++ b/daemon/internal/peer/peer_test.go
@@ -110,3 +110,34 @@
 	_, err = Call[echo, echo](t.Context(), c, addr, "echo", &echo{})
 	must.NoError(t, err)
 }
+
+// failingListener fails the first accepts.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends because it has no file descriptor for a further connection.
+func TestServerOutlivesFailedAccepts(t *testing.T) {
+	s := NewServer()
+	Handle(s, "echo", func(_ context.Context, _ string, e *echo) (*echo, error) { return e, nil })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(&failingListener{l, 3}) }()
+	c := NewClient("a")
+	defer c.Close()
+	_, err = Call[echo, echo](t.Context(), c, l.Addr().String(), "echo", &echo{})
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	s.CloseConnections()
+	must.NoError(t, <-served)
+}
--- a/daemon/internal/peer/server.go
+++ b/daemon/internal/peer/server.go
@@ -94,16 +94,31 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed.
+// Pauses after a failed accept grow from minAcceptPause to maxAcceptPause.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Serve accepts connections until the listener is closed. An accept that fails otherwise, for example
+// because the process has no free file descriptor, is retried: to return would end the process, and
+// with it all that it serves on other connections.
 func (s *Server) Serve(l net.Listener) error {
+	pause := time.Duration(0)
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return err
+			if pause == 0 {
+				s.log.Error("[peers] accepting a connection failed; retrying", zap.Error(err))
+			}
+			pause = min(max(minAcceptPause, 2*pause), maxAcceptPause)
+			time.Sleep(pause)
+			continue
 		}
+		pause = 0
 		s.track(conn, true)
 		go func() {
 			defer s.track(conn, false)
