Leave half of the drain timeout for an order to arrive

Change: entries count as outdated after half of the drain timeout, at least 1.5 s, which is above the age that they reach between two answers of their watch. Test: TestNoStartsWhileRunnersEntriesAreOutdated holds both bounds.

--- a/daemon/internal/cellsched/listingage_test.go
+++ b/daemon/internal/cellsched/listingage_test.go
@@ -16,10 +16,15 @@
 	now := time.Now()
 	must.False(t, s.runnersOutdated(now))
 	s.runnersAge.applied(now)
-	must.False(t, s.runnersOutdated(now.Add(3*time.Second)))
-	must.True(t, s.runnersOutdated(now.Add(3800*time.Millisecond)))
-	s.runnersAge.applied(now.Add(3 * time.Second))
-	must.False(t, s.runnersOutdated(now.Add(3800*time.Millisecond)))
+	must.False(t, s.runnersOutdated(now.Add(1900*time.Millisecond)))
+	must.True(t, s.runnersOutdated(now.Add(2100*time.Millisecond)))
+	s.runnersAge.applied(now.Add(time.Second))
+	must.False(t, s.runnersOutdated(now.Add(2100*time.Millisecond)))
+	// With a short timeout the entries may still become as old as they do between two answers.
+	s.settings.DrainTimeout = 2 * time.Second
+	s.runnersAge.applied(now)
+	must.False(t, s.runnersOutdated(now.Add(1200*time.Millisecond)))
+	must.True(t, s.runnersOutdated(now.Add(1600*time.Millisecond)))
 }
 
 // Guards against a watch whose answers are too late for their timeout, which was taken for a store
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -35,9 +35,11 @@
 	executionsPerTerm = 1 << 20
 	// minDecisionInterval is the minimum pause between two decisions.
 	minDecisionInterval = 4 * time.Millisecond
-	// drainMargin is how long before the end of DrainTimeout the known entries of runners count as
-	// outdated: the time for an order to be sent and to arrive.
-	drainMargin = 300 * time.Millisecond
+	// drainMarginShare is the share of DrainTimeout that is left for an order to be sent and to
+	// arrive: on a busy VM both take long. minRunnersAge is above the age that the known entries
+	// of runners reach between two answers of their watch.
+	drainMarginShare = 0.5
+	minRunnersAge    = 1500 * time.Millisecond
 	// tickInterval is the longest time after which a timeout is noticed.
 	tickInterval = 100 * time.Millisecond
 )
@@ -232,7 +234,7 @@
 	if s.settings.StoreUnreachable != nil && s.settings.StoreUnreachable() {
 		return false
 	}
-	outdated, age := s.runnersAge.exceeds(now, max(s.settings.DrainTimeout-drainMargin, drainMargin))
+	outdated, age := s.runnersAge.exceeds(now, max(time.Duration((1-drainMarginShare)*float64(s.settings.DrainTimeout)), minRunnersAge))
 	if s.runnersWereOutdated.Swap(outdated) != outdated {
 		s.log.Warn("[sched] age of the runners' entries changed", zap.Bool("outdated", outdated), zap.Duration("age", age))
 	}
