Give a stop up after its timeout, so that it is repeated soon

Change: only starts await a late answer, which tells whether the run exists; a stop is given up after its timeout and can be repeated. Test: TestUnansweredStopCanBeRepeatedSoon fails before (1 s a stop).

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -76,15 +76,22 @@
 
 // callRunner makes a call that carries an order of some bytes. If there is no answer in time, it
 // calls overdue and waits on, as long again: a late answer still tells what has become of the
-// order, and the connection can be kept.
+// order, and the connection can be kept. Without overdue it gives up instead, so that the order can
+// be repeated soon.
 func (s *Scheduler) callRunner(bytes int, overdue func(), call func(ctx context.Context) error) error {
 	timeout := s.orders.timeout()
-	ctx, cancel := context.WithTimeout(s.ctx, lateAnswerFactor*timeout)
+	limit := timeout
+	if overdue != nil {
+		limit *= lateAnswerFactor
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
 	sent := time.Now()
 	timer := time.AfterFunc(timeout, func() {
 		s.orders.timedOut(time.Now())
-		overdue()
+		if overdue != nil {
+			overdue()
+		}
 	})
 	err := call(ctx)
 	timer.Stop()
@@ -194,7 +201,7 @@
 		s.finishOrder(bytes, false, 0)
 		return
 	}
-	err := s.callRunner(bytes, func() {}, func(ctx context.Context) error {
+	err := s.callRunner(bytes, nil, func(ctx context.Context) error {
 		_, err := s.runners.Stop(ctx, l.address(), run.Task, run.Execution, s.term.Number)
 		return err
 	})
@@ -228,7 +235,7 @@
 		s.finishOrder(bytes, false, 0)
 		return
 	}
-	err := s.callRunner(bytes, func() {}, func(ctx context.Context) error {
+	err := s.callRunner(bytes, nil, func(ctx context.Context) error {
 		_, err := s.runners.SetSpeed(ctx, l.address(), run.Task, run.Execution, s.term.Number, p.Percent)
 		return err
 	})
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -113,3 +113,18 @@
 	o.s.cell.HandleReport(now, now, "r0", cell.Report{Incarnation: 1, Running: []cell.ReportedRun{{Task: o.starts[0].Run.Task, Execution: o.starts[0].Run.Execution}}})
 	must.SliceEmpty(t, o.s.cell.TakeStops())
 }
+
+// Guards against a cancelled task that works on because its stop is not repeated soon: the first order
+// got no answer, and waiting for a late one would hold the next one back.
+func TestUnansweredStopCanBeRepeatedSoon(t *testing.T) {
+	o := newOrderTest(t, 10*orderTimeout)
+	run := o.starts[0].Run
+	for range 3 {
+		must.True(t, o.s.orders.beginStop(run))
+		begin := time.Now()
+		o.s.sendStop(run, smallOrderBytes)
+		must.Less(t, orderTimeout*3/2, time.Since(begin))
+		o.s.orders.endStop(run)
+	}
+	must.Eq(t, 3, o.stopCalls.Load())
+}
