Let the send window shrink on a VM whose processor is the limit

Then 1.1 MB of orders, about 1,400, were under way, with run_queue_p99_ms 270 to 670, 373 to 440 starts a second without an answer in 500 ms and stops as late; the same delay explains tasks that started 7.1 s after their cancelling. Cause: the window's lower bound, half of what the link carries in 100 ms, is 1.25 MB on a link of 200 Mbit/s, so the processor's delay could not shrink it. Change: the lower bound is at most 64 kB, some 70 orders; on narrow links it is what it was.

--- a/sched/sendwindow/window.go
+++ b/sched/sendwindow/window.go
@@ -20,10 +20,13 @@
 	// unknownLinkBytes is the nominal window if the bandwidth of the link is not known.
 	unknownLinkBytes = 1 << 20
 	// minWindowShare and maxWindowShare bound the window relative to the nominal one. The
-	// lower bound keeps orders flowing while the processor or the receiving direction of the
-	// link delays answers, which fewer orders do not change.
+	// lower bound keeps orders flowing on a narrow link while its receiving direction delays
+	// answers, which fewer orders do not change.
 	minWindowShare = 0.5
 	maxWindowShare = 2.0
+	// maxLowerBoundBytes limits the lower bound on a wide link: there the processor is what
+	// delays answers, and each further order under way only makes all of them later.
+	maxLowerBoundBytes = 64 << 10
 	// minWindowBytes is a few orders.
 	minWindowBytes = 4 << 10
 	// interval is the time over which the fastest answer is measured.
@@ -63,7 +66,7 @@
 	if nominal <= 0 {
 		nominal = unknownLinkBytes
 	}
-	return &Window{minBytes: max(minWindowBytes, nominal*minWindowShare), maxBytes: max(minWindowBytes, nominal*maxWindowShare), size: max(minWindowBytes, nominal)}
+	return &Window{minBytes: max(minWindowBytes, min(nominal*minWindowShare, maxLowerBoundBytes)), maxBytes: max(minWindowBytes, nominal*maxWindowShare), size: max(minWindowBytes, nominal)}
 }
 
 // Size returns the present bound in bytes, and InFlight the bytes without an answer.
--- a/sched/sendwindow/window_test.go
+++ b/sched/sendwindow/window_test.go
@@ -78,6 +78,28 @@
 	must.Greater(t, 8*rate*6/10, sent*orderBytes, must.Sprint("bytes of orders sent in eight seconds"))
 }
 
+// Guards against thousands of orders under way on a VM whose link is wide and whose processor is the
+// limit: each would arrive seconds after it was checked, at a runner that has left or for a job that
+// was cancelled. The processor serves 1,500 orders a second, and twice as many are decided.
+func TestBusyProcessorDoesNotDelayOrders(t *testing.T) {
+	const perSecond, orderBytes = 1500, 800
+	l := newLink(perSecond * orderBytes)
+	w := New(25e6)
+	queued, sent := 0, 0
+	for i := range 10000 {
+		queued += 2 * perSecond / 1000
+		for queued > 0 && w.Admit(l.now, orderBytes) {
+			l.send(orderBytes, 0)
+			queued--
+			sent++
+		}
+		if slowest := l.step(w, time.Millisecond); i > 3000 {
+			must.Less(t, 400*time.Millisecond, slowest, must.Sprint("time to the answer of an order"))
+		}
+	}
+	must.Greater(t, 10*perSecond*9/10, sent)
+}
+
 // Guards against a window that shrinks because single runners are slow.
 func TestSlowRunnersDoNotShrinkTheWindow(t *testing.T) {
 	const rate, orderBytes = 2_500_000, 1000
