Shut the store's stand-in down before a test of loading ends

Change: the fixture shuts its HTTP server down, which waits for the calls in progress, instead of counting them.

--- a/daemon/internal/cellsched/load_test.go
+++ b/daemon/internal/cellsched/load_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -35,15 +34,10 @@
 	// bitsPerSecond is the speed of the link; 0 for no limit.
 	bitsPerSecond float64
 	bytesSent     atomic.Int64
-	// handlers counts the calls that are being answered. A synctest bubble must not end before
-	// they do, and closing the server does not wait for them.
-	handlers sync.WaitGroup
 }
 
 // ServeHTTP answers as the store does, at the speed of the VM's link.
 func (c *storeFixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c.handlers.Add(1)
-	defer c.handlers.Done()
 	answer := httptest.NewRecorder()
 	c.store.ServeHTTP(answer, r)
 	c.bytesSent.Add(int64(answer.Body.Len()))
@@ -64,9 +58,13 @@
 	return c
 }
 
+// close waits for the calls that are being answered, because a synctest bubble must not end before
+// they do.
 func (c *storeFixture) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_ = c.server.Shutdown(ctx)
 	_ = c.server.Close()
-	c.handlers.Wait()
 }
 
 // newScheduler returns the scheduler of a new term, which has not loaded anything, and the
