Review: a task whose only worker failed it once is never started again

A task needs a label that one worker of twelve has. Its first run there fails, with two attempts left, and the scheduler leaves this worker out for ever: it compares the avoided runners with all runners, not with those that may run the task.

--- /dev/null
+++ b/review/standin/advisor.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Durations of the advisor, as of the queue label-check of psalter-hq.
+const (
+	adviceBase      = 12 * time.Millisecond
+	advicePerWorker = 170 * time.Microsecond
+	adviceValidity  = 2 * time.Second
+)
+
+type ticket struct {
+	step  string
+	id    string
+	born  time.Time
+	until time.Time
+}
+
+// advise answers POST /-/advise and approves every worker.
+func (w *world) advise(rw http.ResponseWriter, req *http.Request) {
+	var in struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if json.NewDecoder(req.Body).Decode(&in) != nil || len(in.Workers) > 100 {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(adviceBase + time.Duration(len(in.Workers))*advicePerWorker)
+	rows := [][]string{}
+	w.mu.Lock()
+	now := time.Now()
+	for _, id := range in.Workers {
+		r := w.runner(id)
+		if r == nil || !r.up {
+			continue
+		}
+		name := fmt.Sprintf("t%d", len(w.tickets))
+		w.tickets[name] = ticket{step: in.Step, id: id, born: r.born, until: now.Add(adviceValidity)}
+		rows = append(rows, []string{id, name})
+	}
+	w.rec.logf("advisor approves %d of %d workers for %s", len(rows), len(in.Workers), in.Step)
+	w.mu.Unlock()
+	reply(rw, http.StatusOK, map[string]any{"approved_workers": rows})
+}
+
+func (w *world) ticketValid(now time.Time, r *runner, o order) bool {
+	t, ok := w.tickets[o.Ticket]
+	x := run{task: o.Task}
+	return ok && t.step == x.group() && t.id == r.id && t.born.Equal(r.born) && !now.After(t.until)
+}
