Review: a job is run after its cancelling was acknowledged with 410 (UNASKED)

The client's POST got 502, its DELETE 410. A write of the job that the store does late makes the job run. The case of the foreign entry makes room for it; the report keeps what was seen of it.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -31,13 +31,18 @@
 	return resp.StatusCode, string(data)
 }
 
-// submit hands a job in, at most four times, until it is accepted.
-func (w *world) submit(j *job) error {
+// know makes a job known to the runners, which refuse what no client sent.
+func (w *world) know(j *job) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	j.done, j.failed, j.lastEnd = make(map[string]bool), make(map[string]int), make(map[string]time.Time)
 	w.jobs[j.ID] = j
 	w.order = append(w.order, j)
-	w.mu.Unlock()
+}
+
+// submit hands a job in, at most four times, until it is accepted.
+func (w *world) submit(j *job) error {
+	w.know(j)
 	body, err := json.Marshal(map[string]any{"specification": j.Spec, "steps": j.Steps})
 	if err != nil {
 		return err
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -17,6 +20,8 @@
 const (
 	maxEntries = 32
 	pageItems  = 500
+	pageBytes  = 1 << 20
+	valueBytes = 1 << 20
 	minTTL     = time.Second
 )
 
@@ -43,6 +48,28 @@
 	leases   map[int64]*lease
 	lastID   int64
 	changed  chan struct{}
+	// lostUntil is the time until which a third of the keys is in trouble: a write whose first key is
+	// one of them gets no answer, and is done 1 to 6 s later if its conditions still hold.
+	lostUntil time.Time
+}
+
+// lateWrites begins a time in which answers of the store are lost.
+func (s *store) lateWrites(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostUntil = time.Now().Add(d)
+}
+
+// losesAnswer reports whether the answer to a write is lost.
+func (s *store) losesAnswer(t *txn) bool {
+	if len(t.Write) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.Write[0].Key))
+	return time.Now().Before(s.lostUntil) && h.Sum32()%3 == 0
 }
 
 func newStore() *store {
@@ -161,7 +188,17 @@
 		ms, _ := strconv.Atoi(q.Get("wait_ms"))
 		return s.watch(r, q.Get("path_prefix"), after, time.Duration(ms)*time.Millisecond)
 	case path == "/-/kv-txn":
-		return s.commit(r)
+		var t txn
+		if json.NewDecoder(r.Body).Decode(&t) != nil || len(t.Expected)+len(t.Write)+len(t.Remove) > maxEntries {
+			return http.StatusBadRequest, map[string]any{}
+		}
+		if s.losesAnswer(&t) {
+			time.AfterFunc(time.Second+rand.N(5*time.Second), func() { s.commit(t) })
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		return s.commit(t)
 	case path == "/-/kv-lease":
 		return s.grant(r)
 	case strings.HasPrefix(path, "/-/kv-keep/"):
@@ -195,13 +232,15 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > pageItems
-	if more {
-		keys = keys[:pageItems]
-	}
 	items := make([]item, 0, len(keys))
+	more, bytes := false, 0
 	for _, k := range keys {
-		items = append(items, s.items[k])
+		it := s.items[k]
+		bytes += len(it.Value)
+		if more = len(items) == pageItems || (len(items) > 0 && bytes > pageBytes); more {
+			break
+		}
+		items = append(items, it)
 	}
 	return http.StatusOK, map[string]any{"items": items, "has_more": more, "at": s.revision}
 }
@@ -246,11 +285,7 @@
 	Remove []string `json:"remove"`
 }
 
-func (s *store) commit(r *http.Request) (int, any) {
-	var t txn
-	if json.NewDecoder(r.Body).Decode(&t) != nil || len(t.Expected)+len(t.Write)+len(t.Remove) > maxEntries {
-		return http.StatusBadRequest, map[string]any{}
-	}
+func (s *store) commit(t txn) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
@@ -273,6 +308,9 @@
 		if strings.HasPrefix(w.Key, "op/") || strings.HasPrefix(w.Key, "servers/") {
 			return http.StatusForbidden, map[string]any{}
 		}
+		if len(w.Value) > valueBytes {
+			return http.StatusBadRequest, map[string]any{}
+		}
 	}
 	s.revision++
 	for _, w := range t.Write {
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -43,25 +44,26 @@
 	return nil, fmt.Errorf("deploy/system.toml has no run")
 }
 
-// freePort returns a port that is free now, with the next one if two are needed.
+// Ports of VMs are below those that the kernel picks for connections.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// freePort returns a port that is free now, with the next ones if more are needed.
 func freePort(n int) (int, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		ok := true
-		for i := 1; i < n; i++ {
-			next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		free := true
+		for i := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
 			if err != nil {
-				ok = false
+				free = false
 				break
 			}
-			_ = next.Close()
+			_ = l.Close()
 		}
-		_ = l.Close()
-		if ok {
+		if free {
 			return port, nil
 		}
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -48,6 +48,8 @@
 	queue *queue
 
 	accepted time.Time
+	// cancelled is when a client got the acknowledgement of the job's cancelling.
+	cancelled time.Time
 	// done holds the tasks that have ended done, by step and index.
 	done map[string]bool
 	// failed counts the runs that ended failed, by task; lastEnd is the last end by task.
@@ -115,6 +117,8 @@
 	version                int
 	// onStart is called for each start, with the lock held.
 	onStart func(x *run)
+	// onTick is called each 10 ms, with the lock held.
+	onTick func()
 }
 
 func newWorld(rec *record, dir string) (*world, error) {
@@ -320,6 +324,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
+	if w.onTick != nil {
+		w.onTick()
+	}
 	for _, r := range w.runners {
 		if r.up && now.Sub(r.lastBeat) >= heartbeat {
 			r.beat(now)
