--- a/review/standin/advisor.go
+++ b/review/standin/advisor.go
@@ -9,9 +9,9 @@
 
 // Durations of the advisor, as of the queue label-check of psalter-hq.
 const (
-	adviceBase      = 12 * time.Millisecond
-	advicePerWorker = 170 * time.Microsecond
-	adviceValidity  = 2 * time.Second
+	adviceDecisionMS  = 12
+	advicePerWorkerMS = 0.17
+	adviceValidity    = 2 * time.Second
 )
 
 type ticket struct {
@@ -31,7 +31,14 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(adviceBase + time.Duration(len(in.Workers))*advicePerWorker)
+	w.mu.Lock()
+	j, _ := w.jobOf(in.Step + ".0")
+	w.mu.Unlock()
+	if j == nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(j.queue.callTime(len(in.Workers)))
 	rows := [][]string{}
 	w.mu.Lock()
 	now := time.Now()
--- a/review/standin/case_cancel.go
+++ b/review/standin/case_cancel.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -116,19 +115,11 @@
 
 // submitOrCancel hands a job in once. If it is not accepted, the client gives up and cancels the job.
 func (w *world) submitOrCancel(j *job, n int) {
-	body, err := json.Marshal(map[string]any{"specification": j.Spec, "steps": j.Steps})
-	if err != nil {
-		panic(err) // The fields are plain.
-	}
-	status, _ := w.call(w.vms[n%len(w.vms)], http.MethodPost, j.queue.prefix()+j.ID, body)
-	if status >= 200 && status < 300 {
-		w.mu.Lock()
-		j.accepted = time.Now()
-		w.mu.Unlock()
+	if w.submitOnce(j, n) {
 		return
 	}
 	for try := range 4 {
-		status, _ = w.call(w.vms[(n+1+try)%len(w.vms)], http.MethodDelete, j.queue.prefix()+j.ID, nil)
+		status, _ := w.call(w.vms[(n+1+try)%len(w.vms)], http.MethodDelete, j.queue.prefix()+j.ID, nil)
 		if (status >= 200 && status < 300) || status == http.StatusGone {
 			w.mu.Lock()
 			j.cancelled = time.Now()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,8 +22,20 @@
 	Priority    int
 	// Advice tells whether starts need a ticket of the advisor.
 	Advice bool
+	// DecisionMS and PerWorkerMS are the durations of the advisor; 0 for those of label-check of
+	// psalter-hq.
+	DecisionMS, PerWorkerMS float64
 }
 
+// callTime returns how long the advisor takes for a call that names n workers.
+func (q *queue) callTime(n int) time.Duration {
+	return time.Duration((q.decisionMS() + float64(n)*q.perWorkerMS()) * float64(time.Millisecond))
+}
+
+func (q *queue) decisionMS() float64 { return cmp.Or(q.DecisionMS, adviceDecisionMS) }
+
+func (q *queue) perWorkerMS() float64 { return cmp.Or(q.PerWorkerMS, advicePerWorkerMS) }
+
 func (q *queue) prefix() string { return "/" + q.Name + "/" }
 
 type step struct {
@@ -159,7 +172,7 @@
 			"priority": q.Priority, "service": service, "max_attempts": q.MaxAttempts, "slack_factor": 2,
 		}
 		if q.Advice {
-			route["recommendation"] = map[string]any{"decision_ms": 12, "per_worker_ms": 0.17, "validity_ms": 2000}
+			route["recommendation"] = map[string]any{"decision_ms": q.decisionMS(), "per_worker_ms": q.perWorkerMS(), "validity_ms": adviceValidity.Milliseconds()}
 		}
 		routes = append(routes, route)
 		names = append(names, q.Name)
