--- a/review/standin/advisor.go
+++ b/review/standin/advisor.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"time"
 )
@@ -21,7 +22,17 @@
 	until time.Time
 }
 
-// advise answers POST /-/advise and approves every worker.
+// approves reports whether the queue's policy allows a step to run on a worker; the answer never changes.
+func (q *queue) approves(step, worker string) bool {
+	if q.Good == 0 {
+		return true
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(step + "@" + worker))
+	return float64(h.Sum64()%1000) < 1000*q.Good
+}
+
+// advise answers POST /-/advise with the workers that the queue's policy allows.
 func (w *world) advise(rw http.ResponseWriter, req *http.Request) {
 	var in struct {
 		Step    string   `json:"step"`
@@ -44,7 +55,7 @@
 	now := time.Now()
 	for _, id := range in.Workers {
 		r := w.runner(id)
-		if r == nil || !r.up {
+		if r == nil || !r.up || !j.queue.approves(in.Step, id) {
 			continue
 		}
 		name := fmt.Sprintf("t%d", len(w.tickets))
--- a/review/standin/case_label.go
+++ b/review/standin/case_label.go
@@ -20,11 +20,13 @@
 }
 
 func (w *world) startVMs(n int) error {
+	begin := time.Now()
 	for i := range n {
 		if _, err := w.addVM(fmt.Sprintf("frontend-regina-%d", i+1)); err != nil {
 			return err
 		}
 	}
+	w.rec.logf("%d entry VMs started in %v", n, time.Since(begin).Round(time.Millisecond))
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return err
 	}
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -70,8 +70,31 @@
 	return 0, fmt.Errorf("no %d free ports", n)
 }
 
-// addVM starts an entry VM.
+// addVM starts an entry VM. If the process ends at once, since something else took one of its ports
+// meanwhile, it is started with others.
 func (w *world) addVM(name string) (*vm, error) {
+	for range 5 {
+		v, err := w.newVM(name)
+		if err != nil {
+			return nil, err
+		}
+		if err := v.start(); err != nil {
+			return nil, err
+		}
+		select {
+		case <-v.exited:
+			w.rec.logf("vm %s could not listen; trying other ports", name)
+			continue
+		case <-time.After(200 * time.Millisecond):
+		}
+		w.vms = append(w.vms, v)
+		return v, nil
+	}
+	return nil, fmt.Errorf("vm %s does not start", name)
+}
+
+// newVM chooses the ports of an entry VM and writes its settings file.
+func (w *world) newVM(name string) (*vm, error) {
 	v := &vm{w: w, name: name, log: filepath.Join(w.dir, name+".log"), settings: filepath.Join(w.dir, name+".conf"), storeAddr: w.storeAddr}
 	base, err := freePort(2)
 	if err != nil {
@@ -140,8 +163,7 @@
 	if err := os.WriteFile(v.settings, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	w.vms = append(w.vms, v)
-	return v, v.start()
+	return v, nil
 }
 
 // start starts the process of the VM as the deploy file says.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -25,6 +25,8 @@
 	// DecisionMS and PerWorkerMS are the durations of the advisor; 0 for those of label-check of
 	// psalter-hq.
 	DecisionMS, PerWorkerMS float64
+	// Good is the share of the workers that may run a step; 0 for all.
+	Good float64
 }
 
 // callTime returns how long the advisor takes for a call that names n workers.
@@ -73,7 +75,6 @@
 	starts  int
 	// idleSince is since when nothing runs although a task's turn has come and there is room.
 	idleSince time.Time
-	longest   time.Duration
 }
 
 func (j *job) stepDone(s int) bool {
