--- a/review/standin/case_label.go
+++ b/review/standin/case_label.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -20,13 +22,16 @@
 }
 
 func (w *world) startVMs(n int) error {
-	begin := time.Now()
+	w.vms = make([]*vm, n)
+	errs := make([]error, n)
+	var starts sync.WaitGroup
 	for i := range n {
-		if _, err := w.addVM(fmt.Sprintf("frontend-regina-%d", i+1)); err != nil {
-			return err
-		}
+		starts.Go(func() { w.vms[i], errs[i] = w.addVM(fmt.Sprintf("frontend-regina-%d", i+1)) })
+	}
+	starts.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
 	}
-	w.rec.logf("%d entry VMs started in %v", n, time.Since(begin).Round(time.Millisecond))
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return err
 	}
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -87,7 +87,6 @@
 			continue
 		case <-time.After(200 * time.Millisecond):
 		}
-		w.vms = append(w.vms, v)
 		return v, nil
 	}
 	return nil, fmt.Errorf("vm %s does not start", name)
@@ -254,6 +253,9 @@
 // close ends all processes.
 func (w *world) close() {
 	for _, v := range w.vms {
+		if v == nil {
+			continue
+		}
 		select {
 		case <-v.exited:
 		default:
