--- a/review/standin/case_route.go
+++ b/review/standin/case_route.go
@@ -7,12 +7,14 @@
 
 func init() { cases["route"] = caseRoute }
 
-// caseRoute: the operator removes a route that has an accepted job, and the VM of the scheduler is
-// stopped and started again. The second step of the job never starts: its orders carry no ticket.
+// caseRoute: the operator removes two routes that have an accepted job each, and the VM of the scheduler
+// is stopped and started again. The second step of the one job never starts: its orders carry no ticket.
+// That of the other, which can't be done, is started more often than its queue allows.
 func caseRoute(w *world, trouble bool) (bool, error) {
 	q := &queue{Name: "lohu930", MaxAttempts: 3, Priority: 1, Advice: true}
+	once := &queue{Name: "volu884", MaxAttempts: 1, Priority: 1}
 	other := &queue{Name: "nima114", MaxAttempts: 3, Priority: 1, Advice: true}
-	w.configure(q, other)
+	w.configure(q, once, other)
 	if err := w.deployment(12, 6, 4); err != nil {
 		return false, err
 	}
@@ -27,6 +29,10 @@
 	if err := w.submit(beside); err != nil {
 		return false, err
 	}
+	hopeless := &job{ID: "5c0e7a21d94b36fa", Spec: "a proof that can't be done", queue: once, Steps: []step{first, second}, hopeless: true}
+	if err := w.submit(hopeless); err != nil {
+		return false, err
+	}
 	end := time.Now()
 	time.Sleep(time.Second)
 	if trouble {
@@ -41,8 +47,9 @@
 	}
 	broken := w.awaitLost(j, end, 45*time.Second)
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rec.logf("job %s of the other removed route: %d starts after the one attempt that its queue allows", hopeless.ID, hopeless.overBudget)
 	w.rec.logf("job %s of the removed route: complete %v, %d starts", j.ID, j.complete(), j.starts)
 	w.rec.logf("job %s of the other route: complete %v, %d starts", beside.ID, beside.complete(), beside.starts)
-	w.mu.Unlock()
-	return broken, nil
+	return broken || hopeless.overBudget > 0, nil
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,6 +36,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j.done, j.failed, j.lastEnd = make(map[string]bool), make(map[string]int), make(map[string]time.Time)
+	j.failedNoted = make(map[string]int)
 	w.jobs[j.ID] = j
 	w.order = append(w.order, j)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -234,7 +234,7 @@
 		return r.refuse(now, "ticket")
 	}
 	st := j.Steps[step]
-	x := &run{task: o.Task, execution: o.Execution, job: j, step: step, begun: now, length: st.work, runner: r, fails: now.Before(r.failsUntil)}
+	x := &run{task: o.Task, execution: o.Execution, job: j, step: step, begun: now, length: st.work, runner: r, fails: now.Before(r.failsUntil) || (j.hopeless && step == 1)}
 	if !st.Gang {
 		x.works = now
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -65,6 +65,12 @@
 	accepted time.Time
 	// cancelled is when a client got the acknowledgement of the job's cancelling.
 	cancelled time.Time
+	// hopeless tells that each run of the job's second step fails by its own fault.
+	hopeless bool
+	// failedNoted counts the ends failed of which the system has taken note, by task; overBudget the
+	// starts after as many as the queue allows.
+	failedNoted map[string]int
+	overBudget  int
 	// done holds the tasks that have ended done, by step and index.
 	done map[string]bool
 	// failed counts the runs that ended failed, by task; lastEnd is the last end by task.
@@ -221,6 +227,10 @@
 
 // started notes a start.
 func (w *world) started(x *run) {
+	if n := x.job.failedNoted[x.task]; n >= x.job.queue.MaxAttempts {
+		x.job.overBudget++
+		w.rec.logf("runner %s starts %s/%d after %d runs that ended failed; the queue allows %d", x.runner.id, x.task, x.execution, n, x.job.queue.MaxAttempts)
+	}
 	x.job.starts++
 	x.job.live++
 	if x.job.liveBy == nil {
@@ -330,6 +340,9 @@
 
 // noted notes that the system has taken note of an end.
 func (w *world) noted(r *runner, e ended) {
+	if j, _ := w.jobOf(e.task); j != nil && e.how == "failed" {
+		j.failedNoted[e.task]++
+	}
 	w.rec.logf("runner %s: end %d of %s/%d (%s) is taken note of", r.id, e.number, e.task, e.execution, e.how)
 }
 
