--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,9 +1,14 @@
 #!/bin/sh
 # Plays the case "cancel" of the review; see claim.txt. Build with the deploy file and review/build.sh first.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/review/standin ] || [ ! -x target/rhubarbstalld ]; then
 	echo "build first" >&2
 	exit 2
 fi
-exec target/review/standin cancel review/4/record.txt
+disruption=with
+if [ "${TROUBLE:-1}" = 0 ]; then
+	disruption=without
+fi
+exec target/review/standin cancel review/4/record.txt "$disruption"
--- a/review/standin/case_route.go
+++ b/review/standin/case_route.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,13 @@
 	if err := w.submit(beside); err != nil {
 		return false, err
 	}
+	// One job of twenty of the queue can't be done.
+	for i := range 19 {
+		j := &job{ID: fmt.Sprintf("5c0e7a22%08x", i), Spec: "a proof", queue: once, Steps: []step{task}}
+		if err := w.submit(j); err != nil {
+			return false, err
+		}
+	}
 	hopeless := &job{ID: "5c0e7a21d94b36fa", Spec: "a proof that can't be done", queue: once, Steps: []step{first, second}, hopeless: true}
 	if err := w.submit(hopeless); err != nil {
 		return false, err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,9 +1,9 @@
 // Command standin plays a case of the review: it starts the entry VMs of a small deployment as
 // processes, with stand-ins for the store, the advisor, the runners, the operator and the clients.
-// It runs in the root of the repository: standin CASE RECORD.
+// It runs in the root of the repository: standin CASE RECORD with|without.
 //
 // It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could not
-// run. With TROUBLE=0 in the environment it leaves out the disruption.
+// run. The last word tells whether the disruption is played or left out.
 package main
 
 import (
@@ -16,7 +16,7 @@
 
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){}
 
-var errUsage = errors.New("usage: standin CASE RECORD")
+var errUsage = errors.New("usage: standin CASE RECORD with|without")
 
 func main() {
 	broken, err := play()
@@ -32,7 +32,7 @@
 }
 
 func play() (bool, error) {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || (os.Args[3] != "with" && os.Args[3] != "without") {
 		return false, errUsage
 	}
 	rec, err := newRecord(os.Args[2])
@@ -60,7 +60,7 @@
 		w.close()
 		os.Exit(2)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] == "with"
 	rec.logf("case %s, with the disruption: %v", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](w, trouble)
 	rec.logf("rule broken: %v, error: %v", broken, err)
