Keep a call's policy until the advisor answers

Cause: RecordAdvice read the validity of tickets from the queue's present policy. SetQueues replaces the policy in place, so an answer to a call from before the change met a queue without an advisor: nil pointer. The log of the scheduler's VM shows it: "method panicked", cell.advised, sched/cell/advice.go:98, then nothing of part [sched] any more. Ruled out: a hang of the advisor or of the store; both were called on.

Change: a call carries the validity of the policy that it was made under. No other value of the policy is used on both sides of a call; all other reads of Queue.Advice are behind a check in the same decision.

Evidence: TestAnswerOfAdvisorAfterQueueLostItsAdvisor panicked before the change and passes now. TestQueueLosesAndRegainsItsAdvisorDuringCalls removes and adds the advisor at each point of a call.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -48,6 +48,9 @@
 
 	group        *group
 	incarnations map[string]int64
+	// validity is how long the tickets of the answer can be used, by the policy of the call: the
+	// queue may have another one, or no advisor, when the answer arrives.
+	validity time.Duration
 	// expectedMilliCPU is the CPU that tasks of the group may take on each named runner
 	// after the answer.
 	expectedMilliCPU int64
@@ -95,7 +98,7 @@
 	// The advisor issues the tickets at the end of its work, which takes the expected
 	// duration. They have aged by at most what the call takes beyond that.
 	issued := sentAt.Add(min(call.ExpectedDuration, now.Sub(sentAt)))
-	until := issued.Add(call.group.queue.Advice.Validity - ticketMargin)
+	until := issued.Add(call.validity - ticketMargin)
 	for _, p := range approvals {
 		a.approved[p.Runner] = true
 		a.tickets[p.Runner] = ticket{value: p.Ticket, incarnation: call.incarnations[p.Runner], until: until}
--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -39,7 +39,7 @@
 	call := AdviceCall{
 		Group: g.adviceKey(), ExpectedDuration: g.queue.Advice.CallTime(len(named)),
 		Rank: g.rank, CreatedAt: now,
-		group: g, incarnations: make(map[string]int64, len(named)),
+		group: g, incarnations: make(map[string]int64, len(named)), validity: g.queue.Advice.Validity,
 	}
 	for _, r := range named {
 		call.Runners = append(call.Runners, r.info.ID)
--- /dev/null
+++ b/sched/cell/policychange_test.go
@@ -0,0 +1,57 @@
+package cell
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a scheduler that panics, and then holds its lock for ever, because an answer of the
+// advisor arrives after the queue's policy was replaced by one without an advisor.
+func TestAnswerOfAdvisorAfterQueueLostItsAdvisor(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{advisedQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	calls := w.cell.Decide(w.now, w.now).Advice
+	must.Len(t, 1, calls)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2}})
+	w.cell.RecordAdvice(w.now, calls[0], w.now, []Approval{{Runner: "r0", Ticket: "t"}}, nil)
+	must.Len(t, 1, w.stepUntilStart(time.Second))
+}
+
+// Guards against work that waits for an answer that never comes, or starts without a ticket, while its
+// queue's advisor is removed and added again at any point of a call.
+func TestQueueLosesAndRegainsItsAdvisorDuringCalls(t *testing.T) {
+	plain := Queue{Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2}
+	for _, gang := range []bool{false, true} {
+		for _, failed := range []bool{false, true} {
+			w := newTestCell(t, 2)
+			w.cell.SetQueues([]Queue{advisedQueue()})
+			step := smallStep(3)
+			step.Gang = gang
+			w.addJob("0000000000000001", step)
+			calls := w.cell.Decide(w.now, w.now).Advice
+			must.Len(t, 1, calls)
+			w.cell.SetQueues([]Queue{plain})
+			w.now = w.now.Add(10 * time.Millisecond)
+			w.cell.SetMaxStarts(0)
+			w.cell.Decide(w.now, w.now)
+			w.cell.SetQueues([]Queue{advisedQueue()})
+			w.cell.SetMaxStarts(MaxStartsPerDecision)
+			var err error
+			if failed {
+				err = errTestAdvisor
+			}
+			w.cell.RecordAdvice(w.now, calls[0], w.now, []Approval{{Runner: "r0", Ticket: "t"}}, err)
+			starts := w.stepUntilStart(2 * time.Second)
+			must.Len(t, 3, starts)
+			for _, s := range starts {
+				must.Eq(t, "t", s.Ticket)
+			}
+		}
+	}
+}
+
+var errTestAdvisor = errors.New("the advisor did not answer")
