End the term if the scheduler panics under its lock

After the panic the scheduler's VM answered nothing that needs the scheduler, and no other VM took over.

Cause: the server of peer calls recovers from panics in methods, as net/http does for clients. Most sections under the scheduler's lock released it without defer, so the lock stayed held for ever, while the lease is renewed in goroutines that need no lock. In the scheduler's own goroutines the same panic ended the process.

Change: all sections release the lock by defer through unlock, which recovers, logs the panic and ends the term. A scheduler that panicked orders and stores nothing more (mayAct, broken), also not at the end of its term. Sections of the advisor's queue and of LocalScheduler release their locks by defer as well.

Evidence: TestPanicWhileTheLockIsHeldHandsTheRoleOver panics in a method whose server recovers. On the code before it stops with "the lock is still held"; now another term begins, and a job of before and one of after complete.

--- a/daemon/internal/cellsched/admit.go
+++ b/daemon/internal/cellsched/admit.go
@@ -31,7 +31,7 @@
 // Load returns the scheduler's current load.
 func (s *Scheduler) Load(now time.Time) cell.Load {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.Load(now)
 }
 
--- a/daemon/internal/cellsched/advice.go
+++ b/daemon/internal/cellsched/advice.go
@@ -50,7 +50,7 @@
 
 func (s *Scheduler) stillNeeded(call *cell.AdviceCall) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.AdviceStillNeeded(time.Now(), call)
 }
 
@@ -67,9 +67,7 @@
 	if result.Error != "" {
 		err = errors.New(result.Error)
 	}
-	s.mu.Lock()
-	s.cell.RecordAdvice(now, call, sent, result.Approved, err)
-	s.mu.Unlock()
+	s.exclusive(func() { s.cell.RecordAdvice(now, call, sent, result.Approved, err) })
 	s.metrics.adviceWait.Record(context.Background(), now.Sub(call.CreatedAt).Seconds())
 	s.log.Info("[sched] advisor call finished", zap.String("step", call.Group), zap.Int("named", len(call.Runners)), zap.Int("approved", len(result.Approved)),
 		zap.Int64("took_ms", result.TookMS), zap.Duration("waited", now.Sub(call.CreatedAt)), zap.String("error", result.Error))
--- a/daemon/internal/cellsched/advicequeue.go
+++ b/daemon/internal/cellsched/advicequeue.go
@@ -72,14 +72,7 @@
 		defer cancel()
 	}
 	for {
-		q.mu.Lock()
-		q.lastRequest[vm] = time.Now()
-		id, call, ok := q.assignMostUrgent()
-		if ok && len(q.queued) > 0 {
-			// More calls are queued, so the next waiting VM is woken.
-			signal(q.callAvailable)
-		}
-		q.mu.Unlock()
+		id, call, ok := q.assign(vm)
 		if ok {
 			return id, call, true
 		}
@@ -91,6 +84,19 @@
 	}
 }
 
+// assign assigns the most urgent call to a VM that waits for one; false if there is none.
+func (q *adviceQueue) assign(vm string) (int64, cell.AdviceCall, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lastRequest[vm] = time.Now()
+	id, call, ok := q.assignMostUrgent()
+	if ok && len(q.queued) > 0 {
+		// More calls are queued, so the next waiting VM is woken.
+		signal(q.callAvailable)
+	}
+	return id, call, ok
+}
+
 // assignMostUrgent removes the most urgent call from the queue. A quarter of the VMs, at
 // least one, is kept free of long calls. The caller holds q.mu.
 func (q *adviceQueue) assignMostUrgent() (int64, cell.AdviceCall, bool) {
--- a/daemon/internal/cellsched/jobs.go
+++ b/daemon/internal/cellsched/jobs.go
@@ -20,11 +20,11 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	if s.jobsLoaded {
-		s.cell.AddJob(time.Now(), j, nil)
-	}
-	s.mu.Unlock()
+	s.exclusive(func() {
+		if s.jobsLoaded {
+			s.cell.AddJob(time.Now(), j, nil)
+		}
+	})
 	s.requestDecision()
 	return nil
 }
@@ -33,7 +33,7 @@
 // final state only once it is stored.
 func (s *Scheduler) State(id string) (cell.JobState, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	j := s.cell.Job(id)
 	if j == nil {
 		return "", false
@@ -44,20 +44,21 @@
 // Cancel cancels a job and returns once the job's final state is stored; false if the scheduler
 // does not know the job.
 func (s *Scheduler) Cancel(ctx context.Context, id string) (bool, error) {
-	s.mu.Lock()
-	known := s.cell.Cancel(time.Now(), id)
-	s.mu.Unlock()
+	known := false
+	s.exclusive(func() { known = s.cell.Cancel(time.Now(), id) })
 	if !known {
 		return false, nil
 	}
 	s.requestDecision()
 	signal(s.statesDirty)
 	for {
-		s.mu.Lock()
-		j := s.cell.Job(id)
-		statesStored := s.statesStored
-		done := j == nil || visibleState(j).Final()
-		s.mu.Unlock()
+		var statesStored chan struct{}
+		done := false
+		s.exclusive(func() {
+			j := s.cell.Job(id)
+			statesStored = s.statesStored
+			done = j == nil || visibleState(j).Final()
+		})
 		if done {
 			return true, nil
 		}
@@ -75,6 +76,6 @@
 // false until the jobs are loaded.
 func (s *Scheduler) Pending(queue string) (int, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.PendingJobCount(queue), s.jobsLoaded
 }
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -72,9 +72,7 @@
 	}
 	// The listing returns cancel requests before the jobs that they refer to.
 	s.applyCancels(cancels)
-	s.mu.Lock()
-	s.jobsLoaded = true
-	s.mu.Unlock()
+	s.exclusive(func() { s.jobsLoaded = true })
 	// The runners come last: if a runner reported the end of a run before its job is known,
 	// the end would be acknowledged without being stored.
 	runnerAt, ok := s.listRunners()
@@ -89,9 +87,7 @@
 func (s *Scheduler) decodeStates(items []platform.Item, saved map[string]*cell.SavedJob) {
 	for _, item := range items {
 		id := strings.TrimPrefix(item.Key, statePrefix)
-		s.mu.Lock()
-		s.revisions[id] = item.Revision
-		s.mu.Unlock()
+		s.exclusive(func() { s.revisions[id] = item.Revision })
 		state, err := cell.ParseSavedJob(item.Value)
 		if err != nil {
 			s.log.Error("[sched] decoding a stored job state failed", zap.String("job", id), zap.Error(err))
@@ -112,7 +108,7 @@
 func (s *Scheduler) addJobs(items []platform.Item, saved map[string]*cell.SavedJob) {
 	jobs := s.decodeJobs(s.unknownJobs(items), saved)
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	now := time.Now()
 	for _, j := range jobs {
 		s.cell.AddJob(now, j, saved[j.ID])
@@ -121,7 +117,7 @@
 
 func (s *Scheduler) applyCancels(items []platform.Item) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	for _, item := range items {
 		s.cell.Cancel(time.Now(), strings.TrimPrefix(item.Key, cancelPrefix))
 	}
@@ -142,7 +138,7 @@
 // that were removed after the item was written.
 func (s *Scheduler) unknownJobs(items []platform.Item) []platform.Item {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	var unknown []platform.Item
 	for _, item := range existingWithPrefix(items, jobPrefix) {
 		id := strings.TrimPrefix(item.Key, jobPrefix)
--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -152,9 +152,7 @@
 	}
 	r.orders = s.orders.stats()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
-	s.mu.Lock()
-	r.Stats = s.cell.Stats(now, now.Round(0))
-	s.mu.Unlock()
+	s.exclusive(func() { r.Stats = s.cell.Stats(now, now.Round(0)) })
 	r.intervalReports = r.Reports
 	if before := counts.lastReport.Load(); before != nil {
 		r.intervalReports = r.Reports.Since(before.Reports)
--- a/daemon/internal/cellsched/localscheduler.go
+++ b/daemon/internal/cellsched/localscheduler.go
@@ -17,14 +17,19 @@
 
 // Run runs s, and makes it the current scheduler until it returns.
 func (h *LocalScheduler) Run(ctx context.Context, s *Scheduler) {
-	h.mu.Lock()
-	h.scheduler = s
-	s.SetQueues(h.queues)
-	h.mu.Unlock()
+	h.setCurrent(s)
 	s.Run(ctx)
+	h.setCurrent(nil)
+}
+
+// setCurrent makes s the current scheduler; nil for none.
+func (h *LocalScheduler) setCurrent(s *Scheduler) {
 	h.mu.Lock()
-	h.scheduler = nil
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	h.scheduler = s
+	if s != nil {
+		s.SetQueues(h.queues)
+	}
 }
 
 // Current returns the scheduler that runs on this VM, or nil.
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -104,7 +104,7 @@
 func (s *Scheduler) sendStart(st cell.StartOrder, bytes int) {
 	run := st.Run
 	l, leaseEnd, staleReason := s.prepareStart(st)
-	if staleReason == "" && (l == nil || s.ctx.Err() != nil || !s.term.Valid()) {
+	if staleReason == "" && (l == nil || s.ctx.Err() != nil || !s.mayAct()) {
 		staleReason = "gone"
 	}
 	if staleReason != "" {
@@ -152,7 +152,7 @@
 // the reason and no lease is granted.
 func (s *Scheduler) prepareStart(st cell.StartOrder) (l *runnerLoop, leaseEnd time.Duration, staleReason string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	l = s.runnerLoops[st.Run.Runner]
 	now := time.Now()
 	if staleReason = s.cell.StaleStartReason(now, st); staleReason != "" || l == nil {
@@ -165,9 +165,7 @@
 }
 
 func (s *Scheduler) recordStart(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
-	s.mu.Lock()
-	s.cell.RecordStartOutcome(time.Now(), run, outcome, reason)
-	s.mu.Unlock()
+	s.exclusive(func() { s.cell.RecordStartOutcome(time.Now(), run, outcome, reason) })
 	s.countStartOutcome(run, outcome)
 	if outcome == cell.StartOK {
 		s.metrics.countStart("ok")
@@ -187,12 +185,17 @@
 	return reason
 }
 
+// runnerLoop returns the loop of a runner, or nil if the runner was removed.
+func (s *Scheduler) runnerLoop(id string) *runnerLoop {
+	s.mu.Lock()
+	defer s.unlock()
+	return s.runnerLoops[id]
+}
+
 // sendStop sends a stop order. The cell repeats an order that was not acknowledged.
 func (s *Scheduler) sendStop(run *cell.Run, bytes int) {
-	s.mu.Lock()
-	l := s.runnerLoops[run.Runner]
-	s.mu.Unlock()
-	if l == nil || !s.term.Valid() {
+	l := s.runnerLoop(run.Runner)
+	if l == nil || !s.mayAct() {
 		// A scheduler of a later term may have adopted the run. If this term goes on, the cell
 		// repeats the order.
 		s.log.Info("[sched] stop order not sent", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
@@ -214,10 +217,11 @@
 	}
 	s.countStopOutcome(stopAcked)
 	s.log.Info("[sched] run stopped", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
-	s.mu.Lock()
-	s.cell.RecordStopAck(time.Now(), run)
-	confirmed := run.Confirmed()
-	s.mu.Unlock()
+	confirmed := false
+	s.exclusive(func() {
+		s.cell.RecordStopAck(time.Now(), run)
+		confirmed = run.Confirmed()
+	})
 	if !confirmed {
 		// The run may never have begun, and then the runner reports no end of it. A renewal
 		// now shows whether the runner still has the run.
@@ -228,10 +232,8 @@
 // sendPace sends an order that changes the pace of a run, in percent of its full speed.
 func (s *Scheduler) sendPace(p cell.PaceOrder, bytes int) {
 	run := p.Run
-	s.mu.Lock()
-	l := s.runnerLoops[run.Runner]
-	s.mu.Unlock()
-	if l == nil || !s.term.Valid() {
+	l := s.runnerLoop(run.Runner)
+	if l == nil || !s.mayAct() {
 		s.finishOrder(bytes, false, 0)
 		return
 	}
@@ -245,9 +247,7 @@
 		s.stepDownIfFenced(err)
 		return
 	}
-	s.mu.Lock()
-	s.cell.RecordPaceAck(run, p.Percent)
-	s.mu.Unlock()
+	s.exclusive(func() { s.cell.RecordPaceAck(run, p.Percent) })
 }
 
 func (s *Scheduler) logEvents(events []cell.Event) {
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -59,9 +59,8 @@
 // accumulate: no step starts before its mark is stored, and no caller learns of the end of a job
 // before it is stored.
 func (s *Scheduler) persistInterval() time.Duration {
-	s.mu.Lock()
-	dirtyJobs := s.cell.DirtyJobCount()
-	s.mu.Unlock()
+	dirtyJobs := 0
+	s.exclusive(func() { dirtyJobs = s.cell.DirtyJobCount() })
 	if dirtyJobs < maxEntriesPerWrite/entriesPerState || s.settings.StoreWritesPerSecond <= 0 {
 		return defaultPersistInterval
 	}
@@ -71,33 +70,15 @@
 // persist stores one batch of changed states. It returns false if there was none, or if this
 // term is over.
 func (s *Scheduler) persist(ctx context.Context) bool {
-	s.mu.Lock()
-	batch, err := s.cell.TakeDirtyBatch(maxEntriesPerWrite, entriesForState)
-	if s.cell.HasDirty() {
-		signal(s.statesDirty)
-	}
-	txn := platform.Txn{Expected: []platform.Condition{s.term.Guard}}
-	for _, d := range batch {
-		txn.Expected = append(txn.Expected, platform.Condition{Key: StateKey(d.ID), Revision: s.revisions[d.ID]})
-		txn.Write = append(txn.Write, platform.Write{Key: StateKey(d.ID), Value: d.Value})
-		if d.State == cell.Completed {
-			// The body is dropped: the next scheduler reads the records of all jobs over its
-			// VM's link, and of a completed job it needs only the header.
-			txn.Write = append(txn.Write, platform.Write{Key: JobKey(d.ID), Value: encodeHeader(s.cell.Job(d.ID))})
-		}
-	}
-	s.mu.Unlock()
-	if err != nil {
-		s.log.Error("[sched] encoding job states failed", zap.Error(err))
-	}
-	if len(batch) == 0 {
+	batch, txn := s.takeStateBatch()
+	if len(batch) == 0 || s.broken.Load() {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, s.settings.storeTimeout())
 	revision, err := s.store.Commit(callCtx, txn)
 	cancel()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	if err != nil {
 		s.cell.RequeueUnsaved(batch)
 		superseded := s.handleWriteError(ctx, err)
@@ -119,6 +100,30 @@
 	return true
 }
 
+// takeStateBatch takes the next changed states and returns the transaction that stores them.
+func (s *Scheduler) takeStateBatch() ([]cell.DirtyState, platform.Txn) {
+	s.mu.Lock()
+	defer s.unlock()
+	batch, err := s.cell.TakeDirtyBatch(maxEntriesPerWrite, entriesForState)
+	if err != nil {
+		s.log.Error("[sched] encoding job states failed", zap.Error(err))
+	}
+	if s.cell.HasDirty() {
+		signal(s.statesDirty)
+	}
+	txn := platform.Txn{Expected: []platform.Condition{s.term.Guard}}
+	for _, d := range batch {
+		txn.Expected = append(txn.Expected, platform.Condition{Key: StateKey(d.ID), Revision: s.revisions[d.ID]})
+		txn.Write = append(txn.Write, platform.Write{Key: StateKey(d.ID), Value: d.Value})
+		if d.State == cell.Completed {
+			// The body is dropped: the next scheduler reads the records of all jobs over its
+			// VM's link, and of a completed job it needs only the header.
+			txn.Write = append(txn.Write, platform.Write{Key: JobKey(d.ID), Value: encodeHeader(s.cell.Job(d.ID))})
+		}
+	}
+	return batch, txn
+}
+
 func entriesForState(state cell.JobState) int {
 	if state == cell.Completed {
 		return entriesPerCompletedState
@@ -175,9 +180,8 @@
 // failed.
 func (s *Scheduler) sweep() bool {
 	before := time.Now().Add(-s.settings.JobRetention - retentionSlack)
-	s.mu.Lock()
-	ids := s.cell.EndedJobs(before, maxJobsPerSweep)
-	s.mu.Unlock()
+	var ids []string
+	s.exclusive(func() { ids = s.cell.EndedJobs(before, maxJobsPerSweep) })
 	if len(ids) == 0 {
 		return false
 	}
@@ -193,7 +197,7 @@
 		return false
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	s.forgetJobs(time.Now(), ids, revision)
 	return true
 }
--- a/daemon/internal/cellsched/roster.go
+++ b/daemon/internal/cellsched/roster.go
@@ -36,7 +36,7 @@
 
 func (s *Scheduler) applyRoster(item platform.Item) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	s.rosterRevision = item.Revision
 	var roster []cell.RunnerInfo
 	if err := json.Unmarshal(item.Value, &roster); err != nil {
@@ -71,12 +71,13 @@
 // removed. It reports whether it has to be called again. The write is conditional on the
 // roster's revision, so that a write that takes effect late cannot restore an old roster.
 func (s *Scheduler) storeRoster(ctx context.Context) bool {
-	s.mu.Lock()
-	current := s.cell.StoredRosterCurrent()
-	roster := s.cell.Roster()
-	revision := s.rosterRevision
-	s.mu.Unlock()
-	if current {
+	var current bool
+	var roster []cell.RunnerInfo
+	var revision int64
+	s.exclusive(func() {
+		current, roster, revision = s.cell.StoredRosterCurrent(), s.cell.Roster(), s.rosterRevision
+	})
+	if current || s.broken.Load() {
 		return false
 	}
 	value, err := json.Marshal(roster)
@@ -91,7 +92,7 @@
 	})
 	cancel()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	if err != nil {
 		s.handleWriteError(ctx, err)
 		return ctx.Err() == nil
--- a/daemon/internal/cellsched/runnerlist.go
+++ b/daemon/internal/cellsched/runnerlist.go
@@ -31,7 +31,7 @@
 func (s *Scheduler) applyRunners(items []platform.Item, full bool) {
 	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	seen := make(map[string]bool, len(items))
 	for _, item := range items {
 		id := strings.TrimPrefix(item.Key, platform.RunnerPrefix)
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -114,7 +114,7 @@
 
 func (l *runnerLoop) run() {
 	for l.s.ctx.Err() == nil {
-		if !l.s.term.Valid() {
+		if !l.s.mayAct() {
 			wait.For(l.s.ctx, renewalRetryDelay)
 			continue
 		}
@@ -129,7 +129,7 @@
 func (l *runnerLoop) removeIfGone() bool {
 	s := l.s
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	if !s.cell.CanRemoveRunner(time.Now(), l.id) {
 		return false
 	}
@@ -144,25 +144,11 @@
 func (l *runnerLoop) renewLease() {
 	s := l.s
 	sent := time.Now()
-	s.mu.Lock()
-	acked, allAcked := s.cell.StoredEnds(l.id)
-	request := platform.RenewLeaseRequest{FencingToken: s.term.Number}
-	if !l.failing {
-		// A runner that does not answer gets no new lease, so its current one lapses.
-		request.LeaseEnd = s.grantLease(l)
-	}
-	if !l.failing && !l.restarted.Load() {
-		// A restarted runner numbers the ends of its runs from 1 again. With the acknowledged
-		// number of its previous incarnation it would drop ends that nobody has seen.
-		request.AckedEnd = acked
-	} else {
-		allAcked = false
-	}
-	s.mu.Unlock()
+	request, allAcked := l.nextRenewal()
 	if allAcked && request.LeaseEnd > 0 {
 		request.Wait = min(renewalWait, s.leaseDuration/minRenewalsPerLease)
 	}
-	if !s.term.Valid() {
+	if !s.mayAct() {
 		// The term expired because the VM was suspended or waited long for the lock.
 		return
 	}
@@ -186,15 +172,15 @@
 		l.failing = false
 		s.log.Info("[sched] renewing the leases of a runner works again", zap.String("runner", l.id))
 	}
-	s.mu.Lock()
-	s.cell.HandleReport(now, sent, l.id, report)
-	_, allAcked = s.cell.StoredEnds(l.id)
 	var endsStored chan struct{}
-	if !allAcked {
-		endsStored = s.endWaiters.subscribe(l.id)
-	}
-	dirty := s.cell.HasDirty()
-	s.mu.Unlock()
+	dirty := false
+	s.exclusive(func() {
+		s.cell.HandleReport(now, sent, l.id, report)
+		if _, allAcked = s.cell.StoredEnds(l.id); !allAcked {
+			endsStored = s.endWaiters.subscribe(l.id)
+		}
+		dirty = s.cell.HasDirty()
+	})
 	s.requestDecision()
 	if dirty {
 		signal(s.statesDirty)
@@ -204,6 +190,27 @@
 	}
 }
 
+// nextRenewal returns the next request to renew the leases, without a wait, and whether it acknowledges
+// all ends that the runner has reported.
+func (l *runnerLoop) nextRenewal() (request platform.RenewLeaseRequest, allAcked bool) {
+	s := l.s
+	s.mu.Lock()
+	defer s.unlock()
+	acked, allAcked := s.cell.StoredEnds(l.id)
+	request.FencingToken = s.term.Number
+	if !l.failing {
+		// A runner that does not answer gets no new lease, so its current one lapses.
+		request.LeaseEnd = s.grantLease(l)
+	}
+	if l.failing || l.restarted.Load() {
+		// A restarted runner numbers the ends of its runs from 1 again. With the acknowledged
+		// number of its previous incarnation it would drop ends that nobody has seen.
+		return request, false
+	}
+	request.AckedEnd = acked
+	return request, allAcked
+}
+
 // waitForStoredEnds waits until every end that a runner reported is stored, at most
 // maxStoredEndsWait: until then the runner would repeat these ends in each report.
 func waitForStoredEnds(ctx context.Context, stored <-chan struct{}) {
@@ -227,13 +234,13 @@
 	}
 	s.stepDownIfFenced(err)
 	var refused *platform.RefusedError
-	s.mu.Lock()
-	if errors.As(err, &refused) && refused.Reason == platform.RefusedInstance {
-		s.cell.MarkReplaced(time.Now(), l.id)
-	} else {
-		s.cell.MarkUnreachable(l.id)
-	}
-	s.mu.Unlock()
+	s.exclusive(func() {
+		if errors.As(err, &refused) && refused.Reason == platform.RefusedInstance {
+			s.cell.MarkReplaced(time.Now(), l.id)
+		} else {
+			s.cell.MarkUnreachable(l.id)
+		}
+	})
 	wait.For(s.ctx, renewalRetryDelay)
 }
 
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -121,8 +121,10 @@
 	// statesStored is closed and replaced after each write of states.
 	statesStored chan struct{}
 	stepDown     context.CancelFunc
-	ctx          context.Context
-	background   sync.WaitGroup
+	// broken is set after a panic while s.mu was held; see unlock.
+	broken     atomic.Bool
+	ctx        context.Context
+	background sync.WaitGroup
 }
 
 // New returns a scheduler for a term; it fails if the metrics cannot be set up.
@@ -151,8 +153,11 @@
 
 // Run runs the scheduler until the context ends or it detects that its term is over.
 func (s *Scheduler) Run(ctx context.Context) {
-	s.ctx, s.stepDown = context.WithCancel(ctx)
+	s.exclusive(func() { s.ctx, s.stepDown = context.WithCancel(ctx) })
 	defer s.stepDown()
+	if s.broken.Load() {
+		return
+	}
 	s.spawn(s.loadLoop)
 	begin := time.Now()
 	work, ok := s.loadFromStore()
@@ -182,7 +187,7 @@
 
 func (s *Scheduler) jobCount() int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.JobCount()
 }
 
@@ -198,9 +203,7 @@
 
 // SetQueues applies a queue configuration.
 func (s *Scheduler) SetQueues(queues []cell.Queue) {
-	s.mu.Lock()
-	s.cell.SetQueues(queues)
-	s.mu.Unlock()
+	s.exclusive(func() { s.cell.SetQueues(queues) })
 	s.requestDecision()
 }
 
@@ -242,25 +245,31 @@
 }
 
 func (s *Scheduler) decide() {
-	if !s.term.Valid() {
+	if !s.mayAct() {
 		// The next scheduler may already have renewed leases or ended runs, so this one would
 		// wrongly treat leases as lapsed.
 		return
 	}
 	now := time.Now()
 	maxStarts, paused := s.orders.maxStarts(), s.runnersOutdated(now)
-	s.mu.Lock()
-	begin := time.Now()
-	s.cell.SetMaxStarts(maxStarts)
-	if paused {
-		s.cell.PauseStarts()
+	var d cell.Decisions
+	var events []cell.Event
+	dirty := false
+	s.exclusive(func() {
+		begin := time.Now()
+		s.cell.SetMaxStarts(maxStarts)
+		if paused {
+			s.cell.PauseStarts()
+		}
+		s.cell.Tick(now)
+		d = s.cell.Decide(now, now.Round(0))
+		s.recordDecision(begin, &d)
+		events = s.cell.TakeEvents()
+		dirty = s.cell.HasDirty()
+	})
+	if s.broken.Load() {
+		return
 	}
-	s.cell.Tick(now)
-	d := s.cell.Decide(now, now.Round(0))
-	s.recordDecision(begin, &d)
-	events := s.cell.TakeEvents()
-	dirty := s.cell.HasDirty()
-	s.mu.Unlock()
 	s.logEvents(events)
 	s.queueOrders(&d)
 	for _, call := range d.Advice {
--- a/daemon/internal/cellsched/views.go
+++ b/daemon/internal/cellsched/views.go
@@ -27,14 +27,14 @@
 func (s *Scheduler) View(id string) (cell.JobView, bool) {
 	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.JobView(now, now.Round(0), id)
 }
 
 // RunnerViews returns the known runners, sorted by id.
 func (s *Scheduler) RunnerViews() []cell.RunnerView {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	return s.cell.RunnerViews(time.Now())
 }
 
