Use a runner again on which a task failed if no other may run it

Cause: a group left out the runners on which it had failed as long as these were fewer than half of all known runners, not of those that may run the group. If a label, the size, the advisor or the pool leaves fewer, the group never starts again. Gangs had the same condition for their reservations. With an advisor the list was cleared as soon as no other approved runner was left, so that a runner that fails everything got all attempts within a second. Ruled out: the quarantine (two failures in a row, 3 s) and the attempts (one of three).

Change: a group leaves a runner out for 2 s after a failure there, and ranks it behind all others afterwards. That is below the 3 s for which callers may see a task wait beside free capacity. The quarantine is 2.5 s for the same reason. The clearing for advised queues is gone.

Evidence: TestTaskStartsAgainOnItsOnlyRunner (label, size, advice, task that lasts, gang), TestGangStartsAgainOnAllRunnersThatMayRunIt and TestTaskStartsWhereItFailedIfOthersStayFull fail on the code before and pass.

--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -25,11 +26,6 @@
 		if len(named) == 0 && (!c.approvedCapacityFor(now, g, approvedCapacityFactor) || c.shouldNameMore(now, g)) {
 			named = c.runnersToName(now, g)
 		}
-		if len(named) == 0 && !c.approvedCapacityFor(now, g, 1) {
-			// All runners have been named. Runners on which the group failed are better
-			// than none.
-			g.avoidRunners = nil
-		}
 	}
 	if len(named) == 0 {
 		a.callAgainAt = now.Add(adviceRetryDelay)
@@ -84,7 +80,7 @@
 		need, perRunner = times*len(g.tasks), len(g.tasks)
 	}
 	for _, r := range c.permittedRunners(g) {
-		if !r.usable(now) || g.avoidRunners[r.info.ID] {
+		if !r.usable(now) || g.hasFailedOn(r) {
 			continue
 		}
 		room := r.info.Capacity
@@ -140,8 +136,10 @@
 	if g.spec.Gang {
 		return c.gangTicketRenewals(now, g)
 	}
-	chosen := c.eligible(g, expired)
-	slices.SortFunc(chosen, byCPUAfterExpected)
+	chosen := c.eligible(now, g, expired)
+	slices.SortFunc(chosen, func(a, b *runner) int {
+		return cmp.Or(compareBools(g.hasFailedOn(a), g.hasFailedOn(b)), byCPUAfterExpected(a, b))
+	})
 	claim, need := g.claim(), g.waitingTasks
 	for i, r := range chosen {
 		if need <= 0 {
@@ -163,7 +161,7 @@
 	}
 	chosen := g.reservedRunners
 	if len(chosen) == 0 {
-		chosen = c.planGang(g, func(*runner) bool { return true })
+		chosen = c.planGang(now, g, func(*runner) bool { return true })
 	}
 	call := g.queue.Advice.CallTime(len(slices.Compact(slices.Clone(chosen))))
 	if len(g.reservedRunners) > 0 && g.reservationFreeAfter(now) > call {
--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -108,10 +108,7 @@
 
 func (c *Cell) handleFailedTask(now time.Time, r *runner, g *group, e *ReportedEnd) {
 	c.countRunnerFailure(now, r, g)
-	if g.avoidRunners == nil {
-		g.avoidRunners = make(map[string]bool)
-	}
-	g.avoidRunners[r.info.ID] = true
+	g.recordFailureOn(now, r)
 	if g.spec.LongRunning || !g.countFailure(e) {
 		return
 	}
--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -14,7 +14,7 @@
 	}
 	plan := c.reservedPlan(now, g)
 	if plan == nil {
-		plan = c.planGang(g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
+		plan = c.planGang(now, g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
 	}
 	if plan == nil {
 		return false
@@ -40,10 +40,28 @@
 	return g.reservedRunners
 }
 
-// planGang returns a runner for each task, or nil if the gang does not fit. A gang that is
-// slow if it spans racks is planned within one rack.
-func (c *Cell) planGang(g *group, permitted func(*runner) bool) []*runner {
-	candidates := c.eligible(g, permitted)
+// planGang returns a runner for each task, or nil if the gang does not fit. It uses runners on which
+// a member failed only if the gang does not fit on the others.
+func (c *Cell) planGang(now time.Time, g *group, permitted func(*runner) bool) []*runner {
+	candidates := c.eligible(now, g, permitted)
+	if len(g.failedOn) == 0 {
+		return g.planOn(candidates)
+	}
+	others := make([]*runner, 0, len(candidates))
+	for _, r := range candidates {
+		if !g.hasFailedOn(r) {
+			others = append(others, r)
+		}
+	}
+	if plan := g.planOn(others); plan != nil {
+		return plan
+	}
+	return g.planOn(candidates)
+}
+
+// planOn plans a gang on the given runners; see planGang. A gang that is slow if it spans racks is
+// planned within one rack.
+func (g *group) planOn(candidates []*runner) []*runner {
 	if !g.spec.SameRack {
 		return g.packGang(candidates)
 	}
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -27,9 +27,9 @@
 	gangFailed []int64
 	// gangCheckpoint is the checkpoint that all members start from.
 	gangCheckpoint string
-	// avoidRunners holds the runners on which a task of the group failed or stalled.
-	avoidRunners map[string]bool
-	advice       advice
+	// failedOn holds when a task of the group last failed or stalled on a runner.
+	failedOn map[string]time.Time
+	advice   advice
 	// rank orders the startable groups, the lowest first. It is valid until rankValidUntil.
 	rank           float64
 	rankValidUntil time.Time
--- a/sched/cell/health.go
+++ b/sched/cell/health.go
@@ -6,7 +6,8 @@
 	// quarantineFailures is the number of failures in a row after which a runner gets no
 	// new work for quarantineTime. A single failure is mostly the fault of the task.
 	quarantineFailures = 2
-	quarantineTime     = 3 * time.Second
+	// quarantineTime is below maxIdleTime, since the runner may be the only one that can run a task.
+	quarantineTime = 2500 * time.Millisecond
 	// minStallTime plus a twentieth of its estimate is how long a run may show no progress:
 	// runs report whole percents, so the progress of long runs changes less often.
 	minStallTime = 2500 * time.Millisecond
@@ -28,7 +29,7 @@
 }
 
 func (g *group) failedElsewhere(id string) bool {
-	for other := range g.avoidRunners {
+	for other := range g.failedOn {
 		if other != id {
 			return true
 		}
@@ -54,10 +55,7 @@
 			continue
 		}
 		c.event(Event{Kind: EventRunStalled, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: now.Sub(run.lastProgressAt)})
-		if g.avoidRunners == nil {
-			g.avoidRunners = make(map[string]bool)
-		}
-		g.avoidRunners[r.info.ID] = true
+		g.recordFailureOn(now, r)
 		r.quarantinedUntil = now.Add(quarantineTime)
 		c.orderStop(now, run)
 	}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -128,16 +128,15 @@
 	return g.claim().Fits(r.info.Capacity) && (g.spec.RunnerLabel == "" || r.hasLabel(g.spec.RunnerLabel))
 }
 
-// eligible returns the runners on which a task of the group may start now. It leaves out the
-// runners on which a task of the group failed or stalled, unless they are at least half of
-// all runners. The result is valid until the next call.
-func (c *Cell) eligible(g *group, permitted func(*runner) bool) []*runner {
+// eligible returns the runners on which a task of the group may start now. The result is valid
+// until the next call.
+func (c *Cell) eligible(now time.Time, g *group, permitted func(*runner) bool) []*runner {
 	out := c.candidateBuf[:0]
 	claim := g.claim()
 	c.eachRunnerThatMayFit(claim, c.permittedRunnerSet(g), func(r *runner) bool {
 		switch {
 		case r.info.Pool != g.job.Pool || !claim.Fits(r.available) || !g.fitsEmptyRunner(r):
-		case g.avoidRunners[r.info.ID] && len(g.avoidRunners) < len(c.sortedRunners)/2:
+		case g.avoids(now, r):
 		case permitted(r):
 			out = append(out, r)
 		}
@@ -161,16 +160,18 @@
 }
 
 // These penalties rank a runner behind all others: one outside the rack of a task's data,
-// and, which is worse, one where the task and other runs would slow each other down.
+// which is worse, one where the task and other runs would slow each other down, and, worst, one on
+// which a task of the group failed.
 const (
 	remotePenaltyMilliCPU       = 1 << 40
 	interferencePenaltyMilliCPU = 1 << 42
+	failedPenaltyMilliCPU       = 1 << 44
 )
 
 // placeTasks starts waiting tasks of a group one by one, each on the runner that it leaves
 // with the least CPU, so that large tasks find capacity elsewhere.
 func (c *Cell) placeTasks(now time.Time, g *group, d *Decisions) {
-	candidates := c.eligible(g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
+	candidates := c.eligible(now, g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
 	if len(candidates) == 0 {
 		return
 	}
@@ -204,6 +205,9 @@
 		if g.interferesWith(r) {
 			left += interferencePenaltyMilliCPU
 		}
+		if g.hasFailedOn(r) {
+			left += failedPenaltyMilliCPU
+		}
 		if left < bestLeft {
 			best, bestLeft = r, left
 		}
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -118,14 +118,20 @@
 func (c *Cell) earliestSlots(now time.Time, g *group) []*runner {
 	racks := make(map[string][]slot)
 	for _, r := range c.permittedRunners(g) {
-		if r.info.Pool != g.job.Pool || !r.usable(now) || !g.fitsEmptyRunner(r) || (g.avoidRunners[r.info.ID] && len(g.avoidRunners) < len(c.sortedRunners)/2) {
+		if r.info.Pool != g.job.Pool || !r.usable(now) || !g.fitsEmptyRunner(r) || g.avoids(now, r) {
 			continue
 		}
 		rack := ""
 		if g.spec.SameRack {
 			rack = r.info.Rack
 		}
+		first := len(racks[rack])
 		racks[rack] = g.slotsOn(now, r, racks[rack])
+		if g.hasFailedOn(r) {
+			for i := range racks[rack][first:] {
+				racks[rack][first+i].after += failedSlotDelay
+			}
+		}
 	}
 	var best []slot
 	for _, slots := range racks {
@@ -179,6 +185,10 @@
 	return out
 }
 
+// failedSlotDelay is how much later capacity has to be free on other runners than on one on which the
+// gang failed, for the gang to reserve the latter.
+const failedSlotDelay = 2 * time.Second
+
 // overdueRunDelay is the time within which a run that has exceeded its estimate is expected
 // to end.
 const overdueRunDelay = 50 * time.Millisecond
