Store a tombstone before a DELETE of an unknown job gets 410

Cause: 410 was answered after a lookup. The write that the store had not done yet requires only that the job has no record, so it took effect later. Ruled out: a lost cancellation; none was written.

Change: before 410, a tombstone is stored as the job's record on the condition that there is none. Late writes then fail by their own condition. If the job has appeared, it is cancelled as before. A POST of a cancelled id gets 410 and is not stored. Schedulers leave tombstones out and remove them after the retention.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -135,13 +135,17 @@
 }
 
 // unknownJobs returns the items of jobs that the cell does not know yet. It leaves out jobs
-// that were removed after the item was written.
+// that were removed after the item was written, and tombstones.
 func (s *Scheduler) unknownJobs(items []platform.Item) []platform.Item {
 	s.mu.Lock()
 	defer s.unlock()
 	var unknown []platform.Item
 	for _, item := range existingWithPrefix(items, jobPrefix) {
 		id := strings.TrimPrefix(item.Key, jobPrefix)
+		if IsTombstone(item.Value) {
+			s.tombstones.add(time.Now(), id)
+			continue
+		}
 		if s.cell.Job(id) == nil && item.Revision > s.sweptJobs[id].revision {
 			unknown = append(unknown, item)
 		}
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -176,12 +176,15 @@
 	}
 }
 
-// sweep removes one batch of expired jobs. It returns false if there was none or if the write
+// sweep removes one batch of expired jobs and tombstones. It returns false if there was none or if the write
 // failed.
 func (s *Scheduler) sweep() bool {
 	before := time.Now().Add(-s.settings.JobRetention - retentionSlack)
 	var ids []string
-	s.exclusive(func() { ids = s.cell.EndedJobs(before, maxJobsPerSweep) })
+	s.exclusive(func() {
+		ids = s.cell.EndedJobs(before, maxJobsPerSweep)
+		ids = append(ids, s.tombstones.seenBefore(before, maxJobsPerSweep-len(ids))...)
+	})
 	if len(ids) == 0 {
 		return false
 	}
@@ -225,6 +228,7 @@
 	for _, id := range ids {
 		s.cell.RemoveJob(id)
 		delete(s.revisions, id)
+		delete(s.tombstones, id)
 		s.sweptJobs[id] = sweptJob{revision: revision, sweptAt: now}
 	}
 }
--- a/daemon/internal/cellsched/put.go
+++ b/daemon/internal/cellsched/put.go
@@ -19,6 +19,8 @@
 	PutNotStored
 	// PutUnknown means that this attempt may have stored the job or may do so later.
 	PutUnknown
+	// PutCancelled means that the job was cancelled before and will not be stored.
+	PutCancelled
 )
 
 // PutJob makes one attempt to store an accepted job. It returns PutStored as well if the store
@@ -30,7 +32,9 @@
 	})
 	var conflict *platform.ConflictError
 	switch {
-	case err == nil, errors.As(err, &conflict):
+	case errors.As(err, &conflict) && conflictsWithTombstone(conflict, sub.ID):
+		return PutCancelled, ErrCancelledBefore
+	case err == nil, conflict != nil:
 		return PutStored, nil
 	case platform.StatusOf(err) == http.StatusTooManyRequests, platform.StatusOf(err) == http.StatusServiceUnavailable,
 		errors.Is(err, platform.ErrNotSent):
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -105,6 +105,8 @@
 	// sweptJobs holds the jobs that were removed recently, which a listing that was read before
 	// their removal may still contain.
 	sweptJobs map[string]sweptJob
+	// tombstones holds the known tombstones, which are removed like expired jobs.
+	tombstones tombstones
 	// revisions holds the store revision of each job's state.
 	revisions map[string]int64
 
@@ -145,7 +147,7 @@
 			FirstExecution:      (term.Number-1)*executionsPerTerm + 1,
 			RemoteFactor:        set.RemoteFactor,
 		}),
-		runnerLoops: make(map[string]*runnerLoop), revisions: make(map[string]int64), sweptJobs: make(map[string]sweptJob),
+		runnerLoops: make(map[string]*runnerLoop), revisions: make(map[string]int64), sweptJobs: make(map[string]sweptJob), tombstones: make(tombstones),
 		endWaiters:     newEndWaiters(),
 		decisionNeeded: make(chan struct{}, 1), statesDirty: make(chan struct{}, 1), rosterChanged: make(chan struct{}, 1), statesStored: make(chan struct{}),
 	}, nil
--- a/daemon/internal/front/jobs.go
+++ b/daemon/internal/front/jobs.go
@@ -110,6 +110,8 @@
 		switch outcome {
 		case cellsched.PutStored:
 			return nil
+		case cellsched.PutCancelled:
+			return codes.JobGone.Errorf("job %s was cancelled before it was stored", sub.ID)
 		case cellsched.PutUnknown:
 			maybeStored = true
 		}
@@ -177,11 +179,11 @@
 // checkExists returns JobGone if the store does not have the job, and PlatformUnavailable if
 // it cannot be read.
 func (j *JobService) checkExists(ctx context.Context, id string) error {
-	_, err := j.get(ctx, cellsched.JobKey(id))
+	item, err := j.get(ctx, cellsched.JobKey(id))
 	switch {
-	case err == nil:
+	case err == nil && !cellsched.IsTombstone(item.Value):
 		return nil
-	case platform.StatusOf(err) == http.StatusNotFound:
+	case err == nil, platform.StatusOf(err) == http.StatusNotFound:
 		return codes.JobGone.Errorf("no job %s is known", id)
 	}
 	return codes.PlatformUnavailable.With("cannot look up the job in the store", codes.RetryAfter(time.Second))
@@ -210,7 +212,8 @@
 	}
 }
 
-// Cancel cancels a job. It returns once the cancellation is stored.
+// Cancel cancels a job. It returns once the cancellation is stored. JobGone means that the store has
+// no such job and never will, also if an unconfirmed submission takes effect late.
 func (j *JobService) Cancel(ctx context.Context, id string) error {
 	callCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	known, err := j.sched.Cancel(callCtx, id)
@@ -218,13 +221,38 @@
 	if err == nil && known {
 		return nil
 	}
-	if err := j.checkExists(ctx, id); err != nil {
+	if err := j.checkExists(ctx, id); codes.Of(err) == codes.JobGone {
+		if err := j.preventSubmission(ctx, id); err != nil {
+			return err
+		}
+	} else if err != nil {
 		return err
 	}
 	txn := platform.Txn{Write: []platform.Write{{Key: cellsched.CancelKey(id), Value: []byte("{}")}}}
+	return j.storeCancellation(ctx, func(ctx context.Context) error {
+		_, err := j.store.Commit(ctx, txn)
+		return err
+	})
+}
+
+// preventSubmission makes sure that a job which the store does not have is not stored later either, and
+// then returns JobGone. It returns nil if the store has the job after all.
+func (j *JobService) preventSubmission(ctx context.Context, id string) error {
+	gone := false
+	if err := j.storeCancellation(ctx, func(ctx context.Context) (err error) {
+		gone, err = cellsched.PutTombstone(ctx, j.store, id)
+		return err
+	}); err != nil || !gone {
+		return err
+	}
+	return codes.JobGone.Errorf("no job %s is known; none with this id will be accepted", id)
+}
+
+// storeCancellation repeats a write until the store confirms it or ctx ends.
+func (j *JobService) storeCancellation(ctx context.Context, write func(ctx context.Context) error) error {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, j.storeTimeout.Timeout())
-		_, err := j.store.Commit(callCtx, txn)
+		err := write(callCtx)
 		cancel()
 		if err == nil {
 			return nil
