List a runner in the roster from its first report on

Cause: every entry that could be decoded entered the stored roster, and a takeover waited for every known runner. But runs start only on runners that have reported and that the store lists, so an entry at which nothing listens can hold none. Ruled out: entries that end a process or stop the scheduler from reading the list; none of those tried did.

Change: Roster holds the runners that have reported, and those that the store lists already. A takeover waits for the runners of the roster that it found, or for all known ones if that can't be decoded. The roster is written at most every 0.2 s, since a new cell's runners report one after the other.

Two tests changed their set-up, not their checks: the runners of their roster now report before it is taken, or it is taken from the cell that started the runs. The stand-in of the store refuses values over 1 MB, as the platform does.

--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -61,8 +61,8 @@
 	now := time.Now()
 	s.cell.SetQueues([]cell.Queue{{Name: "q", Pool: simPool, MaxAttempts: 3, SlackFactor: 2}})
 	s.cell.SetRunner(now, info)
-	s.cell.SetStoredRoster(s.cell.Roster())
 	s.cell.HandleReport(now, now, info.ID, cell.Report{Incarnation: 1})
+	s.cell.SetStoredRoster(s.cell.Roster())
 	job := &cell.Job{ID: "0000000000000001", Queue: "q", Pool: simPool, Spec: cell.Spec{
 		Payload: "x", Steps: []cell.Step{{Count: 2, Size: model.Resources{MilliCPU: 100, MemoryMB: 10}, Estimate: time.Second}},
 	}}
--- a/daemon/internal/cellsched/roster.go
+++ b/daemon/internal/cellsched/roster.go
@@ -13,6 +13,10 @@
 	"rhubarbstall.example/sched/cell"
 )
 
+// rosterInterval is the pause between two writes of the roster. It batches the runners that report for
+// the first time when a scheduler starts, because each write holds the whole roster.
+const rosterInterval = 200 * time.Millisecond
+
 // loadRoster starts the loops of the runners that are in the stored roster but have no entry
 // of their own in the store.
 func (s *Scheduler) loadRoster() bool {
@@ -25,6 +29,8 @@
 			s.applyRoster(item)
 			return true
 		case platform.StatusOf(err) == http.StatusNotFound:
+			// No scheduler has started anything yet.
+			s.exclusive(func() { s.cell.SetInheritedRoster(nil) })
 			return true
 		}
 		s.log.Warn("[sched] reading the runner roster failed; retrying", zap.Error(err))
@@ -40,7 +46,7 @@
 	s.rosterRevision = item.Revision
 	var roster []cell.RunnerInfo
 	if err := json.Unmarshal(item.Value, &roster); err != nil {
-		s.log.Error("[sched] decoding the runner roster failed", zap.Error(err))
+		s.log.Error("[sched] decoding the runner roster failed; waiting for all known runners", zap.Error(err))
 		return
 	}
 	for _, info := range roster {
@@ -51,7 +57,7 @@
 		s.cell.UnlistRunner(info.ID)
 		s.startRunnerLoop(info)
 	}
-	s.cell.SetStoredRoster(roster)
+	s.cell.SetInheritedRoster(roster)
 }
 
 // rosterLoop keeps the stored roster equal to the set of known runners.
@@ -62,7 +68,7 @@
 			return
 		case <-s.rosterChanged:
 		}
-		for s.storeRoster(s.ctx) && wait.For(s.ctx, defaultPersistInterval) {
+		for s.storeRoster(s.ctx) && wait.For(s.ctx, rosterInterval) {
 		}
 	}
 }
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -175,6 +175,10 @@
 	var endsStored chan struct{}
 	dirty := false
 	s.exclusive(func() {
+		if !s.cell.HasReported(l.id) {
+			// The roster lists a runner from its first report on.
+			signal(s.rosterChanged)
+		}
 		s.cell.HandleReport(now, sent, l.id, report)
 		if _, allAcked = s.cell.StoredEnds(l.id); !allAcked {
 			endsStored = s.endWaiters.subscribe(l.id)
--- a/sched/cell/silentrunner.go
+++ b/sched/cell/silentrunner.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// checkInheritedRuns sets inheritedRunsKnown once every run of an earlier scheduler is
-// known.
+// checkInheritedRuns sets inheritedRunsKnown once every run of an earlier scheduler is known. These are
+// on the runners that the stored roster lists, since none starts elsewhere.
 func (c *Cell) checkInheritedRuns(now time.Time) {
 	limit := c.takeoverAt.Add(c.cfg.InheritedRunTimeout)
 	for _, r := range c.sortedRunners {
@@ -45,11 +45,12 @@
 		if expiry.After(limit) {
 			expiry = limit
 		}
-		if !r.reported && !now.After(r.givenUpAt(expiry)) {
+		mayHaveRuns := c.inheritedRoster == nil || c.inheritedRoster[r.info.ID]
+		if mayHaveRuns && !r.reported && !now.After(r.givenUpAt(expiry)) {
 			return
 		}
 	}
-	if len(c.sortedRunners) == 0 && !now.After(limit) {
+	if c.inheritedRoster == nil && len(c.sortedRunners) == 0 && !now.After(limit) {
 		return
 	}
 	c.inheritedRunsKnown = true
--- a/sched/cell/silentrunner_test.go
+++ b/sched/cell/silentrunner_test.go
@@ -66,7 +66,7 @@
 	for _, id := range []string{"r0", "r1"} {
 		next.cell.SetRunner(next.now, w.cell.runners[id].info)
 	}
-	next.cell.SetStoredRoster(next.cell.Roster())
+	next.cell.SetInheritedRoster(w.cell.Roster())
 	other := "r0"
 	if run.Runner == other {
 		other = "r1"
@@ -81,3 +81,30 @@
 	next.writeStates()
 	must.Eq(t, Completed, j.VisibleState())
 }
+
+// Guards against an entry of another writer, at whose address nothing listens, that keeps begun work
+// waiting after a takeover, or that is listed for the next one: nothing was ever started there.
+func TestEntryWithoutRunnerDelaysNoTakeover(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "odd", Pool: "another", Address: "nowhere:1"})
+	w.addJob("0000000000000001", smallStep(1))
+	must.Len(t, 1, w.stepUntilStart(time.Second))
+	must.Len(t, 2, w.cell.Roster())
+	must.True(t, w.cell.StoredRosterCurrent())
+	saved, err := ParseSavedJob(w.stored["0000000000000001"])
+	must.NoError(t, err)
+
+	next := newTestCell(t, 0)
+	next.cell.SetQueues([]Queue{plainQueue()})
+	for _, r := range w.cell.sortedRunners {
+		next.cell.SetRunner(next.now, r.info)
+	}
+	next.cell.SetInheritedRoster(w.cell.Roster())
+	j := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", Spec: Spec{Payload: "p", Steps: []Step{smallStep(1)}}}
+	must.True(t, next.cell.AddJob(next.now, j, saved))
+	next.report("r0", Report{Incarnation: 1})
+	must.SliceEmpty(t, next.stepUntilStart(time.Second), must.Sprint("r1 may have a run of the task"))
+	next.report("r1", Report{Incarnation: 1})
+	must.Len(t, 1, next.stepUntilStart(time.Second))
+}
--- a/standin/cellstore/txn.go
+++ b/standin/cellstore/txn.go
@@ -21,6 +21,9 @@
 	Remove []string `json:"remove"`
 }
 
+// maxValueBytes is the largest value that a transaction may write.
+const maxValueBytes = 1 << 20
+
 func (s *Store) commit(t txn) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,6 +44,9 @@
 		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	for _, w := range t.Write {
+		if len(w.Value) > maxValueBytes {
+			return http.StatusBadRequest, nil
+		}
 		if w.Lease != 0 && s.leases[w.Lease] == nil {
 			return http.StatusNotFound, nil
 		}
