List records again if their changes do not fit into an answer

What callers could meet: work that is started on runners that have left or drain, for up to the store's history of 20 s, after another writer left a dozen large entries within a moment.

Cause: an answer was cut at 8 MB and then could not be decoded. The watch repeated the same call, with the same answer, until the store had forgotten the changes.

Change: an answer over the limit is an error of its own (ErrTooLarge), on which a watch lists the records again, page by page, as it does when the history is gone.

--- a/daemon/internal/cellsched/exclusive_test.go
+++ b/daemon/internal/cellsched/exclusive_test.go
@@ -48,11 +48,6 @@
 		time.Sleep(20 * time.Second)
 		must.NotNil(t, s.leader())
 		must.True(t, first != s.leader().local.Current(), must.Sprint("the role was not handed over"))
-		must.MapLen(t, 2, s.accepted)
-		for id := range s.accepted {
-			state, err := cell.ParseSavedJob(s.store.Value(StateKey(id)))
-			must.NoError(t, err)
-			must.Eq(t, cell.Completed, state.State)
-		}
+		s.mustComplete(2)
 	})
 }
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -227,8 +228,8 @@
 				age.applied(sent.Add(min(watchWait, time.Since(sent))))
 			}
 			wait.For(s.ctx, watchPause)
-		case platform.StatusOf(err) == http.StatusGone:
-			s.log.Warn("[sched] store no longer has the changes to watch; listing again", zap.String("prefix", prefix))
+		case platform.StatusOf(err) == http.StatusGone, errors.Is(err, platform.ErrTooLarge):
+			s.log.Warn("[sched] changes to watch not available; listing again", zap.String("prefix", prefix), zap.Error(err))
 			listedAt := time.Now()
 			all, from, ok := s.listAll(prefix)
 			if !ok {
