Count only runners that have reported in the index of free capacity

What operators could meet: decisions that look at every runner, as long as another writer's entry at which nothing listens claims a huge capacity.

Cause: the levels of the index are shares of the largest capacity that any entry names. Beside 2^40 all runners are on the lowest level, and the index leaves none out.

Change: the largest capacity is that of the runners that have reported; the index is built again at a first report.

Evidence: TestCapacityOfEntryWithoutRunnerIsNotCounted; the check of largestCapacity fails on the code before, by its reading: it took the maximum over all entries.

--- a/sched/cell/freeindex.go
+++ b/sched/cell/freeindex.go
@@ -24,7 +24,8 @@
 	// generation changes with the list of runners, since the indexes of the runners then
 	// change; 0 means that the index has to be rebuilt.
 	generation int
-	// largestCapacity is the largest capacity of a runner, for each resource.
+	// largestCapacity is the largest capacity of a runner that has reported, for each resource. An entry
+	// of another writer with a huge one would put all runners on the lowest level.
 	largestCapacity model.Resources
 	// cpuLevels and memoryLevels hold, for each level, the usable runners whose available
 	// capacity reaches that level.
@@ -88,7 +89,9 @@
 	for i, r := range c.sortedRunners {
 		r.index, r.cpuLevel, r.memoryLevel = i, -1, -1
 		r.prevUsable, r.inFreeIndex = false, false
-		x.largestCapacity = x.largestCapacity.Max(r.info.Capacity)
+		if r.reported {
+			x.largestCapacity = x.largestCapacity.Max(r.info.Capacity)
+		}
 	}
 }
 
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -70,6 +70,7 @@
 		// From now on the runner refuses orders of earlier schedulers, so no run there has
 		// a lease that ends later than one granted by this scheduler now.
 		r.leasesExpireAt = now.Add(c.cfg.Lease + leaseMargin(c.cfg.Lease))
+		c.runnersChanged()
 	}
 	r.reported = true
 	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
--- a/sched/cell/silentrunner_test.go
+++ b/sched/cell/silentrunner_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
 )
 
 // Guards against finished work that runs again: the task ended on a runner that lives and only
@@ -108,3 +110,15 @@
 	next.report("r1", Report{Incarnation: 1})
 	must.Len(t, 1, next.stepUntilStart(time.Second))
 }
+
+// Guards against decisions that look at every runner, because an entry at which nothing listens claims a
+// capacity beside which all others count as nothing.
+func TestCapacityOfEntryWithoutRunnerIsNotCounted(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetRunner(w.now, RunnerInfo{ID: "odd", Pool: "pool", Address: "nowhere:1", Capacity: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40}})
+	w.step(100 * time.Millisecond)
+	must.Eq(t, model.Resources{MilliCPU: 4000, MemoryMB: 4000}, w.cell.free.largestCapacity)
+	w.addRunners(2, 3)
+	w.step(100 * time.Millisecond)
+	must.Eq(t, freeLevels, w.cell.runners["r2"].cpuLevel)
+}
