Give a gang's reservation up when its room is taken for longer than its tickets

Change: a gang is committed only if the reserved capacity is expected to be free while its tickets are valid. While more than half of the cell is free, a late gang's reservation holds like any other, since nothing is delayed by it.

Failing runs, lost start orders and lost answers of the advisor are new there.

Evidence: TestGangsGetFreeCapacityAfterFailedAttempts fails on the code before (held back 3.5 s) and passes.

--- a/sched/cell/largecell_bursts_test.go
+++ b/sched/cell/largecell_bursts_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// Guards against gangs that wait beside free capacity because earlier attempts failed: a member failed by
+// its own fault, an order or an answer of the advisor was lost.
+func TestGangsGetFreeCapacityAfterFailedAttempts(t *testing.T) {
+	for name, faults := range map[string]largeCellFaults{
+		"failed":       {failed: 0.02},
+		"lost starts":  {lostStarts: 0.02},
+		"lost answers": {lostAnswers: 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newLargeCellSim(t, 1)
+			w.faults = faults
+			w.play(calmSeconds * time.Second)
+			w.drain()
+			must.Eq(t, 0, w.open, must.Sprint("accepted jobs that did not end"))
+			must.SliceEmpty(t, w.violations)
+			must.MapEmpty(t, w.heldBack, must.Sprintf("steps that waited despite free capacity, and how long: %v", w.heldBack))
+		})
+	}
+}
+
 // Guards against jobs that wait long for writes of states after a burst, because the begin
 // marks that starts need wait behind the states of other jobs. The store takes 15 states
 // every 40 ms, which is a full write at the scheduler's default interval and little more than
--- a/sched/cell/largecell_check_test.go
+++ b/sched/cell/largecell_check_test.go
@@ -13,7 +13,7 @@
 		capacity += r.info.Capacity.MilliCPU
 	}
 	waits := make(map[*group]time.Time)
-	for _, g := range w.cell.newlyStartable {
+	for _, g := range w.waitingGroups() {
 		if g.waitingTasks < len(g.tasks) || g.job.state.Final() || 2*used >= capacity || w.countFreeSlots(g) < 2*len(g.tasks) {
 			continue
 		}
@@ -29,6 +29,18 @@
 	w.idleSince = waits
 }
 
+// waitingGroups returns the groups that have waiting tasks and no open dependencies.
+func (w *largeCellSim) waitingGroups() []*group {
+	b := &w.cell.backlog
+	var out []*group
+	for _, g := range slices.Concat(w.cell.newlyStartable, b.ordered, b.awaitingInherited) {
+		if g.hasWaitingTasks() {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // countFreeSlots counts the tasks of a group that fit at once on the runners that may run
 // it.
 func (w *largeCellSim) countFreeSlots(g *group) int {
--- a/sched/cell/largecell_runners_test.go
+++ b/sched/cell/largecell_runners_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -29,7 +30,11 @@
 					approved = append(approved, Approval{Runner: id, Ticket: "t"})
 				}
 			}
-			w.cell.RecordAdvice(w.now, l.call, l.sent, approved, nil)
+			var err error
+			if w.chance(w.faults.lostAnswers) {
+				err = errTestAdvisor
+			}
+			w.cell.RecordAdvice(w.now, l.call, l.sent, approved, err)
 		}
 		if l.pending && l.call.ExpectedDuration > longCallTime {
 			long++
@@ -63,12 +68,34 @@
 	}
 }
 
+// chance reports true with a probability. It draws no number if that is 0, so that the random numbers of
+// the simulations without faults stay the same.
+func (w *largeCellSim) chance(probability float64) bool {
+	return probability > 0 && w.random.Float64() < probability
+}
+
+// orderStart carries out the order to start a run, unless it is lost.
+func (w *largeCellSim) orderStart(run *Run) {
+	if w.chance(w.faults.lostStarts) {
+		if w.chance(0.5) {
+			w.startRun(run)
+		}
+		w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+		return
+	}
+	w.startRun(run)
+	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
+}
+
 // startRun starts a run on its runner and checks that the runner is not overfilled.
 func (w *largeCellSim) startRun(run *Run) {
 	g := w.jobs[run.Task.Job]
 	r := &largeCellRun{run: run, work: g.work[run.Task.Step][run.Task.Index]}
 	w.running[run.Runner] = append(w.running[run.Runner], r)
-	r.ends = w.now.Add(r.work)
+	r.ends, r.fails = w.now.Add(r.work), w.chance(w.faults.failed)
+	if r.fails {
+		r.ends = w.now.Add(time.Duration(w.random.Float64() * float64(r.work)))
+	}
 	if used := w.cell.runners[run.Runner].used; !used.Fits(w.cell.runners[run.Runner].info.Capacity) {
 		w.violations = append(w.violations, "overfilled "+run.Runner)
 	}
@@ -77,14 +104,39 @@
 // endRuns ends the runs on a runner that have finished their work.
 func (w *largeCellSim) endRuns(id string) {
 	keep := w.running[id][:0]
+	var failed []*Run
 	for _, r := range w.running[id] {
 		if w.now.Before(r.ends) {
 			keep = append(keep, r)
 			continue
 		}
+		if r.fails {
+			w.addEnd(id, r, EndFailed)
+			failed = append(failed, r.run)
+			continue
+		}
 		w.addEnd(id, r, EndDone)
 	}
 	w.running[id] = keep
+	for _, run := range failed {
+		w.breakGang(run)
+	}
+}
+
+// breakGang ends the other members of a gang after one has failed.
+func (w *largeCellSim) breakGang(failed *Run) {
+	if !failed.group.spec.Gang {
+		return
+	}
+	for id, runs := range w.running {
+		w.running[id] = slices.DeleteFunc(runs, func(r *largeCellRun) bool {
+			broken := r.run.group == failed.group && r.run.Execution == failed.Execution
+			if broken {
+				w.addEnd(id, r, EndGangBroken)
+			}
+			return broken
+		})
+	}
 }
 
 func (w *largeCellSim) addEnd(id string, r *largeCellRun, how EndKind) {
--- a/sched/cell/largecell_test.go
+++ b/sched/cell/largecell_test.go
@@ -73,8 +73,9 @@
 type largeCellRun struct {
 	run  *Run
 	work time.Duration
-	// ends is when the run has finished its work.
-	ends time.Time
+	// ends is when the run has finished its work, or fails.
+	ends  time.Time
+	fails bool
 }
 
 type largeCellJob struct {
@@ -124,6 +125,8 @@
 	statesPerWrite int
 	writeGap       time.Duration
 	nextWrite      time.Time
+	// faults are the faults of runners and of the advisor.
+	faults largeCellFaults
 	// idleSince holds since when a waiting group has had enough free capacity.
 	idleSince map[*group]time.Time
 	// heldBack holds the groups that waited although there was free capacity for longer
@@ -131,6 +134,13 @@
 	heldBack map[string]time.Duration
 }
 
+// largeCellFaults holds the shares of faulty calls and runs.
+type largeCellFaults struct {
+	// failed is the share of runs that end failed, lostStarts that of start orders without an answer, of
+	// which half are carried out, and lostAnswers that of calls to the advisor that fail.
+	failed, lostStarts, lostAnswers float64
+}
+
 type entryVMCall struct {
 	call    AdviceCall
 	sent    time.Time
@@ -241,7 +251,7 @@
 	}
 	w.cell.Tick(w.now)
 	s := w.currentSecond()
-	s.waiting = max(s.waiting, len(w.cell.newlyStartable))
+	s.waiting = max(s.waiting, len(w.waitingGroups()))
 	begin := time.Now()
 	d := w.cell.Decide(w.now, w.now)
 	s.decisionTimes = append(s.decisionTimes, time.Since(begin))
@@ -251,8 +261,7 @@
 	}
 	for _, st := range d.Starts {
 		s.starts++
-		w.startRun(st.Run)
-		w.cell.RecordStartOutcome(w.now, st.Run, StartOK, "")
+		w.orderStart(st.Run)
 	}
 	w.writeStates()
 	w.cell.TakeEvents()
@@ -263,7 +272,7 @@
 	w.open--
 	s := w.currentSecond()
 	s.ended++
-	if w.now.Sub(g.accepted) <= g.expected {
+	if g.job.VisibleState() == Completed && w.now.Sub(g.accepted) <= g.expected {
 		s.inTime++
 		g.kind.inTime++
 		s.inTimeOf[slices.Index(w.kinds, g.kind)]++
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -37,9 +37,10 @@
 		}
 		keep = append(keep, g)
 		g.reservationDeducted = false
-		if g.tier <= atRisk && g.committedToReservation(now) {
+		if (g.tier <= atRisk || c.mostlyFree()) && g.committedToReservation(now) {
 			// Groups that are placed earlier must not take the capacity that the call was
-			// made for.
+			// made for. A late gang must not delay work that can still end in time, but with
+			// much free capacity it does not.
 			c.deductReservation(g)
 		}
 	}
@@ -47,6 +48,9 @@
 	c.reservingGangs = keep
 }
 
+// mostlyFree reports whether more than half of the cell is free.
+func (c *Cell) mostlyFree() bool { return 2*c.free.freeMilliCPU > c.free.capacityMilliCPU }
+
 func (c *Cell) reservationValid(now time.Time, g *group) bool {
 	if !g.hasWaitingTasks() || g.waitingTasks < len(g.tasks) || len(g.reservedRunners) == 0 {
 		return false
@@ -243,8 +247,9 @@
 	return r.Started.Add(r.group.spec.Estimate)
 }
 
-// committedToReservation reports whether a gang has valid tickets for all its reserved
-// runners, or a call to the advisor in flight, so that it must keep these runners.
+// committedToReservation reports whether a gang must keep its reserved runners: a call to the advisor is
+// in flight, or it has tickets for all of them that are valid until their capacity is expected to be
+// free. The caller must have returned the reservation to the available capacity.
 func (g *group) committedToReservation(now time.Time) bool {
 	if g.queue.Advice == nil || len(g.reservedRunners) == 0 {
 		return false
@@ -252,8 +257,10 @@
 	if g.advice.inFlight {
 		return true
 	}
+	// Room that other groups have taken meanwhile may be free again only after the tickets have expired.
+	startAt := now.Add(g.reservationFreeAfter(now))
 	for _, r := range g.reservedRunners {
-		if _, ok := g.ticketFor(now, r); !ok {
+		if _, ok := g.ticketFor(startAt, r); !ok {
 			return false
 		}
 	}
