Split what a gang asks the advisor over calls at the same time

Cause: a gang had one call at a time, which names 100 runners at most.

Change: the runners that a gang asks about, up to 600, are split over calls that each take at most twice the fixed time of a call; different VMs make them. Other groups keep one call, since they start on what the first call brings.

Evidence: TestWideGangAsksInCallsAtTheSameTime.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -25,7 +25,8 @@
 	permittedSet runnerSet
 	generation   int
 	tickets      map[string]ticket
-	inFlight     bool
+	// inFlight counts the calls without an answer.
+	inFlight int
 	// callAgainAt is the earliest time of the next call, after a call that failed or that
 	// would have named no runner.
 	callAgainAt time.Time
@@ -75,7 +76,7 @@
 // there are no approvals, none of the named runners may run the group.
 func (c *Cell) RecordAdvice(now time.Time, call AdviceCall, sentAt time.Time, approvals []Approval, err error) {
 	a := &call.group.advice
-	a.inFlight = false
+	a.inFlight = max(0, a.inFlight-1)
 	c.removeExpectedStarts(&call)
 	if err != nil {
 		a.callAgainAt = now.Add(adviceRetryDelay)
--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -12,7 +12,7 @@
 // expired tickets for runners on which the group could start, or name more runners.
 func (c *Cell) requestAdvice(now time.Time, g *group, d *Decisions) {
 	a := &g.advice
-	if g.queue.Advice == nil || a.inFlight || now.Before(a.callAgainAt) {
+	if g.queue.Advice == nil || a.inFlight > 0 || now.Before(a.callAgainAt) {
 		return
 	}
 	var named []*runner
@@ -31,7 +31,15 @@
 		a.callAgainAt = now.Add(adviceRetryDelay)
 		return
 	}
-	a.inFlight, a.fullSince = true, time.Time{}
+	a.fullSince = time.Time{}
+	for part := range slices.Chunk(named, g.runnersPerCall(len(named))) {
+		d.Advice = append(d.Advice, c.newAdviceCall(now, g, part, len(named)))
+	}
+}
+
+// newAdviceCall returns one of the calls that together name all runners.
+func (c *Cell) newAdviceCall(now time.Time, g *group, named []*runner, all int) AdviceCall {
+	g.advice.inFlight++
 	call := AdviceCall{
 		Group: g.adviceKey(), ExpectedDuration: g.queue.Advice.CallTime(len(named)),
 		Rank: g.rank, CreatedAt: now,
@@ -41,17 +49,30 @@
 		call.Runners = append(call.Runners, r.info.ID)
 		call.incarnations[r.info.ID] = r.incarnation
 	}
-	c.addExpectedStarts(g, named, &call)
-	d.Advice = append(d.Advice, call)
+	c.addExpectedStarts(g, named, all, &call)
+	return call
+}
+
+// runnersPerCall returns how many runners each call names if a group has to ask about n. A gang needs all
+// its tickets at the same time, and they are valid for little longer than a long call takes, so it asks in
+// several calls at once, which different VMs make.
+func (g *group) runnersPerCall(n int) int {
+	perCall := maxRunnersPerCall
+	if a := g.queue.Advice; g.spec.Gang && a.PerRunner > 0 {
+		perCall = min(max(int(maxNamingTimeRatio*float64(a.Base)/float64(a.PerRunner)), 1), perCall)
+	}
+	calls := max(1, (n+perCall-1)/perCall)
+	return (n + calls - 1) / calls
 }
 
-// addExpectedStarts adds to each named runner the CPU that tasks of the group may take there
-// after the answer, so that other calls name other runners.
-func (c *Cell) addExpectedStarts(g *group, named []*runner, call *AdviceCall) {
+// addExpectedStarts adds to each runner that a call names the CPU that tasks of the group may take
+// there after the answer, so that other calls name other runners; all is the number of runners that the
+// calls of the group name together.
+func (c *Cell) addExpectedStarts(g *group, named []*runner, all int, call *AdviceCall) {
 	if len(g.reservedRunners) > 0 {
 		return
 	}
-	call.expectedMilliCPU = int64(g.waitingTasks) * g.claim().MilliCPU / int64(len(named))
+	call.expectedMilliCPU = int64(g.waitingTasks) * g.claim().MilliCPU / int64(all)
 	for _, r := range named {
 		r.expectedMilliCPU += call.expectedMilliCPU
 	}
@@ -163,7 +184,7 @@
 	if len(chosen) == 0 {
 		chosen = c.planGang(now, g, func(*runner) bool { return true })
 	}
-	call := g.queue.Advice.CallTime(len(slices.Compact(slices.Clone(chosen))))
+	call := g.queue.Advice.CallTime(g.runnersPerCall(len(slices.Compact(slices.Clone(chosen)))))
 	if len(g.reservedRunners) > 0 && g.reservationFreeAfter(now) > call {
 		return nil
 	}
@@ -194,7 +215,11 @@
 		}
 	}
 	c.candidateBuf = fit
-	fit = sortSmallest(fit, maxRunnersPerCall, byCPUAfterExpected)
+	limit := maxRunnersPerCall
+	if g.spec.Gang {
+		limit = maxRunnersPerGang
+	}
+	fit = sortSmallest(fit, limit, byCPUAfterExpected)
 	share := c.approvalShare(g.queue)
 	// With minNamed runners, the probability that none is approved is at most
 	// noneApprovedProbability.
@@ -230,6 +255,11 @@
 	// runner may save another call if other groups start on the runners that were named
 	// first.
 	minNamingTimeRatio = 1.0
+	// maxNamingTimeRatio is the maximum of the same ratio for the calls of a gang.
+	maxNamingTimeRatio = 1.0
+	// maxRunnersPerGang limits the runners that a gang asks about at once, and so the VMs that its calls
+	// keep busy.
+	maxRunnersPerGang = 600
 	// namedSlotsFactor is how many times the slots that a group needs are named, since
 	// other groups start on the named runners while the advisor works.
 	namedSlotsFactor = 1.5
--- a/sched/cell/gangs_test.go
+++ b/sched/cell/gangs_test.go
@@ -176,3 +176,44 @@
 	slices.Sort(named)
 	must.Eq(t, []string{"r0", "r1"}, named)
 }
+
+// Guards against a wide gang that collects its tickets one call after the other, so that the first ones
+// expire before it has enough: what it has to ask is split over calls that are made at the same time.
+func TestWideGangAsksInCallsAtTheSameTime(t *testing.T) {
+	const runners, tasks = 200, 40
+	w := newTestCell(t, runners)
+	w.cell.SetQueues([]Queue{{
+		Name: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2,
+		Advice: &AdvicePolicy{Base: 700 * time.Millisecond, PerRunner: 10 * time.Millisecond, Validity: 2 * time.Second},
+	}})
+	gang := smallStep(tasks)
+	gang.Gang, gang.Size.MilliCPU = true, 3000
+	w.addJob("0000000000000001", gang)
+	calls := w.cell.Decide(w.now, w.now).Advice
+	named := make(map[string]bool)
+	for _, c := range calls {
+		must.LessEq(t, 1400*time.Millisecond, c.ExpectedDuration)
+		for _, id := range c.Runners {
+			must.False(t, named[id], must.Sprintf("%s is named twice", id))
+			named[id] = true
+		}
+	}
+	must.GreaterEq(t, int(tasks/initialApprovalShare), len(named))
+	must.SliceEmpty(t, w.cell.Decide(w.now, w.now).Advice)
+	w.writeStates()
+	places, started := 0, 0
+	for _, c := range calls {
+		w.now = w.now.Add(50 * time.Millisecond)
+		var approved []Approval
+		for n, id := range c.Runners {
+			if n%2 == 0 {
+				approved = append(approved, Approval{Runner: id, Ticket: "t"})
+			}
+		}
+		w.cell.RecordAdvice(w.now, c, w.now, approved, nil)
+		started += len(w.cell.Decide(w.now, w.now).Starts)
+		places += len(approved)
+		must.Eq(t, places >= tasks, started == tasks)
+	}
+	must.Eq(t, tasks, started)
+}
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -254,7 +254,7 @@
 	if g.queue.Advice == nil || len(g.reservedRunners) == 0 {
 		return false
 	}
-	if g.advice.inFlight {
+	if g.advice.inFlight > 0 {
 		return true
 	}
 	// Room that other groups have taken meanwhile may be free again only after the tickets have expired.
--- a/sched/cell/stats.go
+++ b/sched/cell/stats.go
@@ -155,7 +155,7 @@
 		return &n.NotDue
 	case !g.beginMarkStored():
 		return &n.MarkNotStored
-	case g.queue.Advice != nil && (g.advice.inFlight || g.advice.asked == nil):
+	case g.queue.Advice != nil && (g.advice.inFlight > 0 || g.advice.asked == nil):
 		return &n.AwaitingAdvice
 	}
 	return &n.NoCapacity
