Store the policy of its queue with a job

Cause: a queue that the configuration does not name got a default policy. A job's record held only its name and pool.

Change: the record holds the queue's policy at the acceptance; a scheduler uses it for queues that the configuration does not name. Records of earlier releases are read as before.

--- a/daemon/internal/cellsched/encoding_test.go
+++ b/daemon/internal/cellsched/encoding_test.go
@@ -14,6 +14,7 @@
 	encodingtest.RoundTrip[cell.SavedJob](t, "saved_job.json")
 	encodingtest.RoundTrip[[]cell.RunnerInfo](t, "runners.json")
 	encodingtest.RoundTrip[JobHeader](t, "job_header.json")
+	encodingtest.RoundTripOlder[JobHeader](t, "job_header_1.json")
 
 	stored := encodingtest.Read(t, "job.txt")
 	j, err := DecodeJob("0000000000000001", stored)
--- a/daemon/internal/cellsched/records.go
+++ b/daemon/internal/cellsched/records.go
@@ -38,6 +38,9 @@
 	// AcceptedMS is the Unix time in ms at which the job was accepted, by the clock of the VM
 	// that accepted it; 0 if unknown.
 	AcceptedMS int64 `json:"accepted_ms,omitempty"`
+	// Policy is the policy of the queue when the job was accepted; nil in records of earlier
+	// releases and of completed jobs. The operator may remove the queue before the job has ended.
+	Policy *QueuePolicy `json:"policy,omitempty"`
 }
 
 // maxTimeSinceAcceptance limits the effect of a clock that has jumped.
@@ -100,5 +103,10 @@
 	if err := json.Unmarshal(head, &h); err != nil {
 		return nil, nil, fmt.Errorf("decode stored job %s: %w", id, err)
 	}
-	return &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, PriorWait: h.timeSinceAcceptance(time.Now().Round(0))}, body, nil
+	j := &cell.Job{ID: id, Queue: h.Queue, Pool: h.Pool, PriorWait: h.timeSinceAcceptance(time.Now().Round(0))}
+	if h.Policy != nil {
+		q := h.Policy.queue(h)
+		j.QueuePolicy = &q
+	}
+	return j, body, nil
 }
--- a/daemon/internal/front/handler.go
+++ b/daemon/internal/front/handler.go
@@ -121,7 +121,7 @@
 		return
 	}
 	q := cfg.queues[route.Queue]
-	if err := h.jobs.Submit(ctx, id, cellsched.JobHeader{Queue: q.Name, Pool: q.Pool, AcceptedMS: begin.UnixMilli()}, body); err != nil {
+	if err := h.jobs.Submit(ctx, id, cellsched.NewJobHeader(begin, q), body); err != nil {
 		h.writeError(w, r, err)
 		return
 	}
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -25,6 +25,9 @@
 	Spec  Spec
 	// PriorWait is the time from the acceptance of the job to the call of AddJob.
 	PriorWait time.Duration
+	// QueuePolicy is the policy of the job's queue when it was accepted; nil if unknown. AddJob uses
+	// and then drops it.
+	QueuePolicy *Queue
 	// Accepted is when the job was accepted, on the clock of this scheduler.
 	Accepted time.Time
 
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -17,6 +17,7 @@
 	j.memoryBytes = j.estimateMemory()
 	c.memoryBytes += j.memoryBytes
 	q := c.queueOf(j)
+	j.QueuePolicy = nil
 	steps := len(j.Spec.Steps)
 	for k := range j.Spec.Occurrences() {
 		for s := range j.Spec.Steps {
@@ -51,12 +52,15 @@
 	return true
 }
 
-// queueOf returns the policy of a job's queue, or a default policy if the settings have no
-// such queue.
+// queueOf returns the policy of a job's queue. If the settings have no such queue, it is the policy
+// under which the job was accepted, or, if that is not known either, a default policy.
 func (c *Cell) queueOf(j *Job) *Queue {
 	q := c.queues[j.Queue]
 	if q == nil {
 		q = &Queue{Name: j.Queue, Pool: j.Pool, Priority: 1, MaxAttempts: 3, SlackFactor: 2}
+		if j.QueuePolicy != nil {
+			*q = *j.QueuePolicy
+		}
 		c.queues[j.Queue] = q
 	}
 	return q
--- a/sched/cell/policychange_test.go
+++ b/sched/cell/policychange_test.go
@@ -55,3 +55,25 @@
 }
 
 var errTestAdvisor = errors.New("the advisor did not answer")
+
+// Guards against jobs that are run by another policy after a change of the scheduler, without tickets or
+// more often than their queue allowed, because the operator has removed their queue.
+func TestJobOfRemovedQueueKeepsItsPolicyAfterTakeover(t *testing.T) {
+	w := newTestCell(t, 2)
+	policy := advisedQueue()
+	policy.MaxAttempts = 1
+	j := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool", QueuePolicy: &policy, Spec: Spec{Payload: "p", Steps: []Step{smallStep(1)}}}
+	must.True(t, w.cell.AddJob(w.now, j, nil))
+	starts := w.stepUntilStart(time.Second)
+	must.Len(t, 1, starts)
+	must.Eq(t, "t", starts[0].Ticket)
+	w.endRun(starts[0].Run, EndFailed)
+	must.Eq(t, Failed, j.State())
+	// The present configuration decides as soon as it names the queue again.
+	policy.MaxAttempts = 2
+	w.cell.SetQueues([]Queue{policy})
+	second := w.addJob("0000000000000002", smallStep(1))
+	starts = w.stepUntilStart(time.Second)
+	w.endRun(starts[0].Run, EndFailed)
+	must.False(t, second.State().Final())
+}
