Use a restarted runner only by its own entry

Cause: a report of the new incarnation made the runner usable with the capacity and the labels of the entry of the previous one. Entry and report both name the incarnation; they were not compared.

Change: a runner is usable only while both are of the same incarnation.

--- a/sched/cell/pools_test.go
+++ b/sched/cell/pools_test.go
@@ -213,3 +213,31 @@
 		})
 	}
 }
+
+// Guards against a runner that is filled by the capacity and the labels of its previous incarnation: it
+// restarted as another kind, and its report comes before its new entry, or the entry before the report.
+func TestRestartedRunnerIsUsedOnlyByItsOwnEntry(t *testing.T) {
+	smaller := RunnerInfo{ID: "r0", Pool: "pool", Capacity: model.Resources{MilliCPU: 1000, MemoryMB: 4000}, Incarnation: 2}
+	for name, steps := range map[string][]func(w *testCell){
+		"report first": {
+			func(w *testCell) { w.report("r0", Report{Incarnation: 2}) },
+			func(w *testCell) { w.cell.SetRunner(w.now, smaller) },
+		},
+		"entry first": {
+			func(w *testCell) { w.cell.SetRunner(w.now, smaller) },
+			func(w *testCell) { w.report("r0", Report{Incarnation: 2}) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCell(t, 1)
+			w.addJob("0000000000000001", smallStep(4))
+			w.cell.PauseStarts()
+			w.step(100 * time.Millisecond)
+			steps[0](w)
+			w.cell.SetMaxStarts(MaxStartsPerDecision)
+			must.SliceEmpty(t, w.stepUntilStart(time.Second), must.Sprint("started while entry and report are of different incarnations"))
+			steps[1](w)
+			must.Len(t, 1, w.stepUntilStart(time.Second))
+		})
+	}
+}
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -111,5 +111,12 @@
 
 // usable reports whether new tasks may start on the runner.
 func (r *runner) usable(now time.Time) bool {
-	return r.listed && r.inStoredRoster && r.reported && !r.suspect && !r.info.Draining && !now.Before(r.quarantinedUntil)
+	return r.listed && r.inStoredRoster && r.reported && r.entryIsCurrent() && !r.suspect && !r.info.Draining && !now.Before(r.quarantinedUntil)
+}
+
+// entryIsCurrent reports whether the known entry is that of the incarnation which reported last. A runner
+// that restarted may have another capacity and other labels than the entry of its previous incarnation
+// says. Entries of earlier releases in a stored roster may name no incarnation.
+func (r *runner) entryIsCurrent() bool {
+	return r.info.Incarnation == 0 || r.info.Incarnation == r.incarnation
 }
