Number calls to the advisor apart from those of other terms

Cause: calls were numbered from 1 in each term, and a result names only the number. The late result of a call of the last term would have been taken for another step's.

Change: each term has its own range of numbers.

Evidence: TestResultOfEarlierTermIsNotTakenForAnotherCall; before, all queues began at 1.

--- a/daemon/internal/cellsched/adviceassignment_test.go
+++ b/daemon/internal/cellsched/adviceassignment_test.go
@@ -76,7 +76,7 @@
 		calls = 60
 		delay = 10 * time.Millisecond
 	)
-	queue := newAdviceQueue()
+	queue := newAdviceQueue(1)
 	server := peer.NewServer()
 	peer.Handle(server, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
 		id, call, ok := queue.waitForCall(ctx, a.VM)
--- a/daemon/internal/cellsched/advicequeue.go
+++ b/daemon/internal/cellsched/advicequeue.go
@@ -31,8 +31,15 @@
 	lastID        int64
 }
 
-func newAdviceQueue() *adviceQueue {
-	return &adviceQueue{lastRequest: make(map[string]time.Time), callAvailable: make(chan struct{}, 1), assigned: make(map[int64]cell.AdviceCall)}
+// callsPerTerm is the size of each term's range of call ids. The ranges do not overlap, so the late result
+// of a call of an earlier term is not taken for that of another step.
+const callsPerTerm = 1 << 32
+
+// newAdviceQueue returns the queue of a scheduler's term.
+func newAdviceQueue(term int64) *adviceQueue {
+	return &adviceQueue{
+		lastID: (term - 1) * callsPerTerm, lastRequest: make(map[string]time.Time), callAvailable: make(chan struct{}, 1), assigned: make(map[int64]cell.AdviceCall),
+	}
 }
 
 func (q *adviceQueue) add(call cell.AdviceCall) {
--- a/daemon/internal/cellsched/advicequeue_test.go
+++ b/daemon/internal/cellsched/advicequeue_test.go
@@ -18,7 +18,7 @@
 func TestWaitingVMsReceiveAllAdvisorCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const vms, calls, callDuration = 8, 400, 20 * time.Millisecond
-		q := newAdviceQueue()
+		q := newAdviceQueue(1)
 		ctx, stop := context.WithCancel(context.Background())
 		var waits sync.WaitGroup
 		for i := range vms {
@@ -57,3 +57,22 @@
 		must.LessEq(t, calls/vms*callDuration+10*callDuration, time.Since(begin))
 	})
 }
+
+// Guards against the result of a call of an earlier term that is taken for that of another step, whose
+// runners would then be wrong for good.
+func TestResultOfEarlierTermIsNotTakenForAnotherCall(t *testing.T) {
+	earlier, later := newAdviceQueue(3), newAdviceQueue(4)
+	for _, q := range []*adviceQueue{earlier, later} {
+		for range 10 {
+			q.add(cell.AdviceCall{Group: "g"})
+		}
+	}
+	for range 10 {
+		id, _, ok := earlier.assign("vm")
+		must.True(t, ok)
+		_, _, ok = later.assign("vm")
+		must.True(t, ok)
+		_, ok = later.complete(id)
+		must.False(t, ok, must.Sprintf("call %d of the earlier term", id))
+	}
+}
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -138,7 +138,7 @@
 	lease := min(set.MaxLease-leaseMargin, leaseLimit)
 	return &Scheduler{
 		settings: set, term: term, store: store, runners: runners, log: log, leaseDuration: lease,
-		adviceQueue: newAdviceQueue(), orders: newOrderQueue(set.LinkMbps), idleSenders: make(chan queuedOrder), metrics: m,
+		adviceQueue: newAdviceQueue(term.Number), orders: newOrderQueue(set.LinkMbps), idleSenders: make(chan queuedOrder), metrics: m,
 		cell: cell.New(time.Now(), cell.Config{
 			Lease: lease, MaxLease: set.MaxLease, OrderTimeout: orderTimeout,
 			// An earlier scheduler may still grant leases for StoreOutageTolerance. The added
