Place a gang across racks if no rack can hold it

PROTOCOL.md: such tasks "take `remote_factor` times as long when they run on more than one rack"; it doesn't forbid that.

Cause: such a gang was planned, and reserved, within one rack only.

Change: it is, as long as a rack of listed runners that may run it could hold all of it when empty, by size, label, pool, anti_affinity and the advisor's answers; otherwise it is placed like any gang.

Evidence: TestGangThatNoRackHoldsStartsAcrossRacks (too wide, runner lost, not approved) fails on the code before; TestGangWaitsForARackThatHoldsIt guards the other side. A gang still waits for a rack that is only busy.

--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -44,8 +44,9 @@
 // a member failed only if the gang does not fit on the others.
 func (c *Cell) planGang(now time.Time, g *group, permitted func(*runner) bool) []*runner {
 	candidates := c.eligible(now, g, permitted)
+	oneRack := c.fitsOneRack(g)
 	if len(g.failedOn) == 0 {
-		return g.planOn(candidates)
+		return g.planOn(candidates, oneRack)
 	}
 	others := make([]*runner, 0, len(candidates))
 	for _, r := range candidates {
@@ -53,16 +54,49 @@
 			others = append(others, r)
 		}
 	}
-	if plan := g.planOn(others); plan != nil {
+	if plan := g.planOn(others, oneRack); plan != nil {
 		return plan
 	}
-	return g.planOn(candidates)
+	return g.planOn(candidates, oneRack)
 }
 
-// planOn plans a gang on the given runners; see planGang. A gang that is slow if it spans racks is
-// planned within one rack.
-func (g *group) planOn(candidates []*runner) []*runner {
+// fitsOneRack reports whether a gang is to be placed within one rack: it is slow if it spans racks, and a
+// rack could hold all of it if it were empty. No runner is left out for a while only, such as one that is
+// suspect, so that the answer rarely changes.
+func (c *Cell) fitsOneRack(g *group) bool {
 	if !g.spec.SameRack {
+		return false
+	}
+	places := make(map[string]int)
+	for _, r := range c.sortedRunners {
+		refused := g.queue.Advice != nil && g.advice.asked[r.info.ID] && !g.advice.approved[r.info.ID]
+		if !r.listed || r.info.Pool != g.job.Pool || refused || !g.fitsEmptyRunner(r) {
+			continue
+		}
+		places[r.info.Rack] += g.placesOnEmpty(r)
+		if places[r.info.Rack] >= len(g.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// placesOnEmpty returns how many tasks of a gang an empty runner holds, at most all of them.
+func (g *group) placesOnEmpty(r *runner) int {
+	limit := len(g.tasks)
+	if g.spec.MaxPerRunner > 0 {
+		limit = min(limit, g.spec.MaxPerRunner)
+	}
+	n := 0
+	for left := r.info.Capacity; n < limit && g.claim().Fits(left); n++ {
+		left = left.Sub(g.claim())
+	}
+	return n
+}
+
+// planOn plans a gang on the given runners, if oneRack is set within one rack; see planGang.
+func (g *group) planOn(candidates []*runner, oneRack bool) []*runner {
+	if !oneRack {
 		return g.packGang(candidates)
 	}
 	racks := make(map[string][]*runner)
--- a/sched/cell/gangs_test.go
+++ b/sched/cell/gangs_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -238,3 +239,46 @@
 	must.True(t, w.cell.AddJob(w.now, j, nil))
 	must.Len(t, 1, w.stepUntilStart(maxLookaheadWait+time.Second))
 }
+
+// Guards against a gang that is slow across racks and never starts, because no rack can hold all of it:
+// by the size of the racks, after the loss of a runner, or by what the advisor approves.
+func TestGangThatNoRackHoldsStartsAcrossRacks(t *testing.T) {
+	for name, change := range map[string]func(w *testCell, gang *Step){
+		"too wide":     func(_ *testCell, gang *Step) { gang.Count = 3 },
+		"runner lost":  func(w *testCell, _ *Step) { w.cell.UnlistRunner("r0"); w.cell.UnlistRunner("r2") },
+		"not approved": func(w *testCell, _ *Step) { w.approved = map[string]bool{"r1": true, "r2": true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCell(t, 4)
+			w.cell.SetQueues([]Queue{advisedQueue()})
+			for i, rack := range []string{"a", "a", "b", "b"} {
+				w.cell.runners[fmt.Sprintf("r%d", i)].info.Rack = rack
+			}
+			gang := smallStep(2)
+			gang.Gang, gang.SameRack, gang.Size.MilliCPU = true, true, 3000
+			change(w, &gang)
+			w.addJob("0000000000000001", gang)
+			must.Len(t, gang.Count, w.stepUntilStart(maxIdleTime))
+		})
+	}
+}
+
+// Guards against a gang that is slow across racks and spans them although one rack could hold it.
+func TestGangWaitsForARackThatHoldsIt(t *testing.T) {
+	w := newTestCell(t, 4)
+	for i, rack := range []string{"a", "a", "b", "b"} {
+		w.cell.runners[fmt.Sprintf("r%d", i)].info.Rack = rack
+	}
+	blocker := smallStep(2)
+	blocker.Size.MilliCPU, blocker.DataRack, blocker.MaxPerRunner = 4000, "a", 1
+	w.addJob("0000000000000001", blocker)
+	must.Len(t, 2, w.stepUntilStart(time.Second))
+	gang := smallStep(2)
+	gang.Gang, gang.SameRack, gang.Size.MilliCPU = true, true, 4000
+	w.addJob("0000000000000002", gang)
+	starts := w.stepUntilStart(time.Second)
+	must.Len(t, 2, starts)
+	for _, s := range starts {
+		must.Eq(t, "b", w.cell.runners[s.Run.Runner].info.Rack)
+	}
+}
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -120,13 +120,13 @@
 // earliestSlots returns the runners on which a gang is expected to find capacity earliest,
 // one for each task, by id; nil if there are too few.
 func (c *Cell) earliestSlots(now time.Time, g *group) []*runner {
-	racks := make(map[string][]slot)
+	racks, oneRack := make(map[string][]slot), c.fitsOneRack(g)
 	for _, r := range c.permittedRunners(g) {
 		if r.info.Pool != g.job.Pool || !r.usable(now) || !g.fitsEmptyRunner(r) || g.avoids(now, r) {
 			continue
 		}
 		rack := ""
-		if g.spec.SameRack {
+		if oneRack {
 			rack = r.info.Rack
 		}
 		first := len(racks[rack])
