Let a task through whose progress changes less often than its estimate allows

What callers could meet: a job that never ends.

Cause: the time without progress that a run may show depends on the estimate only.

Change: it doubles with each run of the task that was stopped for it, up to 64 times. A task on a runner that stands still is started elsewhere after the same time as before.

--- a/sched/cell/health.go
+++ b/sched/cell/health.go
@@ -11,6 +11,9 @@
 	// minStallTime plus a twentieth of its estimate is how long a run may show no progress:
 	// runs report whole percents, so the progress of long runs changes less often.
 	minStallTime = 2500 * time.Millisecond
+	// maxStallDoublings bounds the stall limit to 160 s for short estimates, in which a task of four hours
+	// progresses by one percent.
+	maxStallDoublings = 6
 	// fullPercent is the progress of a run that has finished its work.
 	fullPercent = 100
 )
@@ -45,7 +48,7 @@
 		if run.Phase != Active || run.group == nil || run.group.spec.LongRunning || run.isBestEffort() || run.lastProgressAt.IsZero() {
 			continue
 		}
-		limit := minStallTime + run.group.spec.Estimate/20
+		limit := run.stallLimit()
 		if now.Sub(run.lastProgressAt) < limit || r.lastReportAt.Sub(run.lastProgressAt) < limit {
 			continue
 		}
@@ -54,6 +57,7 @@
 			// A member that has finished its share waits for the others.
 			continue
 		}
+		g.tasks[run.Task.Index].stalls++
 		c.event(Event{Kind: EventRunStalled, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: now.Sub(run.lastProgressAt)})
 		g.recordFailureOn(now, r)
 		r.quarantinedUntil = now.Add(quarantineTime)
@@ -61,6 +65,13 @@
 	}
 }
 
+// stallLimit returns how long a run may show no progress. It doubles with each run of the task that was
+// stopped for it: the task may take so much longer than estimated that its progress changes this rarely.
+func (r *Run) stallLimit() time.Duration {
+	limit := minStallTime + r.group.spec.Estimate/20
+	return limit << min(r.group.tasks[r.Task.Index].stalls, maxStallDoublings)
+}
+
 // allMembersActive reports whether every member of a gang is confirmed; none makes progress
 // before that.
 func (g *group) allMembersActive() bool {
--- a/sched/cell/health_test.go
+++ b/sched/cell/health_test.go
@@ -36,3 +36,36 @@
 	must.Eq(t, Active, starts[0].Run.Phase)
 	must.Eq(t, Stopping, starts[1].Run.Phase)
 }
+
+// Guards against a task that never ends: it takes so much longer than estimated that its progress, in
+// whole percents, changes less often than a run may show none, and each run of it is stopped as stalled.
+func TestSlowTaskWithTooLowEstimateIsLetThrough(t *testing.T) {
+	const perPercent = 10 * time.Second
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	var run *Run
+	var startedAt time.Time
+	stopped := 0
+	for end := w.now.Add(10 * time.Minute); w.now.Before(end); {
+		if starts := w.step(100 * time.Millisecond); len(starts) > 0 {
+			run, startedAt = starts[0].Run, w.now
+		}
+		if run == nil {
+			continue
+		}
+		percent := float64(w.now.Sub(startedAt) / perPercent)
+		if percent >= 3 {
+			must.GreaterEq(t, 1, stopped, must.Sprint("runs of a task without progress are not stopped any more"))
+			return
+		}
+		if run.Phase == Stopping {
+			stopped++
+			w.endRun(run, EndStopped)
+			run = nil
+			continue
+		}
+		w.report(run.Runner, Report{Incarnation: 1, Running: []ReportedRun{{Task: run.Task, Execution: run.Execution, Percent: percent}}})
+	}
+	t.Fatalf("the task was stopped %d times", stopped)
+}
--- a/sched/cell/task.go
+++ b/sched/cell/task.go
@@ -9,6 +9,8 @@
 	// any order.
 	failedExecutions []int64
 	checkpoint       string
+	// stalls counts the runs that were stopped because they showed no progress.
+	stalls int
 	// lastExecution is the highest execution number used for the task.
 	lastExecution int64
 	// liveRuns holds the runs of the task that may exist on runners. There is more than one
