Expect a run whose start got no answer for the longest lease

What callers could meet: a task that runs twice. A runner restarts, and before the scheduler notices gets a start order that gives the end of its lease by the clock of its previous life.

Change: a run whose start got no answer is given up only after the longest lease since the last call that may have renewed it. If the answer to an order shows the restart, the runner's leases count as that long. Other runs of the runner are given up as before, so a crash delays only the tasks whose orders were under way.

Evidence: TestUnansweredRunIsGivenUpAfterTheLongestLease; on the code before, both tasks start after the shorter lease.

--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -108,6 +108,7 @@
 	l.mu.Unlock()
 	if wentBack {
 		l.restarted.Store(true)
+		l.s.exclusive(func() { l.s.cell.RecordRestart(time.Now(), l.id) })
 		l.renewNow()
 	}
 }
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -231,6 +231,19 @@
 func (c *Cell) RenewLease(now time.Time, id string) {
 	if r := c.runners[id]; r != nil {
 		r.extendLease(now, c.cfg.Lease)
+		for _, run := range r.runs {
+			if run.Phase == OutcomeUnknown {
+				c.holdUnanswered(now, run)
+			}
+		}
+	}
+}
+
+// RecordRestart records that the answer to an order showed that the runner had restarted before. The
+// order gave the end of its lease by the clock of the previous incarnation.
+func (c *Cell) RecordRestart(now time.Time, id string) {
+	if r := c.runners[id]; r != nil {
+		r.extendLease(now, c.cfg.MaxLease)
 	}
 }
 
@@ -290,11 +303,14 @@
 
 // loseAllRuns treats all runs of a runner as lost, after its leases have expired or another
 // incarnation has replaced it.
-func (c *Cell) loseAllRuns(now time.Time, r *runner) {
-	if len(r.runs) > 0 {
-		c.event(Event{Kind: EventRunnerLeasesLapsed, Runner: r.info.ID, Count: len(r.runs)})
+func (c *Cell) loseAllRuns(now time.Time, r *runner) { c.loseRuns(now, r, r.sortedRuns()) }
+
+// loseRuns treats some runs of a runner as lost.
+func (c *Cell) loseRuns(now time.Time, r *runner, runs []*Run) {
+	if len(runs) > 0 {
+		c.event(Event{Kind: EventRunnerLeasesLapsed, Runner: r.info.ID, Count: len(runs)})
 	}
-	for _, run := range r.sortedRuns() {
+	for _, run := range runs {
 		c.handleLostRun(now, r, run)
 	}
 }
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -82,6 +82,7 @@
 	case StartUnknown:
 		if run.Phase == Sending {
 			run.Phase, run.outcomeUnknownSince = OutcomeUnknown, now
+			c.holdUnanswered(now, run)
 			if run.orphan {
 				c.orderStop(now, run)
 			}
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -55,6 +55,9 @@
 	// stopAckedAt is when the runner acknowledged the stop order.
 	stopAckedAt time.Time
 	stopSentAt  time.Time
+	// heldUntil is until when a run whose start got no answer may exist on a runner that restarted
+	// before the order arrived; see holdUnanswered.
+	heldUntil time.Time
 	// outcomeUnknownSince is when the caller stopped waiting for the answer to the start
 	// order.
 	outcomeUnknownSince time.Time
--- a/sched/cell/silentrunner.go
+++ b/sched/cell/silentrunner.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if now.After(r.givenUpAt(r.leasesExpireAt)) {
-		c.loseAllRuns(now, r)
+		c.giveUpRuns(now, r)
 		return
 	}
 	if len(r.runs) > 0 && !r.endsAwaited {
@@ -36,6 +36,25 @@
 	}
 }
 
+// giveUpRuns treats the runs of a silent runner as lost, but for those that a restarted runner may hold for
+// longer.
+func (c *Cell) giveUpRuns(now time.Time, r *runner) {
+	var lost []*Run
+	for _, run := range r.sortedRuns() {
+		if now.After(r.givenUpAt(run.heldUntil)) {
+			lost = append(lost, run)
+		}
+	}
+	c.loseRuns(now, r, lost)
+}
+
+// holdUnanswered records that a call now may have started a run, or renewed its lease, without an answer.
+// Calls give the end of a lease by the last known clock of the runner. If the runner has restarted, its
+// clock is far behind, and it grants the longest lease instead.
+func (c *Cell) holdUnanswered(now time.Time, run *Run) {
+	run.heldUntil = now.Add(c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease))
+}
+
 // checkInheritedRuns sets inheritedRunsKnown once every run of an earlier scheduler is known. These are
 // on the runners that the stored roster lists, since none starts elsewhere.
 func (c *Cell) checkInheritedRuns(now time.Time) {
--- a/sched/cell/silentrunner_test.go
+++ b/sched/cell/silentrunner_test.go
@@ -122,3 +122,30 @@
 	w.step(100 * time.Millisecond)
 	must.Eq(t, freeLevels, w.cell.runners["r2"].cpuLevel)
 }
+
+// Guards against a task that runs twice: its runner restarted unnoticed before the start order arrived,
+// took the end of the lease for one on its new clock, and so holds the run for the longest lease.
+func TestUnansweredRunIsGivenUpAfterTheLongestLease(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.cfg.MaxLease = 10 * time.Second
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(2))
+	must.SliceEmpty(t, w.step(10*time.Millisecond))
+	w.now = w.now.Add(10 * time.Millisecond)
+	starts := w.cell.Decide(w.now, w.now).Starts
+	must.Len(t, 2, starts)
+	answered, unanswered := starts[0].Run, starts[1].Run
+	must.Eq(t, answered.Runner, unanswered.Runner)
+	w.cell.RenewLease(w.now, answered.Runner)
+	w.cell.RecordStartOutcome(w.now, answered, StartOK, "")
+	w.cell.RecordStartOutcome(w.now, unanswered, StartUnknown, "")
+	orderedAt := w.now
+	w.cell.MarkUnreachable(answered.Runner)
+	w.cell.UnlistRunner(answered.Runner)
+	first := w.stepUntilStart(8 * time.Second)
+	must.Len(t, 1, first)
+	must.Eq(t, answered.Task, first[0].Run.Task)
+	second := w.stepUntilStart(10 * time.Second)
+	must.Len(t, 1, second)
+	must.GreaterEq(t, w.cell.cfg.MaxLease, w.now.Sub(orderedAt))
+}
