Do not look up the task of a run whose job has ended

A job's tasks are dropped once its final state is stored, while a runner may list a run a little longer: index out of range under the scheduler's lock, and the term ended.

Change: a run without a known task has the plain limit.

Evidence: TestRunOfAnEndedJobMayStandStill panics on the code before. The other reads of tasks are behind a check of the job's state or of the index.

--- a/sched/cell/health.go
+++ b/sched/cell/health.go
@@ -57,7 +57,9 @@
 			// A member that has finished its share waits for the others.
 			continue
 		}
-		g.tasks[run.Task.Index].stalls++
+		if t := run.task(); t != nil {
+			t.stalls++
+		}
 		c.event(Event{Kind: EventRunStalled, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: now.Sub(run.lastProgressAt)})
 		g.recordFailureOn(now, r)
 		r.quarantinedUntil = now.Add(quarantineTime)
@@ -69,7 +71,10 @@
 // stopped for it: the task may take so much longer than estimated that its progress changes this rarely.
 func (r *Run) stallLimit() time.Duration {
 	limit := minStallTime + r.group.spec.Estimate/20
-	return limit << min(r.group.tasks[r.Task.Index].stalls, maxStallDoublings)
+	if t := r.task(); t != nil {
+		limit <<= min(t.stalls, maxStallDoublings)
+	}
+	return limit
 }
 
 // allMembersActive reports whether every member of a gang is confirmed; none makes progress
--- a/sched/cell/health_test.go
+++ b/sched/cell/health_test.go
@@ -69,3 +69,24 @@
 	}
 	t.Fatalf("the task was stopped %d times", stopped)
 }
+
+// Guards against a panic of the scheduler at a run that shows no progress after its job has ended and its
+// tasks were dropped.
+func TestRunOfAnEndedJobMayStandStill(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	j := w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	listed := func() {
+		w.report(run.Runner, Report{Incarnation: 1, Running: []ReportedRun{{Task: run.Task, Execution: run.Execution, Percent: 40}}})
+	}
+	listed()
+	must.True(t, w.cell.Cancel(w.now, j.ID))
+	w.writeStates()
+	must.SliceEmpty(t, j.groups[0].tasks)
+	run.Phase = Active
+	for range 100 {
+		w.step(100 * time.Millisecond)
+		listed()
+	}
+}
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -28,6 +28,15 @@
 	execution int64
 }
 
+// task returns the task of a run, or nil if none is known: the tasks of a job are dropped once its final
+// state is stored, while the runner may still list a run.
+func (r *Run) task() *task {
+	if r.group == nil || r.Task.Index >= len(r.group.tasks) {
+		return nil
+	}
+	return &r.group.tasks[r.Task.Index]
+}
+
 // Run is one execution of a task on a runner.
 type Run struct {
 	Task        TaskRef
