--- a/daemon/internal/cellsched/exclusive.go
+++ b/daemon/internal/cellsched/exclusive.go
@@ -4,6 +4,9 @@
 	"go.uber.org/zap"
 )
 
+// panicMessage is logged when a scheduler recovers from a panic.
+const panicMessage = "[sched] panic in the scheduler's state; stepping down"
+
 // exclusive runs f while it holds s.mu; see unlock.
 func (s *Scheduler) exclusive(f func()) {
 	s.mu.Lock()
@@ -24,7 +27,7 @@
 		return
 	}
 	s.broken.Store(true)
-	s.log.Error("[sched] panic in the scheduler's state; stepping down", zap.Int64("term", s.term.Number),
+	s.log.Error(panicMessage, zap.Int64("term", s.term.Number),
 		zap.Any("panic", p), zap.Stack("stack"))
 	if s.stepDown != nil {
 		s.stepDown()
--- a/daemon/internal/cellsched/exclusive_test.go
+++ b/daemon/internal/cellsched/exclusive_test.go
@@ -49,5 +49,6 @@
 		must.NotNil(t, s.leader())
 		must.True(t, first != s.leader().local.Current(), must.Sprint("the role was not handed over"))
 		s.mustComplete(2)
+		must.Eq(t, 1, s.panics.Load())
 	})
 }
--- a/daemon/internal/cellsched/oddentry_test.go
+++ b/daemon/internal/cellsched/oddentry_test.go
@@ -67,6 +67,7 @@
 		s.submit(2)
 		time.Sleep(5 * time.Second)
 		s.mustComplete(2)
+		must.Eq(t, 0, s.panics.Load())
 	})
 }
 
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -5,18 +5,21 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/platform"
@@ -59,6 +62,8 @@
 	// accepted holds the jobs that the store confirmed.
 	accepted map[string]bool
 	vmCount  int
+	// panics counts the panics that schedulers recovered from.
+	panics atomic.Int64
 }
 
 type simVM struct {
@@ -73,11 +78,18 @@
 	s := &sim{
 		startedAt: time.Now(),
 		t:         t, net: memnet.New(), store: cellstore.New(seed), random: rand.New(rand.NewPCG(seed, 3)),
-		log: zap.NewNop(), vms: make(map[string]*simVM), accepted: make(map[string]bool),
+		vms: make(map[string]*simVM), accepted: make(map[string]bool),
 	}
+	s.log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.ErrorLevel))
 	if os.Getenv("SIM_LOG") != "" {
 		s.log = zap.Must(zap.NewDevelopment())
 	}
+	s.log = s.log.WithOptions(zap.Hooks(func(e zapcore.Entry) error {
+		if strings.HasPrefix(e.Message, panicMessage) {
+			s.panics.Add(1)
+		}
+		return nil
+	}))
 	s.fleet = cellrunner.NewFleet(seed, cellrunner.Size{MilliCPU: 4000, MemoryMB: 4000}, simAttempts, func(name string) (cellrunner.Size, time.Duration) {
 		h := fnv.New32()
 		_, _ = h.Write([]byte(name))
@@ -249,6 +261,7 @@
 		}
 	}
 	must.Eq(s.t, "", strings.Join(s.fleet.Violations(), "; "))
+	must.Eq(s.t, 0, s.panics.Load(), must.Sprint("a scheduler panicked"))
 }
 
 func (s *sim) close() {
