Add a soak: seeded runs of real daemons under faults

What: module soak, on the stand-ins of store, runners and relay.

TestCheckFindsBrokenPromises shows that the checks for REFUSED, UNASKED and a task that runs twice find what they should.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for users and developers. README.md explains them.
-MODULES  := api cli daemon platform sched settings standin wire
+MODULES  := api cli daemon platform sched settings soak standin wire
 PATTERNS := $(foreach m,$(MODULES),./$(m)/...)
 BIN      := bin
 
@@ -15,7 +15,7 @@
 
 build:
 	mkdir -p $(BIN)
-	go build -o $(BIN)/ ./daemon/cmd/... ./cli/cmd/... ./standin/cmd/...
+	go build -o $(BIN)/ ./daemon/cmd/... ./cli/cmd/... ./standin/cmd/... ./soak/cmd/...
 
 # Runs a whole small deployment on this machine and checks the promises.
 demo: build
--- /dev/null
+++ b/soak/play/play_test.go
@@ -0,0 +1,86 @@
+package play
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// regressionSeeds are seeds that once failed, each with its cause. None has yet.
+var regressionSeeds []uint64
+
+// ciSeeds are played in each test run, side by side.
+var ciSeeds = []uint64{1, 2, 3}
+
+// Guards against broken promises of real processes under faults that come in series and overlap.
+func TestShortSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "rhubarbstalld")
+	build := exec.Command("go", "build", "-o", program, "rhubarbstall.example/daemon/cmd/rhubarbstalld")
+	out, err := build.CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	for _, seed := range slices.Concat(ciSeeds, regressionSeeds) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			result, err := Run(t.Context(), Options{
+				Seed: seed, Program: program, Dir: dir, Traffic: 12 * time.Second, SubmitEvery: 100 * time.Millisecond,
+			})
+			must.NoError(t, err)
+			t.Log(result)
+			if len(result.Broken) > 0 {
+				report, _ := os.ReadFile(filepath.Join(dir, "report.txt"))
+				t.Log(string(report))
+			}
+			must.SliceEmpty(t, result.Broken)
+			must.Positive(t, result.Accepted)
+		})
+	}
+}
+
+// Guards against a seed that no longer plays what it played, so that a failure can't be played again.
+func TestPlanFollowsFromSeed(t *testing.T) {
+	must.Eq(t, newPlan(7, time.Minute), newPlan(7, time.Minute))
+	must.NotEq(t, newPlan(7, time.Minute), newPlan(8, time.Minute))
+	kinds := make(map[faultKind]bool)
+	for seed := range uint64(50) {
+		for _, f := range newPlan(seed, 20*time.Second) {
+			kinds[f.kind] = true
+		}
+	}
+	must.MapLen(t, len(allFaults), kinds)
+}
+
+// Guards against a check that passes over what it should find.
+func TestCheckFindsBrokenPromises(t *testing.T) {
+	w, err := newDeployment(1)
+	must.NoError(t, err)
+	defer w.close()
+	c := newClients(w, 1)
+	c.jobs = []*job{{id: "0000000000000001", queue: "first", refused: true}, {id: "0000000000000002", queue: "first", cancelled: time.Now().Add(-time.Hour), asked: true}}
+	calm := time.Now().Add(-time.Hour)
+	must.SliceEmpty(t, c.check(calm))
+	for _, j := range c.jobs {
+		must.NoError(t, w.start(0, j.id+".0.0.0"))
+	}
+	must.SliceLen(t, 2, c.check(calm))
+	must.NoError(t, w.start(1, "0000000000000002.0.0.0"))
+	must.SliceLen(t, 3, c.check(calm), must.Sprint("a task that runs twice"))
+}
+
+// start lets runner n start a task, as a scheduler's order does.
+func (w *world) start(n int, task string) error {
+	body := fmt.Sprintf(`{"task":%q,"execution":%d,"specification":"x","deadline_ms":3600000,"fencing_token":1}`, task, n+1)
+	resp, err := http.Post("http://"+w.runners[n].link.Addr()+"/-/run-start", "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- /dev/null
+++ b/soak/play/run.go
@@ -0,0 +1,76 @@
+package play
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Options describe a run.
+type Options struct {
+	Seed uint64
+	// Program is the path of rhubarbstalld.
+	Program string
+	// Dir gets the settings, the logs of the VMs and the report.
+	Dir string
+	// Traffic is how long clients submit jobs and faults begin.
+	Traffic time.Duration
+	// SubmitEvery is the time between two jobs.
+	SubmitEvery time.Duration
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Seed uint64
+	// Jobs and Accepted count the jobs.
+	Jobs, Accepted int
+	// Broken holds a line for each broken promise.
+	Broken []string
+	Took   time.Duration
+}
+
+func (r Result) String() string {
+	text := fmt.Sprintf("seed %d: %d jobs, %d accepted, %d promises broken, %v", r.Seed, r.Jobs, r.Accepted, len(r.Broken), r.Took.Round(time.Millisecond))
+	return strings.Join(append([]string{text}, r.Broken...), "\n  ")
+}
+
+// Run plays one run and writes its report to Dir. It fails if the deployment does not start.
+func Run(ctx context.Context, o Options) (Result, error) {
+	begin := time.Now()
+	result := Result{Seed: o.Seed}
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return result, err
+	}
+	w, err := newWorld(o.Seed, o.Dir, o.Program)
+	defer w.close()
+	if err != nil {
+		return result, err
+	}
+	plan := newPlan(o.Seed, o.Traffic)
+	c := newClients(w, o.Seed)
+	traffic := make(chan struct{})
+	go func() {
+		defer close(traffic)
+		c.run(o.Traffic, o.SubmitEvery)
+	}()
+	w.run(plan)
+	<-traffic
+	calm := time.Now()
+	w.logf("all faults have ended")
+	if ctx.Err() != nil {
+		return result, ctx.Err()
+	}
+	result.Broken = c.check(calm)
+	for _, j := range c.jobs {
+		result.Jobs++
+		if j.accepted {
+			result.Accepted++
+		}
+	}
+	result.Took = time.Since(begin)
+	report := append(w.lines(), result.String())
+	return result, os.WriteFile(filepath.Join(o.Dir, "report.txt"), []byte(strings.Join(report, "\n")+"\n"), 0o600)
+}
--- /dev/null
+++ b/soak/play/world.go
@@ -0,0 +1,206 @@
+package play
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/standin/cellrunner"
+	"rhubarbstall.example/standin/cellstore"
+	"rhubarbstall.example/standin/relay"
+)
+
+const (
+	pool        = "pool"
+	host        = "jobs.example"
+	maxAttempts = 3
+	vmCount     = 4
+	runnerCount = 10
+)
+
+// runnerSize is what a runner holds; taskSize is what a task claims.
+var (
+	runnerSize = cellrunner.Size{MilliCPU: 8000, MemoryMB: 8000}
+	taskSize   = cellrunner.Size{MilliCPU: 1000, MemoryMB: 500}
+)
+
+// runner is a stand-in of a runner with its link.
+type runner struct {
+	*cellrunner.Runner
+	link *relay.Link
+}
+
+// world holds the deployment of a run.
+type world struct {
+	store   *cellstore.Store
+	fleet   *cellrunner.Fleet
+	runners []*runner
+	vms     []*vm
+	servers []*http.Server
+	// storeAddr is the address of the store behind the links of the VMs.
+	storeAddr string
+
+	mu sync.Mutex
+	// version is that of the operator's configuration.
+	version int
+	// log holds the lines of the report.
+	log     []string
+	beganAt time.Time
+}
+
+// newWorld starts a deployment with its VMs and waits until they are ready. It returns what was started also
+// with an error.
+func newWorld(seed uint64, dir, program string) (*world, error) {
+	w, err := newDeployment(seed)
+	if err != nil {
+		return w, err
+	}
+	for i := range vmCount {
+		v, err := newVM(dir, program, fmt.Sprintf("vm%d", i+1), w.storeAddr)
+		if err != nil {
+			return w, err
+		}
+		w.vms = append(w.vms, v)
+	}
+	return w, w.awaitReady(15 * time.Second)
+}
+
+// newDeployment starts the store and the runners.
+func newDeployment(seed uint64) (*world, error) {
+	w := &world{store: cellstore.New(seed), beganAt: time.Now()}
+	w.fleet = cellrunner.NewFleet(seed, runnerSize, maxAttempts, func(task string) (cellrunner.Size, time.Duration) {
+		h := fnv.New32()
+		_, _ = h.Write([]byte(task))
+		return taskSize, time.Duration(200+h.Sum32()%1800) * time.Millisecond
+	})
+	var err error
+	if w.storeAddr, err = w.serve(w.store); err != nil {
+		return w, err
+	}
+	for i := range runnerCount {
+		r := &runner{Runner: w.fleet.Add(fmt.Sprintf("i-%d", i))}
+		addr, err := w.serve(r.Runner)
+		if err != nil {
+			return w, err
+		}
+		if r.link, err = relay.Open("127.0.0.1:0", addr); err != nil {
+			return w, err
+		}
+		w.runners = append(w.runners, r)
+		w.register(r)
+	}
+	w.configure(true)
+	return w, nil
+}
+
+// serve serves a handler on a free port of the loopback address.
+func (w *world) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// register writes the entry of a runner.
+func (w *world) register(r *runner) {
+	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "ready"))
+}
+
+// configure writes a version of the operator's configuration, with or without the second route.
+func (w *world) configure(second bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	var routes []map[string]any
+	for _, name := range []string{"first", "second"} {
+		if name == "first" || second {
+			routes = append(routes, map[string]any{
+				"name": name, "host": host, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
+				"priority": 1, "service": pool, "max_attempts": maxAttempts, "slack_factor": 2,
+			})
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": w.version, "routes": routes, "services": []map[string]any{{"name": pool}}, "limits": map[string]any{"body_bytes": 262144},
+	})
+	if err != nil {
+		panic(err) // The fields are plain.
+	}
+	w.store.Put(platform.ConfigKey, value)
+}
+
+// awaitReady waits until all VMs are ready.
+func (w *world) awaitReady(limit time.Duration) error {
+	client := http.Client{Timeout: time.Second}
+	until := time.Now().Add(limit)
+	for _, v := range w.vms {
+		for {
+			resp, err := client.Get("http://" + v.ready + platform.ReadyPath)
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(until) {
+				return fmt.Errorf("%s is not ready within %v", v.name, limit)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// leader returns the VM that holds the scheduler's role by the record in the store, or any.
+func (w *world) leader(pick int) *vm {
+	holder := string(w.store.Value("lead/holder"))
+	for _, v := range w.vms {
+		if strings.Contains(holder, `"`+v.name+`"`) {
+			return v
+		}
+	}
+	return w.vms[pick%len(w.vms)]
+}
+
+// logf adds a line with the time since the run began to the report.
+func (w *world) logf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log = append(w.log, fmt.Sprintf("%7.3f ", time.Since(w.beganAt).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// lines returns the report so far.
+func (w *world) lines() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.log...)
+}
+
+// close ends all processes and servers.
+func (w *world) close() {
+	var stops sync.WaitGroup
+	for _, v := range w.vms {
+		stops.Go(func() { v.stop(syscall.SIGKILL) })
+	}
+	stops.Wait()
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	for _, r := range w.runners {
+		r.link.Close()
+	}
+	for _, v := range w.vms {
+		v.store.Close()
+	}
+}
--- a/standin/cellrunner/fleet.go
+++ b/standin/cellrunner/fleet.go
@@ -168,6 +168,19 @@
 	return n
 }
 
+// LastStart returns when a task of a job last started; zero if none ever did.
+func (f *Fleet) LastStart(job string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var last time.Time
+	for task, at := range f.lastStart {
+		if strings.HasPrefix(task, job+".") && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 func (f *Fleet) recordViolation(format string, args ...any) {
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
