Let the soak play an advisor, labels and routes that stay away

What: one of the two queues needs tickets of an advisor that approves two of three runners; a tenth of the steps require a label that two of ten runners have; a route that the operator removes is added again with its recommendation, without it, or not at all. The stand-in of the advisor has steps that need no ticket, that of the runners a kind.

--- a/soak/play/clients.go
+++ b/soak/play/clients.go
@@ -21,6 +21,8 @@
 	submitTries, cancelTries = 4, 4
 	// giveUpShare is the share of clients that cancel a job that was not accepted at the first try.
 	giveUpShare = 0.5
+	// rareShare is the share of steps that require rareKind.
+	rareShare = 0.1
 	// cancelShare is the share of accepted jobs that are cancelled a little later.
 	cancelShare = 0.1
 )
@@ -54,7 +56,8 @@
 
 // newJob draws a job: one to three steps of few tasks, gangs among them.
 func (c *clients) newJob(n int) *job {
-	j := &job{id: fmt.Sprintf("%016x", n+1), queue: []string{"first", "second"}[c.random.IntN(2)]}
+	j := &job{id: fmt.Sprintf("%016x", n+1)}
+	j.queue = queueOf(j.id)
 	for i := range 1 + c.random.IntN(3) {
 		step := map[string]any{
 			"count": 1 + c.random.IntN(4), "cpu": taskSize.MilliCPU, "requested_memory_mb": taskSize.MemoryMB, "estimated_ms": 1000,
@@ -62,6 +65,9 @@
 		if i > 0 {
 			step["after"] = []int{i - 1}
 		}
+		if c.random.Float64() < rareShare {
+			step["requirements"] = rareKind
+		}
 		j.steps = append(j.steps, step)
 	}
 	return j
@@ -130,9 +136,10 @@
 	}
 }
 
-// state asks a VM for the state of a job; "" if the VM gives none, with the status.
+// state asks a VM for the state of a job; "" if the VM gives none, with the status. It asks on the route
+// that is never removed.
 func (c *clients) state(v *vm, j *job) (string, int) {
-	status, body := c.call(v, http.MethodGet, j, nil)
+	status, body := c.call(v, http.MethodGet, &job{id: j.id, queue: plainQueue}, nil)
 	var reply struct {
 		State string `json:"state"`
 	}
--- a/soak/play/faults.go
+++ b/soak/play/faults.go
@@ -68,8 +68,15 @@
 		w.fleet.SetFaults(cellrunner.Faults{RunFailureRate: lateShare / 2})
 		return func() { w.fleet.SetFaults(cellrunner.Faults{}) }
 	case changeRoutes:
-		w.configure(false)
-		return func() { w.configure(true) }
+		w.configure(false, false)
+		switch f.pick % 3 {
+		case 0:
+			// The route stays away, also over a change of the scheduler.
+			return nothing
+		case 1:
+			return func() { w.configure(true, false) }
+		}
+		return func() { w.configure(true, true) }
 	case oddEntry:
 		w.store.Put(platform.RunnerPrefix+"odd", []byte(oddEntries[f.pick%len(oddEntries)]))
 		return func() { w.store.Delete(platform.RunnerPrefix + "odd") }
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -64,7 +64,7 @@
 	must.NoError(t, err)
 	defer w.close()
 	c := newClients(w, 1)
-	c.jobs = []*job{{id: "0000000000000001", queue: "first", refused: true}, {id: "0000000000000002", queue: "first", cancelled: time.Now().Add(-time.Hour), asked: true}, {id: "0000000000000003", queue: "first", gone: time.Now(), asked: true}}
+	c.jobs = []*job{{id: "0000000000000004", queue: plainQueue, refused: true}, {id: "0000000000000002", queue: plainQueue, cancelled: time.Now().Add(-time.Hour), asked: true}, {id: "0000000000000006", queue: plainQueue, gone: time.Now(), asked: true}}
 	calm := time.Now().Add(-time.Hour)
 	must.SliceEmpty(t, c.check(calm))
 	for _, j := range c.jobs {
--- a/soak/play/vm.go
+++ b/soak/play/vm.go
@@ -62,7 +62,7 @@
 }
 
 // newVM writes the settings of a VM and starts it.
-func newVM(dir, program, name, storeAddr string) (*vm, error) {
+func newVM(dir, program, name, storeAddr, advisorAddr string) (*vm, error) {
 	link, err := relay.Open("127.0.0.1:0", storeAddr)
 	if err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 	}
 	text := strings.Join([]string{
 		"node_name=" + name, "zone=z", "ip_address=127.0.0.1", "listen_addresses.frontend=" + v.clients, "listen_addresses.ready=" + v.ready,
-		fmt.Sprintf("internal_port_range=%d,%d", port+2, port+3), "platform.address=" + link.Addr(),
+		fmt.Sprintf("internal_port_range=%d,%d", port+2, port+3), "platform.address=" + link.Addr(), "recommendation=" + advisorAddr,
 		"bounds.max_hold_ms=6000", "bounds.grace_period_s=6", "limits.cpu_share=1", "",
 	}, "\n")
 	if err := os.WriteFile(v.settings(), []byte(text), 0o600); err != nil {
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -18,8 +18,13 @@
 )
 
 const (
-	pool        = "pool"
-	host        = "jobs.example"
+	pool = "pool"
+	host = "jobs.example"
+	// plainQueue needs no advisor, advisedQueue does unless its route was added again without one.
+	plainQueue, advisedQueue = "first", "second"
+	// rareKind is the label of rareRunners runners, which some steps require.
+	rareKind    = "b"
+	rareRunners = 2
 	maxAttempts = 3
 	vmCount     = 4
 	runnerCount = 10
@@ -45,11 +50,12 @@
 	vms     []*vm
 	servers []*http.Server
 	// storeAddr is the address of the store behind the links of the VMs.
-	storeAddr string
+	storeAddr, advisorAddr string
 
 	mu sync.Mutex
-	// version is that of the operator's configuration.
+	// version is that of the operator's configuration; advised tells whether advisedQueue needs tickets.
 	version int
+	advised bool
 	// log holds the lines of the report.
 	log     []string
 	beganAt time.Time
@@ -63,7 +69,7 @@
 		return w, err
 	}
 	for i := range vmCount {
-		v, err := newVM(dir, program, fmt.Sprintf("vm%d", i+1), w.storeAddr)
+		v, err := newVM(dir, program, fmt.Sprintf("vm%d", i+1), w.storeAddr, w.advisorAddr)
 		if err != nil {
 			return w, err
 		}
@@ -86,6 +92,9 @@
 	}
 	for i := range runnerCount {
 		r := &runner{Runner: w.fleet.Add(fmt.Sprintf("i-%d", i))}
+		if i < rareRunners {
+			r.Kind = rareKind
+		}
 		addr, err := w.serve(r.Runner)
 		if err != nil {
 			return w, err
@@ -96,8 +105,39 @@
 		w.runners = append(w.runners, r)
 		w.register(r)
 	}
-	w.configure(true)
-	return w, nil
+	w.configure(true, true)
+	w.advisorAddr, err = w.serve(w.fleet.SetAdvisor(w.advice))
+	return w, err
+}
+
+const (
+	adviceBase      = 60 * time.Millisecond
+	advicePerRunner = 5 * time.Millisecond
+	adviceValidity  = 2 * time.Second
+)
+
+// advice returns how the advisor answers about a step, which begins with the id of its job. It approves two
+// of three runners.
+func (w *world) advice(step string) cellrunner.Advice {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := cellrunner.Advice{BaseTime: adviceBase, TimePerRunner: advicePerRunner, Validity: adviceValidity}
+	if id, _, _ := strings.Cut(step, "."); w.advised && queueOf(id) == advisedQueue {
+		a.Approves = func(runner string) bool {
+			h := fnv.New32()
+			_, _ = h.Write([]byte(step + runner))
+			return h.Sum32()%3 != 0
+		}
+	}
+	return a
+}
+
+// queueOf returns the queue to which clients send a job.
+func queueOf(id string) string {
+	if strings.ContainsRune("02468ace", rune(id[len(id)-1])) {
+		return plainQueue
+	}
+	return advisedQueue
 }
 
 // serve serves a handler on a free port of the loopback address.
@@ -117,19 +157,30 @@
 	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "ready"))
 }
 
-// configure writes a version of the operator's configuration, with or without the second route.
-func (w *world) configure(second bool) {
+// configure writes a version of the operator's configuration, with or without the route of advisedQueue, and
+// with or without its recommendation. Jobs of a queue whose route is gone need what they needed before.
+func (w *world) configure(route, advised bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 3
 	var routes []map[string]any
-	for _, name := range []string{"first", "second"} {
-		if name == "first" || second {
-			routes = append(routes, map[string]any{
-				"name": name, "host": host, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
-				"priority": 1, "service": pool, "max_attempts": maxAttempts, "slack_factor": 2,
-			})
+	for _, name := range []string{plainQueue, advisedQueue} {
+		r := map[string]any{
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
+			"priority": 1, "service": pool, "max_attempts": maxAttempts, "slack_factor": 2,
+		}
+		if name == advisedQueue && !route {
+			continue
+		}
+		if name == advisedQueue {
+			w.advised = advised
+		}
+		if name == advisedQueue && advised {
+			r["recommendation"] = map[string]any{
+				"decision_ms": adviceBase.Milliseconds(), "per_worker_ms": advicePerRunner.Milliseconds(), "validity_ms": adviceValidity.Milliseconds(),
+			}
 		}
+		routes = append(routes, r)
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": w.version, "routes": routes, "services": []map[string]any{{"name": pool}}, "limits": map[string]any{"body_bytes": 262144},
--- a/standin/cellrunner/advisor.go
+++ b/standin/cellrunner/advisor.go
@@ -15,7 +15,7 @@
 	BaseTime, TimePerRunner time.Duration
 	// Validity is the lifetime of a ticket.
 	Validity time.Duration
-	// Approves reports whether the step may run on a runner.
+	// Approves reports whether the step may run on a runner; nil if the step needs no ticket.
 	Approves func(runner string) bool
 }
 
@@ -66,7 +66,7 @@
 	a.mu.Lock()
 	a.waiting[req.RemoteAddr]--
 	for _, id := range in.Runners {
-		if advice.Approves(id) {
+		if advice.Approves == nil || advice.Approves(id) {
 			ticket := strconv.Itoa(len(a.ticketExpiry)) + "@" + in.Step + "@" + id
 			a.ticketExpiry[ticket] = time.Now().Add(advice.Validity)
 			approved = append(approved, []string{id, ticket})
@@ -104,6 +104,9 @@
 		return true
 	}
 	step := o.Task[:strings.LastIndexByte(o.Task, '.')]
+	if f.advisor.advice(step).Approves == nil {
+		return true
+	}
 	f.advisor.mu.Lock()
 	defer f.advisor.mu.Unlock()
 	until, ok := f.advisor.ticketExpiry[o.Ticket]
--- a/standin/cellrunner/fleet.go
+++ b/standin/cellrunner/fleet.go
@@ -1,6 +1,7 @@
 package cellrunner
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -81,7 +82,7 @@
 // RunnerRecord returns the record that a runner writes to the store to register itself.
 func (f *Fleet) RunnerRecord(r *Runner, pool, addr, state string) []byte {
 	data, err := json.Marshal(map[string]any{
-		"service": pool, "address": addr, "zone": "z", "state": state, "labels": []string{"a", "r1"},
+		"service": pool, "address": addr, "zone": "z", "state": state, "labels": []string{cmp.Or(r.Kind, "a"), "r1"},
 		"capacity": map[string]int64{"cpu": f.size.MilliCPU, "requested_memory_mb": f.size.MemoryMB, "gpus": 0}, "born": r.startedAt.UnixMilli(),
 	})
 	if err != nil {
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -50,7 +50,9 @@
 
 // Runner is an http.Handler that simulates one runner.
 type Runner struct {
-	ID    string
+	ID string
+	// Kind is the first label of the runner; "a" if empty.
+	Kind  string
 	fleet *Fleet
 
 	startedAt        time.Time
