--- a/soak/play/clients.go
+++ b/soak/play/clients.go
@@ -31,8 +31,9 @@
 type job struct {
 	id, queue string
 	steps     []map[string]any
-	// accepted tells that a try got a 2xx; refused that all tries got 429 or 503.
-	accepted, refused bool
+	// accepted tells that a try got a 2xx; refused that the only try got 429 or 503, refusedLater that one
+	// after an unclear answer did.
+	accepted, refused, refusedLater bool
 	// cancelled is when a DELETE got 2xx or 410; asked tells that one was sent.
 	cancelled time.Time
 	asked     bool
@@ -113,7 +114,7 @@
 			j.accepted = true
 			return
 		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-			j.refused = try == 0
+			j.refused, j.refusedLater = try == 0, try > 0
 			return
 		case status == http.StatusNotFound || givesUp:
 			return
