--- a/sched/cell/largecell_runners_test.go
+++ b/sched/cell/largecell_runners_test.go
@@ -9,6 +9,13 @@
 	"github.com/shoenig/test/must"
 )
 
+// largeCellFaults holds the shares of faulty calls and runs.
+type largeCellFaults struct {
+	// failed is the share of runs that end failed, lostStarts that of start orders without an answer, of
+	// which half are carried out, and lostAnswers that of calls to the advisor that fail.
+	failed, lostStarts, lostAnswers float64
+}
+
 // approves reports whether the advisor permits a step on a runner.
 func (w *largeCellSim) approves(g *group, id string) bool {
 	h := fnv.New32a()
--- a/sched/cell/largecell_test.go
+++ b/sched/cell/largecell_test.go
@@ -134,13 +134,6 @@
 	heldBack map[string]time.Duration
 }
 
-// largeCellFaults holds the shares of faulty calls and runs.
-type largeCellFaults struct {
-	// failed is the share of runs that end failed, lostStarts that of start orders without an answer, of
-	// which half are carried out, and lostAnswers that of calls to the advisor that fail.
-	failed, lostStarts, lostAnswers float64
-}
-
 type entryVMCall struct {
 	call    AdviceCall
 	sent    time.Time
