Start the soak's VMs on other ports if theirs are taken

Another process had taken a port between the check and the start.

Change: a VM whose process ends at its start is started on other ports, five times at most, as the review's scripts do.

Evidence: the tests of soak/play pass.

--- a/soak/play/vm.go
+++ b/soak/play/vm.go
@@ -61,29 +61,49 @@
 	return 0, fmt.Errorf("no %d free ports in a row", portsPerVM)
 }
 
-// newVM writes the settings of a VM and starts it.
+const (
+	// listenTime is within which a process that can't listen has ended; startTries is how often other
+	// ports are tried then, since something else may take free ports meanwhile.
+	listenTime = 300 * time.Millisecond
+	startTries = 5
+)
+
+// newVM starts a VM on free ports.
 func newVM(dir, program, name, storeAddr, advisorAddr string) (*vm, error) {
 	link, err := relay.Open("127.0.0.1:0", storeAddr)
 	if err != nil {
 		return nil, err
 	}
+	for range startTries {
+		v := &vm{name: name, dir: dir, program: program, store: link}
+		if err := v.startOnFreePorts(advisorAddr); err != nil {
+			return nil, err
+		}
+		select {
+		case <-v.exited:
+		case <-time.After(listenTime):
+			return v, nil
+		}
+	}
+	return nil, fmt.Errorf("%s ends at its start; see its log in %s", name, dir)
+}
+
+// startOnFreePorts writes the settings of a VM and starts it.
+func (v *vm) startOnFreePorts(advisorAddr string) error {
 	port, err := freePorts()
 	if err != nil {
-		return nil, err
-	}
-	v := &vm{
-		name: name, dir: dir, program: program, store: link,
-		clients: fmt.Sprintf("127.0.0.1:%d", port), ready: fmt.Sprintf("127.0.0.1:%d", port+1),
+		return err
 	}
+	v.clients, v.ready = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
 	text := strings.Join([]string{
-		"node_name=" + name, "zone=z", "ip_address=127.0.0.1", "listen_addresses.frontend=" + v.clients, "listen_addresses.ready=" + v.ready,
-		fmt.Sprintf("internal_port_range=%d,%d", port+2, port+3), "platform.address=" + link.Addr(), "recommendation=" + advisorAddr,
+		"node_name=" + v.name, "zone=z", "ip_address=127.0.0.1", "listen_addresses.frontend=" + v.clients, "listen_addresses.ready=" + v.ready,
+		fmt.Sprintf("internal_port_range=%d,%d", port+2, port+3), "platform.address=" + v.store.Addr(), "recommendation=" + advisorAddr,
 		"bounds.max_hold_ms=6000", "bounds.grace_period_s=6", "limits.cpu_share=1", "",
 	}, "\n")
 	if err := os.WriteFile(v.settings(), []byte(text), 0o600); err != nil {
-		return nil, err
+		return err
 	}
-	return v, v.start()
+	return v.start()
 }
 
 func (v *vm) settings() string { return filepath.Join(v.dir, v.name+".conf") }
