Count the outcome of a start order once

The log of a failing run shows it: a start waited for a connection, was overdue after 500 ms and counted as unknown, and its answer, 787 ms after the order, counted as OK as well.

Ruled out: two orders for one run (the runs of the line are distinct), and the state of the run: the cell takes a late answer as it should.

Change: the outcome is counted when it is known or no longer awaited; orders without an answer in time have a count of their own, starts_late. The same cause on a related path: a stop that is not queued because an earlier one is under way counted as ordered and never as answered.

TestLateAnswerConfirmsTheRun asked for the double count. It asks for one late and one OK start now, and for none of unknown outcome, which is as strict.

TestRepeatedStopIsNotCountedAsOrdered is new.

--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -22,7 +22,10 @@
 // loadCounts counts the scheduler's orders and decisions between two load reports.
 type loadCounts struct {
 	startsOrdered, startsOK, startsRefused, startsUnknown atomic.Int64
-	stopsOrdered, stopsOK, stopsUnanswered                atomic.Int64
+	// startsLate counts the start orders that had no answer in time. Their outcome is counted when the
+	// answer comes or is not awaited any more.
+	startsLate                             atomic.Int64
+	stopsOrdered, stopsOK, stopsUnanswered atomic.Int64
 	// startsInFlight and stopsInFlight are the orders without an answer yet.
 	startsInFlight, stopsInFlight atomic.Int64
 	// startLatencies holds the times from the decision of a start to the answer to its order;
@@ -40,28 +43,33 @@
 	s.metrics.decisionDuration.Record(context.Background(), took.Seconds())
 	s.loadCounts.startsOrdered.Add(int64(len(d.Starts)))
 	s.loadCounts.startsInFlight.Add(int64(len(d.Starts)))
-	s.loadCounts.stopsOrdered.Add(int64(len(d.Stops)))
-	s.loadCounts.stopsInFlight.Add(int64(len(d.Stops)))
 }
 
-// countStartOutcome counts the outcome of a start order and records its latency.
-func (s *Scheduler) countStartOutcome(run *cell.Run, outcome cell.StartOutcome) {
+// countStartOutcome counts the outcome of a start order and records its latency. It is called once an
+// order, when the outcome is known or its answer is not awaited any more.
+func (s *Scheduler) countStartOutcome(run *cell.Run, outcome cell.StartOutcome, reason string) {
+	s.loadCounts.startsInFlight.Add(-1)
 	took := time.Since(run.Started)
 	s.loadCounts.startLatencies.record(took)
 	s.metrics.startDuration.Record(context.Background(), took.Seconds())
 	switch outcome {
 	case cell.StartOK:
 		s.loadCounts.startsOK.Add(1)
+		s.metrics.countStart("ok")
 	case cell.StartRefused:
 		s.loadCounts.startsRefused.Add(1)
+		s.metrics.countStart(reason)
 	default:
 		s.loadCounts.startsUnknown.Add(1)
+		s.metrics.countStart("unknown")
 	}
 }
 
-// countStartAnswered counts a start order whose outcome is known or whose answer is not awaited any
-// more.
-func (s *Scheduler) countStartAnswered() { s.loadCounts.startsInFlight.Add(-1) }
+// countStopOrdered counts a stop order that is queued.
+func (s *Scheduler) countStopOrdered() {
+	s.loadCounts.stopsOrdered.Add(1)
+	s.loadCounts.stopsInFlight.Add(1)
+}
 
 // stopOutcome is what has become of a stop order. The values label a metric.
 type stopOutcome string
@@ -69,11 +77,11 @@
 const (
 	stopAcked      stopOutcome = "ok"
 	stopUnanswered stopOutcome = "unanswered"
-	// stopRepeated means that the order was not sent, because an earlier one is under way.
+	// stopRepeated means that the order was not queued, because an earlier one is under way.
 	stopRepeated stopOutcome = "repeated"
 )
 
-// countStopOutcome counts the outcome of a stop order.
+// countStopOutcome counts the outcome of a stop order that was queued.
 func (s *Scheduler) countStopOutcome(outcome stopOutcome) {
 	s.loadCounts.stopsInFlight.Add(-1)
 	s.metrics.countStop(string(outcome))
@@ -92,6 +100,7 @@
 	// cores is the VM's CPU limit in cores; 0 if unknown.
 	cores                                                 float64
 	startsOrdered, startsOK, startsRefused, startsUnknown int64
+	startsLate                                            int64
 	stopsOrdered, stopsOK, stopsUnanswered                int64
 	startsInFlight, stopsInFlight                         int64
 	startLatencies, decisionDurations, lockWaits          durationSummary
@@ -145,6 +154,7 @@
 	r := &loadReport{
 		interval: interval, cores: s.settings.Cores, linkMbps: s.settings.LinkMbps,
 		startsOrdered: counts.startsOrdered.Swap(0), startsOK: counts.startsOK.Swap(0), startsRefused: counts.startsRefused.Swap(0), startsUnknown: counts.startsUnknown.Swap(0),
+		startsLate:   counts.startsLate.Swap(0),
 		stopsOrdered: counts.stopsOrdered.Swap(0), stopsOK: counts.stopsOK.Swap(0), stopsUnanswered: counts.stopsUnanswered.Swap(0),
 		startsInFlight: counts.startsInFlight.Load(), stopsInFlight: counts.stopsInFlight.Load(),
 		startLatencies: counts.startLatencies.takeSummary(), decisionDurations: counts.decisionDurations.takeSummary(), lockWaits: s.mu.waits.takeSummary(),
@@ -196,6 +206,7 @@
 	count("starts_ok", r.startsOK)
 	count("starts_refused", r.startsRefused)
 	count("starts_unknown", r.startsUnknown)
+	count("starts_late", r.startsLate)
 	count("stops_ordered", r.stopsOrdered)
 	count("stops_ok", r.stopsOK)
 	count("stops_unanswered", r.stopsUnanswered)
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -16,9 +16,10 @@
 func (s *Scheduler) queueOrders(d *cell.Decisions) {
 	for _, st := range d.Stops {
 		if !s.orders.beginStop(st.Run) {
-			s.countStopOutcome(stopRepeated)
+			s.metrics.countStop(string(stopRepeated))
 			continue
 		}
+		s.countStopOrdered()
 		s.orders.addSmall(func(bytes int) {
 			s.sendStop(st.Run, bytes)
 			s.orders.endStop(st.Run)
@@ -109,7 +110,7 @@
 	}
 	if staleReason != "" {
 		s.recordStart(run, cell.StartRefused, staleReason, nil)
-		s.countStartAnswered()
+		s.countStartOutcome(run, cell.StartRefused, staleReason)
 		s.finishOrder(bytes, false, 0)
 		return
 	}
@@ -118,6 +119,7 @@
 	var overdue atomic.Bool
 	err := s.callRunner(bytes, func() {
 		overdue.Store(true)
+		s.loadCounts.startsLate.Add(1)
 		s.recordStart(run, cell.StartUnknown, "", errOverdue)
 		l.renewNow()
 	}, func(ctx context.Context) (err error) {
@@ -127,21 +129,38 @@
 		})
 		return err
 	})
+	outcome, reason := startOutcome(err)
+	switch outcome {
+	case cell.StartOK:
+		l.detectRestart(sent, clock)
+	case cell.StartRefused:
+		s.stepDownIfFenced(err)
+	default:
+	}
+	s.countStartOutcome(run, outcome, reason)
+	if outcome == cell.StartUnknown && overdue.Load() {
+		return
+	}
+	s.recordStart(run, outcome, reason, err)
+	if outcome == cell.StartUnknown {
+		l.renewNow()
+	}
+}
+
+// startOutcome returns the outcome of a start order from the error of its call, and the reason of a
+// refusal.
+func startOutcome(err error) (outcome cell.StartOutcome, reason string) {
 	var refused *platform.RefusedError
 	switch {
 	case err == nil:
-		l.detectRestart(sent, clock)
-		s.recordStart(run, cell.StartOK, "", nil)
+		return cell.StartOK, ""
 	case errors.As(err, &refused):
-		s.stepDownIfFenced(err)
-		s.recordStart(run, cell.StartRefused, refused.Reason, err)
+		return cell.StartRefused, refused.Reason
 	case errors.Is(err, platform.ErrNotSent):
-		s.recordStart(run, cell.StartRefused, "unreachable", err)
-	case !overdue.Load():
-		s.recordStart(run, cell.StartUnknown, "", err)
-		l.renewNow()
+		return cell.StartRefused, "unreachable"
+	default:
+		return cell.StartUnknown, ""
 	}
-	s.countStartAnswered()
 }
 
 // errOverdue is logged for an order whose answer is late; it may still arrive.
@@ -164,27 +183,19 @@
 	return l, s.grantLease(l), ""
 }
 
+// recordStart records and logs what is known of a start order. After an outcome that is unknown,
+// because the answer is late, it may be called again with the outcome of the late answer.
 func (s *Scheduler) recordStart(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
 	s.exclusive(func() { s.cell.RecordStartOutcome(time.Now(), run, outcome, reason) })
-	s.countStartOutcome(run, outcome)
 	if outcome == cell.StartOK {
-		s.metrics.countStart("ok")
 		s.log.Info("[sched] run started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
 		return
 	}
-	s.metrics.countStart(startOutcomeLabel(outcome, reason))
 	s.log.Warn("[sched] run not started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution),
 		zap.String("runner", run.Runner), zap.Bool("unknown", outcome == cell.StartUnknown), zap.String("reason", reason), zap.Error(err))
 	s.requestDecision()
 }
 
-func startOutcomeLabel(outcome cell.StartOutcome, reason string) string {
-	if outcome == cell.StartUnknown {
-		return "unknown"
-	}
-	return reason
-}
-
 // runnerLoop returns the loop of a runner, or nil if the runner was removed.
 func (s *Scheduler) runnerLoop(id string) *runnerLoop {
 	s.mu.Lock()
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -107,7 +107,8 @@
 	o.s.sendStart(o.starts[0], startOrderBytes)
 	must.Eq(t, 1, o.startCalls.Load())
 	must.Eq(t, cell.Active, o.starts[0].Run.Phase)
-	must.Eq(t, 1, o.s.loadCounts.startsUnknown.Load())
+	must.Eq(t, 1, o.s.loadCounts.startsLate.Load())
+	must.Eq(t, 0, o.s.loadCounts.startsUnknown.Load())
 	must.Eq(t, 1, o.s.loadCounts.startsOK.Load())
 	now := time.Now()
 	o.s.cell.HandleReport(now, now, "r0", cell.Report{Incarnation: 1, Running: []cell.ReportedRun{{Task: o.starts[0].Run.Task, Execution: o.starts[0].Run.Execution}}})
@@ -128,3 +129,14 @@
 	}
 	must.Eq(t, 3, o.stopCalls.Load())
 }
+
+// Guards against a load report whose stop orders never add up: an order that is not queued, because
+// an earlier one is under way, is no order.
+func TestRepeatedStopIsNotCountedAsOrdered(t *testing.T) {
+	o := newOrderTest(t, 0)
+	run := o.starts[0].Run
+	must.True(t, o.s.orders.beginStop(run))
+	o.s.queueOrders(&cell.Decisions{Stops: []cell.StopOrder{{Run: run}}})
+	must.Eq(t, 0, o.s.loadCounts.stopsOrdered.Load())
+	must.Eq(t, 0, o.s.loadCounts.stopsInFlight.Load())
+}
