Let relays delay and reset connections, and records lead through them

The soak could only silence a link. A link now also delays bytes and breaks all its connections off with a reset, and the simulated store can rewrite the addresses in what the daemons write, so that other VMs reach the scheduler through a relay.

--- a/standin/cellstore/store.go
+++ b/standin/cellstore/store.go
@@ -38,6 +38,8 @@
 	// minTTL is the shortest lease duration that is granted.
 	minTTL time.Duration
 	random *rand.Rand
+	// rewrite changes what a call writes; nil if nothing is changed.
+	rewrite func(key string, value []byte) []byte
 }
 
 type lease struct {
@@ -67,6 +69,14 @@
 	s.minTTL = d
 }
 
+// SetRewrite sets a function that changes the values that calls write, so that the addresses in them can
+// lead through relays.
+func (s *Store) SetRewrite(rewrite func(key string, value []byte) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rewrite = rewrite
+}
+
 // DropHistory drops the change history; a watch from an earlier revision then returns 410.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
--- a/standin/cellstore/txn.go
+++ b/standin/cellstore/txn.go
@@ -53,6 +53,9 @@
 	}
 	s.revision++
 	for _, w := range t.Write {
+		if s.rewrite != nil {
+			w.Value = s.rewrite(w.Key, w.Value)
+		}
 		s.set(w.Key, w.Value, w.Lease)
 	}
 	for _, k := range t.Remove {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -4,8 +4,10 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // Link relays connections from its listener to a target.
@@ -45,6 +47,24 @@
 	l.backward.set(backward)
 }
 
+// Delay sets how much later bytes arrive in either direction.
+func (l *Link) Delay(d time.Duration) {
+	l.forward.delay(d)
+	l.backward.delay(d)
+}
+
+// Reset breaks off every connection, so that both ends see a reset.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // Without it, the ends would see a regular close.
+		}
+		_ = c.Close()
+	}
+}
+
 // Close closes the listener and every connection.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -105,6 +125,9 @@
 				return
 			}
 		}
+		if errors.Is(err, net.ErrClosed) {
+			return // The link closed both ends, or is about to.
+		}
 		if err != nil {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
--- a/standin/relay/valve.go
+++ b/standin/relay/valve.go
@@ -1,12 +1,16 @@
 package relay
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // valve blocks one direction of a link while it is shut.
 type valve struct {
 	mu      sync.Mutex
 	changed *sync.Cond
 	shut    bool
+	latency time.Duration
 	closed  bool
 }
 
@@ -23,10 +27,21 @@
 	v.changed.Broadcast()
 }
 
-// wait blocks while the valve is shut. It returns false once the valve has been closed.
+func (v *valve) delay(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.latency = d
+}
+
+// wait blocks for the latency, and while the valve is shut. It returns false once the valve has been closed.
 func (v *valve) wait() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if d := v.latency; d > 0 {
+		v.mu.Unlock()
+		time.Sleep(d)
+		v.mu.Lock()
+	}
 	for v.shut && !v.closed {
 		v.changed.Wait()
 	}
