Simulate checkpoints, lasting and poisoned tasks, GPUs and other kinds of runners

For the soak, the simulated runners get what PROTOCOL.md allows and the simulation left out: tasks that last, that save checkpoints or always fail, runners with a size of their own that restart as another kind, GPUs, and an observer that sees every start and end, with the labels of the runner's present life.

--- a/standin/cellrunner/fleet.go
+++ b/standin/cellrunner/fleet.go
@@ -1,7 +1,6 @@
 package cellrunner
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	faults Faults
+	// size is what a runner holds unless it has a size of its own.
 	size   Size
 	task   func(name string) (Size, time.Duration)
 	active map[string]*run
@@ -33,6 +33,9 @@
 	gangs    map[string]*gang
 	// gangTimeouts holds the times at which a gang member stopped waiting for the others.
 	gangTimeouts []time.Time
+	// traits returns the traits of a task, observe gets the events; either may be nil.
+	traits  func(task string) Traits
+	observe func(Event)
 	// advisor issues the tickets for starts; nil if starts need none.
 	advisor *Advisor
 }
@@ -66,8 +69,21 @@
 func (f *Fleet) Crash(r *Runner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.restart(r)
+}
+
+// CrashInto makes a runner lose its state and restart as a runner of another kind and size.
+func (f *Fleet) CrashInto(r *Runner, kind string, size Size) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restart(r)
+	r.Kind, r.Size = kind, size
+}
+
+func (f *Fleet) restart(r *Runner) {
 	lost := r.runs
 	for _, x := range lost {
+		f.notify(RunEnded, r, x, ResultLost)
 		delete(f.active, x.task)
 	}
 	r.runs, r.finished, r.lastSequence, r.fencingToken = make(map[string]*run), nil, 0, 0
@@ -81,9 +97,12 @@
 
 // RunnerRecord returns the record that a runner writes to the store to register itself.
 func (f *Fleet) RunnerRecord(r *Runner, pool, addr, state string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := r.size()
 	data, err := json.Marshal(map[string]any{
-		"service": pool, "address": addr, "zone": "z", "state": state, "labels": []string{cmp.Or(r.Kind, "a"), "r1"},
-		"capacity": map[string]int64{"cpu": f.size.MilliCPU, "requested_memory_mb": f.size.MemoryMB, "gpus": 0}, "born": r.startedAt.UnixMilli(),
+		"service": pool, "address": addr, "zone": "z", "state": state, "labels": []string{r.kind(), r.rack()},
+		"capacity": map[string]int64{"cpu": size.MilliCPU, "requested_memory_mb": size.MemoryMB, "gpus": size.GPUs}, "born": r.startedAt.UnixMilli(),
 	})
 	if err != nil {
 		panic(err) // The record is a fixed type.
@@ -107,17 +126,20 @@
 	}
 	f.active[x.task] = x
 	f.lastStart[x.task] = time.Now()
+	f.notify(RunStarted, r, x, "")
 	var used Size
 	for _, y := range r.runs {
 		used.MilliCPU += y.size.MilliCPU
 		used.MemoryMB += y.size.MemoryMB
+		used.GPUs += y.size.GPUs
 	}
-	if used.MilliCPU > f.size.MilliCPU || used.MemoryMB > f.size.MemoryMB {
+	if size := r.size(); used.MilliCPU > size.MilliCPU || used.MemoryMB > size.MemoryMB || used.GPUs > size.GPUs {
 		f.recordViolation("runner %s runs more than its capacity: %+v", r.ID, used)
 	}
 }
 
-func (f *Fleet) runEnded(x *run, result string) {
+func (f *Fleet) runEnded(r *Runner, x *run, result string) {
+	f.notify(RunEnded, r, x, result)
 	if f.active[x.task] == x {
 		delete(f.active, x.task)
 	}
@@ -132,10 +154,11 @@
 // acknowledge records that the scheduler has acknowledged the end of a run. An end is
 // ignored if the runner's lease has lapsed since, because the scheduler may then have
 // started the task elsewhere.
-func (f *Fleet) acknowledge(e end) {
+func (f *Fleet) acknowledge(r *Runner, e end) {
 	if e.leaseLapsed {
 		return
 	}
+	f.notify(EndNoted, r, &run{task: e.task, execution: e.execution}, e.result)
 	switch e.result {
 	case "done":
 		f.acknowledged[e.task] = true
--- a/standin/cellrunner/gang.go
+++ b/standin/cellrunner/gang.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// finishGang ends all members of the gang of a run as done: they end together.
+func (f *Fleet) finishGang(x *run) {
+	members := x.gang.members
+	x.gang.members = nil
+	for _, m := range members {
+		if m.runner.runs[m.run.task] == m.run {
+			m.runner.finish(m.run, "done")
+		}
+	}
+}
+
 // breakGang ends the other members of the gang of a run that ended without success.
 func (f *Fleet) breakGang(x *run) {
 	members := x.gang.members
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -4,6 +4,7 @@
 package cellrunner
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,36 +13,13 @@
 	"rhubarbstall.example/standin/memnet"
 )
 
-// Size is the capacity of a runner or the share of it that a task claims.
-type Size struct {
-	MilliCPU, MemoryMB int64
-}
-
-type run struct {
-	task      string
-	execution int64
-	endsAt    time.Time
-	size      Size
-	// gang is nil for a task that needs no other tasks to make progress.
-	gang      *gang
-	startedAt time.Time
-}
-
-type end struct {
-	sequence  int64
-	task      string
-	execution int64
-	result    string
-	at        time.Time
-	// leaseLapsed reports whether the runner's lease lapsed after the end.
-	leaseLapsed bool
-}
-
 // Runner is an http.Handler that simulates one runner.
 type Runner struct {
 	ID string
-	// Kind is the first label of the runner; "a" if empty.
-	Kind  string
+	// Kind and Rack are the labels of the runner; "a" and "r1" if empty.
+	Kind, Rack string
+	// Size is what the runner holds; that of its fleet if zero.
+	Size  Size
 	fleet *Fleet
 
 	startedAt        time.Time
@@ -64,8 +42,14 @@
 	LastSeen       int64  `json:"last_seen"`
 	WaitMillis     int64  `json:"wait_ms"`
 	Ticket         string `json:"ticket"`
+	Payload        string `json:"specification"`
+	Checkpoint     string `json:"checkpoint"`
 }
 
+func (r *Runner) kind() string { return cmp.Or(r.Kind, "a") }
+func (r *Runner) rack() string { return cmp.Or(r.Rack, "r1") }
+func (r *Runner) size() Size   { return cmp.Or(r.Size, r.fleet.size) }
+
 func (r *Runner) uptimeMillis(now time.Time) int64 { return now.Sub(r.startedAt).Milliseconds() }
 
 func (r *Runner) response(now time.Time) map[string]any {
@@ -211,10 +195,19 @@
 		return r.refuse(now, "ticket")
 	}
 	size, work := r.fleet.task(o.Task)
-	x := &run{task: o.Task, execution: o.Execution, endsAt: now.Add(work), size: size, startedAt: now}
+	x := &run{task: o.Task, execution: o.Execution, size: size, startedAt: now, checkpoint: o.Checkpoint, payload: o.Payload}
+	if r.fleet.traits != nil {
+		x.traits = r.fleet.traits(o.Task)
+	}
+	if x.traits.Lasting {
+		work = unlimited
+	}
+	x.work = work
+	left := max(0, work-checkpointWork(x.checkpoint))
+	x.endsAt = now.Add(left)
 	r.runs[o.Task] = x
 	r.fleet.runStarted(r, x)
-	r.fleet.joinGang(now, r, x, work)
+	r.fleet.joinGang(now, r, x, left)
 	return http.StatusOK, r.response(now)
 }
 
@@ -230,23 +223,17 @@
 // current runs and the remaining ends.
 func (r *Runner) reportRuns(now time.Time, o order) (int, any) {
 	for len(r.finished) > 0 && r.finished[0].sequence <= o.LastSeen {
-		r.fleet.acknowledge(r.finished[0])
+		r.fleet.acknowledge(r, r.finished[0])
 		r.finished = r.finished[1:]
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, x := range r.runs {
-		// The progress of a working run grows by 1 percent every 10 ms and reaches 100 when
-		// the run ends. It is negative while more than 1 s remains.
-		percent := 0
-		if x.working() {
-			percent = 100 - int(x.endsAt.Sub(now)/(10*time.Millisecond))
-		}
 		// A row holds the task, the execution, the checkpoint, the progress in percent and
 		// the milli-CPU in use.
-		running = append(running, []any{x.task, x.execution, "", percent, 100})
+		running = append(running, []any{x.task, x.execution, x.saved(now, false), x.progress(now), 100})
 	}
 	for _, e := range r.finished {
-		finished = append(finished, []any{e.sequence, e.task, e.execution, e.result, ""})
+		finished = append(finished, []any{e.sequence, e.task, e.execution, e.result, e.saved})
 	}
 	a := r.response(now)
 	a["running"], a["finished"], a["born"] = running, finished, r.startedAt.UnixMilli()
@@ -269,9 +256,12 @@
 				r.finish(x, "alone")
 			}
 		case !now.Before(x.endsAt):
-			if r.fleet.chance(r.fleet.faults.RunFailureRate) {
+			switch {
+			case x.traits.Poisoned || r.fleet.chance(r.fleet.faults.RunFailureRate):
 				r.finish(x, "failed")
-			} else {
+			case x.gang != nil:
+				r.fleet.finishGang(x)
+			default:
 				r.finish(x, "done")
 			}
 		}
@@ -283,8 +273,12 @@
 	delete(r.runs, x.task)
 	r.highestExecution[x.task] = max(r.highestExecution[x.task], x.execution)
 	r.lastSequence++
-	r.finished = append(r.finished, end{sequence: r.lastSequence, task: x.task, execution: x.execution, result: result, at: time.Now()})
-	r.fleet.runEnded(x, result)
+	now, saved := time.Now(), ""
+	if result != "done" {
+		saved = x.saved(now, result == "stopped")
+	}
+	r.finished = append(r.finished, end{sequence: r.lastSequence, task: x.task, execution: x.execution, result: result, saved: saved, at: now})
+	r.fleet.runEnded(r, x, result)
 	if x.gang != nil && result != "done" {
 		r.fleet.breakGang(x)
 	}
