Check the soak's runs against the stated rules, with work of more forms

Cause: the soak knew only plain steps, its bounds were looser than stated (40 s and 6 s where SYSTEM.md says finish_s 14 and cancel_ms 3,000), and clients' and peers' links were not cut.

Change: jobs have gangs, same_rack, GPUs, anti-affinity, data racks, repetitions, tasks that last, checkpoints and poisoned tasks; runners drain, leave and come back as another kind or size; clients reach VMs, and VMs the scheduler, through relays that hold bytes back, delay and reset; entries of other writers are deep, large or of wrong types. A checker follows every start and end as it comes: UNASKED, ORDER, ROUTE, DRAIN, MIXED, LOST, each with the sentence of RULES.md and with a history that breaks it and one that just holds. From finish_s on, a job with nothing running for 3 s is LOST. `soak replay DIR`, `soak minimize DIR`, timeline.svg.

--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -28,6 +28,8 @@
 	dir      string
 	traffic  time.Duration
 	every    time.Duration
+	vms      int
+	runners  int
 }
 
 func newCommand() *cobra.Command {
@@ -44,7 +46,9 @@
 	run.Flags().StringVar(&f.dir, "dir", "", "keeps logs and reports here; a temporary folder if empty")
 	run.Flags().DurationVar(&f.traffic, "traffic", 20*time.Second, "how long jobs are submitted and faults begin")
 	run.Flags().DurationVar(&f.every, "every", 100*time.Millisecond, "time between two jobs")
-	root.AddCommand(run)
+	run.Flags().IntVar(&f.vms, "vms", 4, "VMs")
+	run.Flags().IntVar(&f.runners, "runners", 10, "runners")
+	root.AddCommand(run, newReplayCommand(), newMinimizeCommand())
 	return root
 }
 
@@ -62,7 +66,7 @@
 	for seed := f.from; seed <= f.to; seed++ {
 		group.Go(func() error {
 			result, err := play.Run(cmd.Context(), play.Options{
-				Seed: seed, Program: f.program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Traffic: f.traffic, SubmitEvery: f.every,
+				Seed: seed, Program: f.program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Traffic: f.traffic, SubmitEvery: f.every, VMs: f.vms, Runners: f.runners,
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/soak/play/faults.go
+++ b/soak/play/faults.go
@@ -1,6 +1,8 @@
 package play
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -10,6 +12,9 @@
 	"rhubarbstall.example/standin/cellstore"
 )
 
+// linkDelay is the delay of a slow link in each direction.
+const linkDelay = 150 * time.Millisecond
+
 // lateShare is the share of calls that a fault of the store or of runners hits.
 const lateShare = 0.33
 
@@ -19,6 +24,32 @@
 	`{"service":"pool","address":"127.0.0.1:70000","state":"ready"}`,
 	`{"service":"pool","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":1e300}}`,
 	`[[[[[[`,
+	strings.Repeat("[", 200_000),
+	`{"service":"pool","address":"127.0.0.1:1","state":"ready","labels":["` + strings.Repeat("x", 100_000) + `"],"capacity":{"cpu":9000000000000000000}}`,
+	`{"service":"pool","address":7,"state":["ready"],"labels":{"a":1},"capacity":[],"born":"now"}`,
+}
+
+// changeRunner lets a runner that may change crash and start again as another kind.
+func (w *world) changeRunner(pick int) {
+	r := w.runners[lastingRunners+pick%(len(w.runners)-lastingRunners)]
+	kind := []string{plainKind, rareKind, gpuKind}[pick/len(w.runners)%3]
+	size := runnerSizes[kind]
+	if pick%2 == 0 {
+		size = smallSize
+	}
+	// Nothing reaches the runner until its entry is written.
+	r.link.Cut(true, true)
+	r.link.Reset()
+	w.fleet.CrashInto(r.Runner, kind, size)
+	w.register(r)
+	r.link.Cut(false, false)
+}
+
+// leave lets a drained runner end, and another life of it register.
+func (w *world) leave(r *runner) {
+	w.store.Delete(platform.RunnerPrefix + r.ID)
+	w.fleet.Crash(r.Runner)
+	w.register(r)
 }
 
 // inject begins a fault, and returns what ends it.
@@ -26,7 +57,7 @@
 	v := w.vms[f.pick%len(w.vms)]
 	r := w.runners[f.pick%len(w.runners)]
 	switch f.kind {
-	case killLeader, freezeLeader, silenceAll:
+	case killLeader, freezeLeader, silenceAll, cutLeader, muteLeader:
 		v = w.leader(f.pick)
 	}
 	nothing := func() {}
@@ -77,6 +108,25 @@
 			return func() { w.configure(true, false) }
 		}
 		return func() { w.configure(true, true) }
+	case cutClients:
+		v.front.Cut(true, f.pick%2 == 0)
+		return func() { v.front.Cut(false, false) }
+	case resetClients:
+		v.front.Reset()
+	case cutLeader:
+		v.peer.Cut(true, true)
+		return func() { v.peer.Cut(false, false) }
+	case muteLeader:
+		v.peer.Cut(false, true)
+		return func() { v.peer.Cut(false, false) }
+	case slowLinks:
+		v.store.Delay(linkDelay)
+		return func() { v.store.Delay(0) }
+	case changeRunner:
+		w.changeRunner(f.pick)
+	case drainRunner:
+		w.drain(r)
+		return func() { w.leave(r) }
 	case oddEntry:
 		w.store.Put(platform.RunnerPrefix+"odd", []byte(oddEntries[f.pick%len(oddEntries)]))
 		return func() { w.store.Delete(platform.RunnerPrefix + "odd") }
@@ -94,19 +144,57 @@
 	}
 }
 
+// span is a fault that was played; end is zero while it lasts.
+type span struct {
+	kind       faultKind
+	begin, end time.Time
+}
+
 // run plays the faults of a plan, and ends each at its time. It returns when all have ended.
 func (w *world) run(plan []fault) {
 	begin := time.Now()
 	var faults sync.WaitGroup
-	for _, f := range plan {
+	for i, f := range plan {
 		time.Sleep(time.Until(begin.Add(f.at)))
+		if slices.Contains(w.options.SkipFaults, i) {
+			continue
+		}
 		faults.Go(func() {
-			w.logf("begins: %s (%d)", f.kind, f.pick)
+			w.logf("begins: %d %s (%d)", i, f.kind, f.pick)
+			n := w.beginSpan(f.kind)
 			end := w.inject(f)
 			time.Sleep(time.Until(begin.Add(f.at + f.lasts)))
 			end()
-			w.logf("ends: %s (%d)", f.kind, f.pick)
+			w.endSpan(n)
+			w.logf("ends: %d %s (%d)", i, f.kind, f.pick)
 		})
 	}
 	faults.Wait()
 }
+
+func (w *world) beginSpan(kind faultKind) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spans = append(w.spans, span{kind: kind, begin: time.Now()})
+	return len(w.spans) - 1
+}
+
+func (w *world) endSpan(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spans[n].end = time.Now()
+}
+
+// disturbed reports whether a fault was near a time that may excuse a late order: "A machine is in touch at a
+// moment if for the whole `contact_timeout_ms` before it" its processes ran, the core was stable and its links were
+// whole.
+func (w *world) disturbed(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.spans {
+		if excuse := s.kind.excuseTime(); excuse > 0 && !s.begin.After(at) && (s.end.IsZero() || s.end.Add(excuse).After(at)) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/play/plan.go
+++ b/soak/play/plan.go
@@ -30,13 +30,36 @@
 	failingRuns  faultKind = "runs fail"
 	changeRoutes faultKind = "the operator removes and adds routes"
 	oddEntry     faultKind = "another writer leaves an odd entry of a runner"
+	cutClients   faultKind = "silence the clients' link to a VM"
+	resetClients faultKind = "reset the connections of clients to a VM"
+	cutLeader    faultKind = "silence the other VMs' link to the scheduler"
+	muteLeader   faultKind = "hold back what the scheduler sends to the other VMs"
+	slowLinks    faultKind = "delay a VM's link to the store"
+	changeRunner faultKind = "a runner starts again as another kind"
+	drainRunner  faultKind = "a runner drains, leaves and comes back"
 )
 
 var allFaults = []faultKind{
 	killVM, killLeader, terminateVM, freezeVM, freezeLeader, silenceStore, halfCutStore, silenceAll, cutRunner, crashRunner,
 	lateWrites, lostAnswers, storeDown, dropHistory, lateOrders, failingRuns, changeRoutes, oddEntry,
+	cutClients, resetClients, cutLeader, muteLeader, slowLinks, changeRunner, drainRunner,
 }
 
+// excuseTime returns how long after its end a fault may excuse an order that comes late; 0 for faults that excuse
+// none, since they touch no VM, no link and no order.
+func (k faultKind) excuseTime() time.Duration {
+	switch k {
+	case changeRoutes, oddEntry, failingRuns, crashRunner, changeRunner, drainRunner:
+		return 0
+	case lateOrders, lateWrites:
+		return contactTime + maxDelay
+	}
+	return contactTime
+}
+
+// maxDelay is the longest time by which a late order or write is late.
+const maxDelay = 6 * time.Second
+
 // fault is one fault of a plan.
 type fault struct {
 	kind  faultKind
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -31,7 +31,7 @@
 			t.Parallel()
 			dir := t.TempDir()
 			result, err := Run(t.Context(), Options{
-				Seed: seed, Program: program, Dir: dir, Traffic: 12 * time.Second, SubmitEvery: 100 * time.Millisecond,
+				Seed: seed, Program: program, Dir: dir, Traffic: 12 * time.Second, SubmitEvery: 100 * time.Millisecond, VMs: 4, Runners: 10,
 			})
 			must.NoError(t, err)
 			t.Log(result)
@@ -60,28 +60,54 @@
 
 // Guards against a check that passes over what it should find.
 func TestCheckFindsBrokenPromises(t *testing.T) {
-	w, err := newDeployment(1)
+	w, err := newDeployment(Options{Seed: 1, Runners: 10})
 	must.NoError(t, err)
 	defer w.close()
 	c := newClients(w, 1)
-	c.jobs = []*job{
-		{id: "0000000000000002", queue: plainQueue, cancelled: time.Now().Add(-time.Hour), asked: true},
-		{id: "0000000000000004", queue: plainQueue, refused: true},
-		{id: "0000000000000006", queue: plainQueue, gone: time.Now(), asked: true},
-		{id: "0000000000000008", queue: plainQueue, refusedLater: true},
+	steps := jobBody{Specification: "x", Steps: []step{{Count: 1, MilliCPU: 1000, MemoryMB: 500}}}
+	for _, j := range []*job{
+		{id: "0000000000000002", cancelled: time.Now().Add(-time.Hour), asked: true},
+		{id: "0000000000000004", refused: true},
+		{id: "0000000000000006", cancelled: time.Now(), gone: time.Now(), asked: true},
+		{id: "0000000000000008", refusedLater: true},
+	} {
+		j.queue, j.body, j.sent = plainQueue, steps, true
+		w.jobs.add(j)
 	}
 	calm := time.Now().Add(-time.Hour)
 	broken, _ := c.check(calm)
 	must.SliceEmpty(t, broken)
-	for _, j := range c.jobs {
+	for _, j := range w.jobs.all() {
 		must.NoError(t, w.start(0, j.id+".0.0.0"))
 	}
+	must.NoError(t, w.start(1, "0000000000000002.0.0.0"))
 	broken, known := c.check(calm)
-	must.SliceLen(t, 3, broken)
+	must.SliceLen(t, 8, broken, must.Sprint(broken))
+	for _, part := range []string{
+		"UNASKED: 2 tasks of job 0000000000000002 work on", "task 0000000000000002.0.0.0 runs twice",
+		"UNASKED: i-0 starts 0000000000000002.0.0.0", "UNASKED: i-1 starts 0000000000000002.0.0.0",
+		"REFUSED: job 0000000000000004 was refused at its only try",
+		"UNASKED: 1 tasks of job 0000000000000006 work on", "UNASKED: i-0 starts 0000000000000006.0.0.0",
+		"UNASKED: a task of job 0000000000000006 started",
+	} {
+		must.SliceContainsFunc(t, broken, part, strings.HasPrefix)
+	}
 	must.SliceLen(t, 1, known)
-	must.NoError(t, w.start(1, "0000000000000002.0.0.0"))
-	broken, _ = c.check(calm)
-	must.SliceLen(t, 4, broken, must.Sprint("a task that runs twice"))
+}
+
+// Guards against a minimized run that drops nothing, or what the failure needs.
+func TestRangeOfPartsIsDroppedOnce(t *testing.T) {
+	must.Eq(t, []int{1, 2, 3, 4}, withRange([]int{1, 3}, 2, 5))
+	must.Eq(t, []int{0, 1}, withRange(nil, 0, 2))
+}
+
+// Guards against a run whose folder can't be played again.
+func TestOptionsAreKept(t *testing.T) {
+	o := Options{Seed: 7, Dir: t.TempDir(), Traffic: time.Second, VMs: 4, SkipJobs: []int{3}}
+	must.NoError(t, o.save())
+	got, err := LoadOptions(o.Dir)
+	must.NoError(t, err)
+	must.Eq(t, o, got)
 }
 
 // start lets runner n start a task, as a scheduler's order does.
--- a/soak/play/run.go
+++ b/soak/play/run.go
@@ -20,6 +20,10 @@
 	Traffic time.Duration
 	// SubmitEvery is the time between two jobs.
 	SubmitEvery time.Duration
+	// VMs and Runners size the deployment.
+	VMs, Runners int
+	// SkipFaults and SkipJobs are the numbers of faults and jobs that the run leaves out of what its seed draws.
+	SkipFaults, SkipJobs []int `json:",omitempty"`
 }
 
 // Result is the outcome of a run.
@@ -48,7 +52,10 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return result, err
 	}
-	w, err := newWorld(o.Seed, o.Dir, o.Program)
+	if err := o.save(); err != nil {
+		return result, err
+	}
+	w, err := newWorld(o)
 	defer w.close()
 	if err != nil {
 		return result, err
@@ -68,13 +75,16 @@
 		return result, ctx.Err()
 	}
 	result.Broken, result.Known = c.check(calm)
-	for _, j := range c.jobs {
+	for _, j := range w.jobs.all() {
 		result.Jobs++
 		if j.accepted {
 			result.Accepted++
 		}
 	}
 	result.Took = time.Since(begin)
+	if err := w.drawTimeline(o.Dir, result.Broken); err != nil {
+		return result, err
+	}
 	report := append(w.lines(), result.String())
 	return result, os.WriteFile(filepath.Join(o.Dir, "report.txt"), []byte(strings.Join(report, "\n")+"\n"), 0o600)
 }
--- a/soak/play/vm.go
+++ b/soak/play/vm.go
@@ -21,9 +21,10 @@
 // vm is an entry VM: one process of the daemon.
 type vm struct {
 	name, dir, program string
-	clients, ready     string
-	// store is the VM's link to the store.
-	store *relay.Link
+	ready              string
+	// store is the VM's link to the store, front the clients' link to the VM, peer that of the other VMs to it
+	// while it holds the scheduler's role.
+	store, front, peer *relay.Link
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -68,19 +69,21 @@
 	startTries = 5
 )
 
-// newVM starts a VM on free ports.
-func newVM(dir, program, name, storeAddr, advisorAddr string) (*vm, error) {
+// newVM starts a VM on free ports. learnPeer gets the address of its peer port and of the link to it.
+func newVM(dir, program, name, storeAddr, advisorAddr string, learnPeer func(addr, through string)) (*vm, error) {
 	link, err := relay.Open("127.0.0.1:0", storeAddr)
 	if err != nil {
 		return nil, err
 	}
 	for range startTries {
 		v := &vm{name: name, dir: dir, program: program, store: link}
-		if err := v.startOnFreePorts(advisorAddr); err != nil {
+		if err := v.startOnFreePorts(advisorAddr, learnPeer); err != nil {
 			return nil, err
 		}
 		select {
 		case <-v.exited:
+			v.front.Close()
+			v.peer.Close()
 		case <-time.After(listenTime):
 			return v, nil
 		}
@@ -89,16 +92,24 @@
 }
 
 // startOnFreePorts writes the settings of a VM and starts it.
-func (v *vm) startOnFreePorts(advisorAddr string) error {
+func (v *vm) startOnFreePorts(advisorAddr string, learnPeer func(addr, through string)) error {
 	port, err := freePorts()
 	if err != nil {
 		return err
 	}
-	v.clients, v.ready = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
+	clients, peer := fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+2)
+	v.ready = fmt.Sprintf("127.0.0.1:%d", port+1)
+	if v.front, err = relay.Open("127.0.0.1:0", clients); err != nil {
+		return err
+	}
+	if v.peer, err = relay.Open("127.0.0.1:0", peer); err != nil {
+		return err
+	}
+	learnPeer(peer, v.peer.Addr())
 	text := strings.Join([]string{
-		"node_name=" + v.name, "zone=z", "ip_address=127.0.0.1", "listen_addresses.frontend=" + v.clients, "listen_addresses.ready=" + v.ready,
+		"node_name=" + v.name, "zone=z", "ip_address=127.0.0.1", "listen_addresses.frontend=" + clients, "listen_addresses.ready=" + v.ready,
 		fmt.Sprintf("internal_port_range=%d,%d", port+2, port+3), "platform.address=" + v.store.Addr(), "recommendation=" + advisorAddr,
-		"bounds.max_hold_ms=6000", "bounds.grace_period_s=6", "limits.cpu_share=1", "",
+		"bounds.max_hold_ms=6000", "bounds.grace_period_s=6", "bounds.early_ms=250", "bounds.drain_timeout_ms=2000", "limits.cpu_share=1", "",
 	}, "\n")
 	if err := os.WriteFile(v.settings(), []byte(text), 0o600); err != nil {
 		return err
@@ -153,6 +164,13 @@
 	close(exited)
 }
 
+// closeLinks closes what leads to and from the VM.
+func (v *vm) closeLinks() {
+	for _, l := range []*relay.Link{v.store, v.front, v.peer} {
+		l.Close()
+	}
+}
+
 // signal sends a signal to the VM's process, by its id.
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -1,11 +1,13 @@
 package play
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,23 +21,34 @@
 
 const (
 	pool = "pool"
-	host = "jobs.example"
+	// holderKey is the record of the VM that holds the scheduler's role.
+	holderKey = "lead/holder"
+	host      = "jobs.example"
 	// plainQueue needs no advisor, advisedQueue does unless its route was added again without one.
 	plainQueue, advisedQueue = "first", "second"
-	// rareKind is the label of rareRunners runners, which some steps require.
-	rareKind    = "b"
-	rareRunners = 2
+	// rareKind and gpuKind are the labels of a few runners, which some steps require.
+	plainKind, rareKind, gpuKind = "a", "b", "g"
+
 	maxAttempts = 3
-	vmCount     = 4
-	runnerCount = 10
+	rackCount   = 2
 )
 
-// runnerSize is what a runner holds; taskSize is what a task claims.
+// runnerKinds are the kinds of the first runners; the others are of plainKind. The first lasting runners stay
+// as they are, so that each step has a runner that can hold it.
+var runnerKinds = []string{rareKind, gpuKind, rareKind, gpuKind}
+
+const lastingRunners = 2
+
+// runnerSizes are what runners of each kind hold; smallSize is what some runners hold after a crash.
 var (
-	runnerSize = cellrunner.Size{MilliCPU: 8000, MemoryMB: 8000}
-	taskSize   = cellrunner.Size{MilliCPU: 1000, MemoryMB: 500}
+	runnerSizes = map[string]cellrunner.Size{
+		plainKind: {MilliCPU: 8000, MemoryMB: 8000}, rareKind: {MilliCPU: 8000, MemoryMB: 8000}, gpuKind: {MilliCPU: 8000, MemoryMB: 8000, GPUs: 2},
+	}
+	smallSize = cellrunner.Size{MilliCPU: 3000, MemoryMB: 3000}
 )
 
+func rackOf(n int) string { return fmt.Sprintf("rack%d", n%rackCount) }
+
 // runner is a stand-in of a runner with its link.
 type runner struct {
 	*cellrunner.Runner
@@ -44,32 +57,38 @@
 
 // world holds the deployment of a run.
 type world struct {
+	options Options
 	store   *cellstore.Store
 	fleet   *cellrunner.Fleet
+	jobs    *jobTable
+	checker *checker
 	runners []*runner
 	vms     []*vm
 	servers []*http.Server
 	// storeAddr is the address of the store behind the links of the VMs.
 	storeAddr, advisorAddr string
+	// peers holds, by the address of a peer port, that of the link that leads there; guarded by mu.
+	peers map[string]string
 
 	mu sync.Mutex
 	// version is that of the operator's configuration; advised tells whether advisedQueue needs tickets.
 	version int
 	advised bool
-	// log holds the lines of the report.
+	// log holds the lines of the report; spans the faults that were played.
 	log     []string
+	spans   []span
 	beganAt time.Time
 }
 
 // newWorld starts a deployment with its VMs and waits until they are ready. It returns what was started also
 // with an error.
-func newWorld(seed uint64, dir, program string) (*world, error) {
-	w, err := newDeployment(seed)
+func newWorld(o Options) (*world, error) {
+	w, err := newDeployment(o)
 	if err != nil {
 		return w, err
 	}
-	for i := range vmCount {
-		v, err := newVM(dir, program, fmt.Sprintf("vm%d", i+1), w.storeAddr, w.advisorAddr)
+	for i := range o.VMs {
+		v, err := newVM(o.Dir, o.Program, fmt.Sprintf("vm%d", i+1), w.storeAddr, w.advisorAddr, w.learnPeer)
 		if err != nil {
 			return w, err
 		}
@@ -79,22 +98,25 @@
 }
 
 // newDeployment starts the store and the runners.
-func newDeployment(seed uint64) (*world, error) {
-	w := &world{store: cellstore.New(seed), beganAt: time.Now()}
-	w.fleet = cellrunner.NewFleet(seed, runnerSize, maxAttempts, func(task string) (cellrunner.Size, time.Duration) {
-		h := fnv.New32()
-		_, _ = h.Write([]byte(task))
-		return taskSize, time.Duration(200+h.Sum32()%1800) * time.Millisecond
-	})
+func newDeployment(o Options) (*world, error) {
+	w := &world{options: o, store: cellstore.New(o.Seed), jobs: newJobTable(), beganAt: time.Now(), peers: make(map[string]string)}
+	w.checker = newChecker(w.jobs, w.disturbed)
+	w.fleet = cellrunner.NewFleet(o.Seed, runnerSizes[plainKind], maxAttempts, w.jobs.taskSize)
+	w.fleet.SetTraits(w.jobs.taskTraits)
+	w.fleet.SetGangSize(w.jobs.gangSize)
+	w.fleet.SetObserver(w.checker.observe)
+	w.store.SetRewrite(w.rewrite)
 	var err error
 	if w.storeAddr, err = w.serve(w.store); err != nil {
 		return w, err
 	}
-	for i := range runnerCount {
+	for i := range o.Runners {
 		r := &runner{Runner: w.fleet.Add(fmt.Sprintf("i-%d", i))}
-		if i < rareRunners {
-			r.Kind = rareKind
+		r.Rack, r.Kind = rackOf(i), plainKind
+		if i < len(runnerKinds) {
+			r.Kind = runnerKinds[i]
 		}
+		r.Size = runnerSizes[r.Kind]
 		addr, err := w.serve(r.Runner)
 		if err != nil {
 			return w, err
@@ -116,14 +138,19 @@
 	adviceValidity  = 2 * time.Second
 )
 
-// advice returns how the advisor answers about a step, which begins with the id of its job. It approves two
-// of three runners.
+// advice returns how the advisor answers about a step, which begins with the id of its job. It approves the
+// runners that stay as they are, since each step needs a runner that may run it, and two of three others.
 func (w *world) advice(step string) cellrunner.Advice {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a := cellrunner.Advice{BaseTime: adviceBase, TimePerRunner: advicePerRunner, Validity: adviceValidity}
 	if id, _, _ := strings.Cut(step, "."); w.advised && queueOf(id) == advisedQueue {
 		a.Approves = func(runner string) bool {
+			for _, r := range w.runners[:lastingRunners] {
+				if r.ID == runner {
+					return true
+				}
+			}
 			h := fnv.New32()
 			_, _ = h.Write([]byte(step + runner))
 			return h.Sum32()%3 != 0
@@ -155,8 +182,41 @@
 // register writes the entry of a runner.
 func (w *world) register(r *runner) {
 	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "ready"))
+	w.checker.setDraining(r.ID, time.Time{})
+}
+
+// drain writes an entry of a runner that says that it drains.
+func (w *world) drain(r *runner) {
+	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "draining"))
+	w.checker.setDraining(r.ID, time.Now())
+}
+
+// learnPeer tells that other VMs reach the peer port at an address through a link.
+func (w *world) learnPeer(addr, through string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers[addr] = through
 }
 
+// rewrite lets the record of the scheduler lead to its link, since VMs listen at the address that they give.
+func (w *world) rewrite(key string, value []byte) []byte {
+	if key != holderKey {
+		return value
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for addr, through := range w.peers {
+		value = bytes.Replace(value, []byte(`"`+addr+`"`), []byte(`"`+through+`"`), 1)
+	}
+	return value
+}
+
+// vm returns a VM by a number of any size.
+func (w *world) vm(n int) *vm { return w.vms[n%len(w.vms)] }
+
+// skips reports whether the run leaves out the job with a number.
+func (w *world) skips(job int) bool { return slices.Contains(w.options.SkipJobs, job) }
+
 // configure writes a version of the operator's configuration, with or without the route of advisedQueue, and
 // with or without its recommendation. Jobs of a queue whose route is gone need what they needed before.
 func (w *world) configure(route, advised bool) {
@@ -215,7 +275,7 @@
 
 // leader returns the VM that holds the scheduler's role by the record in the store, or any.
 func (w *world) leader(pick int) *vm {
-	holder := string(w.store.Value("lead/holder"))
+	holder := string(w.store.Value(holderKey))
 	for _, v := range w.vms {
 		if strings.Contains(holder, `"`+v.name+`"`) {
 			return v
@@ -252,6 +312,6 @@
 		r.link.Close()
 	}
 	for _, v := range w.vms {
-		v.store.Close()
+		v.closeLinks()
 	}
 }
