Ignore reports of occurrences whose number overflows

Cause: a task's place among the groups of its job is the occurrence times the number of steps. A runner that lists a run or an end of an occurrence near 2^63 makes the product overflow, and the index negative. The panic is contained and ends the term, but the next scheduler gets the same report.

--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -75,9 +75,10 @@
 
 // group returns the group of a step in an occurrence; nil if there is none.
 func (j *Job) group(occurrence, step int) *group {
-	i := occurrence*len(j.Spec.Steps) + step
-	if occurrence < 0 || step < 0 || step >= len(j.Spec.Steps) || i >= len(j.groups) {
+	steps := len(j.Spec.Steps)
+	// A report may name an occurrence so large that its product with the steps overflows.
+	if occurrence < 0 || step < 0 || step >= steps || occurrence >= len(j.groups)/steps {
 		return nil
 	}
-	return j.groups[i]
+	return j.groups[occurrence*steps+step]
 }
