--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,12 @@
 # Test packages that run on one processor under the race detector; see standin/bubblerace.
 BUBBLES := $(sort $(dir $(shell grep -rl '"rhubarbstall.example/standin/bubblerace"' --include='*_test.go' $(MODULES))))
 
-.PHONY: build demo test bench bench-cell test-upgrade clean
+# Fuzz targets are fuzzed one after the other, each with FUZZTIME; a count of inputs, since a time can end in the
+# middle of one, which fails the run.
+FUZZ_FILES := $(shell grep -rl '^func Fuzz' --include='*_test.go' $(MODULES))
+FUZZTIME   ?= 5000x
+
+.PHONY: build demo test fuzz bench bench-cell test-upgrade clean
 
 build:
 	mkdir -p $(BIN)
@@ -29,6 +34,13 @@
 	go test -race -timeout 15m $(SKIP) $(PATTERNS)
 	go test -timeout 5m $(SKIP) ./sched/replay/... $(BUBBLES:%=./%)
 
+# A short search for inputs from outside that a decoder, or what it feeds, does not bear.
+# Interesting inputs are not shortened: that takes a minute each.
+fuzz:
+	@set -e; for f in $(FUZZ_FILES); do for t in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$f); do \
+		echo "fuzz $$t"; go test -run '^$$' -fuzz "^$$t$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 1x -parallel 4 ./$$(dirname $$f); \
+	done; done
+
 # Prints one figure a line, each with its baseline in the same run.
 bench:
 	go test -run '^$$' -bench . -benchmem $(PATTERNS)
