Say why a gang waits, in the log and in jobs why

Evidence: TestWaitingGangIsReportedWithItsReason and two cases of TestJobViewExplainsWhatAJobWaitsFor; tests of sched/cell and cellsched pass.

--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -145,6 +145,7 @@
 		r.traffic, traffic = total.Since(traffic), total
 		s.loadCounts.lastReport.Store(r)
 		s.log.Info("[sched] load", zap.Int64("term", s.term.Number), zap.Inline(r))
+		s.logWaitingGangs(now)
 	}
 }
 
--- a/sched/cell/explain.go
+++ b/sched/cell/explain.go
@@ -34,6 +34,9 @@
 	reasonAdvice     = "advice"
 	reasonNoRunner   = "no_runner_fits"
 	reasonNoCapacity = "no_capacity"
+	// reasonEarlierAttempt and reasonPaused are only those of gangs.
+	reasonEarlierAttempt = "earlier_attempt"
+	reasonPaused         = "paused"
 )
 
 // JobView returns a job and what it waits for; false if the job is not known.
@@ -97,6 +100,11 @@
 	case g.queue.Advice != nil && len(g.advice.permitted) == 0:
 		return say(reasonAdvice, "the advisor approved none of the %d runners that were named.", len(g.advice.asked))
 	}
+	if g.spec.Gang {
+		why := c.explainGang(now, wall, g)
+		why.Rejected = rejected
+		return why
+	}
 	why := say(reasonNoCapacity, "%d of %d tasks wait for free capacity on the runners that may run them.", g.waitingTasks, len(g.tasks))
 	why.Rejected = rejected
 	return why
--- a/sched/cell/explain_test.go
+++ b/sched/cell/explain_test.go
@@ -31,6 +31,8 @@
 			step: Step{Count: 1, Size: smallStep(1).Size, RunnerLabel: "gpu"},
 		},
 		"no capacity":     {queues: plain, step: smallStep(9), want: reasonNoCapacity},
+		"gang":            {queues: plain, step: gangStep(8), want: reasonRunning},
+		"gang too wide":   {queues: plain, step: gangStep(9), want: reasonNoRunner},
 		"mark not stored": {queues: plain, step: smallStep(1), mutate: func(w *testCell) { w.failWrites = true }, want: reasonMark},
 		"not approved":    {queues: []Queue{advisedQueue()}, step: smallStep(1), mutate: func(w *testCell) { w.approved = nil }, want: reasonAdvice},
 		"inherited": {queues: plain, step: smallStep(1), want: reasonInherited, mutate: func(w *testCell) {
@@ -72,3 +74,29 @@
 	}
 	must.Eq(t, []RunnerState{RunnerLive, RunnerSilent, RunnerQuarantined, RunnerLeaving}, states)
 }
+
+// Guards against a gang that waits for long without a line that says why, and against one line a second for
+// each.
+func TestWaitingGangIsReportedWithItsReason(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{{Name: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 2}})
+	w.addJob("0000000000000001", Step{Count: 1, Size: smallStep(1).Size, Estimate: time.Minute})
+	w.stepUntilStart(500 * time.Millisecond)
+	w.addJob("0000000000000002", gangStep(8))
+	must.SliceEmpty(t, w.cell.WaitingGangs(w.now, w.now))
+	w.stepUntilStart(2 * minGangWaitAge)
+	waits := w.cell.WaitingGangs(w.now, w.now)
+	must.SliceLen(t, 1, waits)
+	got := waits[0]
+	must.Eq(t, "0000000000000002", got.Job)
+	must.Eq(t, 8, got.Tasks)
+	must.Eq(t, 8, got.EmptyPlaces)
+	must.Eq(t, 7, got.FreePlaces)
+	must.Eq(t, 2, got.Permitted)
+	view, _ := w.cell.JobView(w.now, w.now, got.Job)
+	must.Eq(t, reasonNoCapacity, view.Why.Reason)
+	must.StrContains(t, view.Why.Sentence, "free capacity for 7 of them")
+	must.SliceEmpty(t, w.cell.WaitingGangs(w.now, w.now))
+	w.now = w.now.Add(gangWaitInterval)
+	must.SliceLen(t, 1, w.cell.WaitingGangs(w.now, w.now))
+}
--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rhubarbstall.example/sched/model"
 )
 
 // placeGang starts all tasks of a gang or none of them, and reports whether it started them.
@@ -73,7 +75,7 @@
 		if !r.listed || r.info.Pool != g.job.Pool || refused || !g.fitsEmptyRunner(r) {
 			continue
 		}
-		places[r.info.Rack] += g.placesOnEmpty(r)
+		places[r.info.Rack] += g.places(r.info.Capacity)
 		if places[r.info.Rack] >= len(g.tasks) {
 			return true
 		}
@@ -81,14 +83,14 @@
 	return false
 }
 
-// placesOnEmpty returns how many tasks of a gang an empty runner holds, at most all of them.
-func (g *group) placesOnEmpty(r *runner) int {
+// places returns how many tasks of a gang the capacity of one runner holds, at most all of them.
+func (g *group) places(left model.Resources) int {
 	limit := len(g.tasks)
 	if g.spec.MaxPerRunner > 0 {
 		limit = min(limit, g.spec.MaxPerRunner)
 	}
 	n := 0
-	for left := r.info.Capacity; n < limit && g.claim().Fits(left); n++ {
+	for ; n < limit && g.claim().Fits(left); n++ {
 		left = left.Sub(g.claim())
 	}
 	return n
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -55,6 +55,8 @@
 	retryAt time.Time
 	// startable tells whether the group is in one of the lists of startable groups.
 	startable bool
+	// nextWaitReport is when the gang may be reported as waiting again.
+	nextWaitReport time.Time
 	// pausedUntil is the time, on the monotonic clock, from which the group may start
 	// again.
 	pausedUntil time.Time
--- a/sched/cell/testcell_test.go
+++ b/sched/cell/testcell_test.go
@@ -114,6 +114,12 @@
 	}
 }
 
+func gangStep(n int) Step {
+	s := smallStep(n)
+	s.Gang = true
+	return s
+}
+
 func smallStep(n int) Step {
 	return Step{Count: n, Size: model.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}
 }
