Run each job of a removed queue by its own policy

Cause: a cell kept one policy by the name of a queue that is not configured: that of the first job it added, or a default one if this job had none. The record of a completed job is reduced to a header without a policy, so a takeover that loaded such a record first ran all open jobs of the queue without recommendation, with three attempts and priority 1. Runners refused their starts (reason ticket) for ever: LOST.

Change: jobs of a queue that is not configured run by the policy stored with them, equal ones together; a job without one uses what others tell. A configuration that names the queue again decides for all of them, and goes on to.

Evidence: TestJobsOfRemovedQueueKeepTheirOwnPolicies fails before (no ticket), passes after; tests of sched/cell pass.

--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -38,10 +38,12 @@
 	takeoverAt time.Time
 	// rank returns the rank of a startable group and the time until which it is valid. The
 	// group with the lowest rank is placed first. Tests replace it.
-	rank    func(c *Cell, g *group, now, wall time.Time) (float64, time.Time)
-	queues  map[string]*Queue
-	jobs    map[string]*Job
-	runners map[string]*runner
+	rank   func(c *Cell, g *group, now, wall time.Time) (float64, time.Time)
+	queues map[string]*Queue
+	// unrouted holds, by name, the queues of jobs whose queue was not configured when they were added.
+	unrouted map[string][]*unroutedQueue
+	jobs     map[string]*Job
+	runners  map[string]*runner
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
 	sortedRunners []*runner
 	// newlyStartable holds the groups that became startable since the last decision.
@@ -105,11 +107,12 @@
 func New(now time.Time, cfg Config) *Cell {
 	return &Cell{
 		cfg: cfg, takeoverAt: now, lastUpdate: now, rank: rankOf, maxStarts: MaxStartsPerDecision,
-		queues:  make(map[string]*Queue),
-		jobs:    make(map[string]*Job),
-		runners: make(map[string]*runner),
-		starts:  startRate{byPriority: make(map[int]*movingRate)},
-		dirty:   make(map[string]*Job), approvalShares: make(map[string]float64),
+		queues:   make(map[string]*Queue),
+		unrouted: make(map[string][]*unroutedQueue),
+		jobs:     make(map[string]*Job),
+		runners:  make(map[string]*runner),
+		starts:   startRate{byPriority: make(map[int]*movingRate)},
+		dirty:    make(map[string]*Job), approvalShares: make(map[string]float64),
 	}
 }
 
@@ -128,6 +131,9 @@
 func (c *Cell) SetQueues(queues []Queue) {
 	for i := range queues {
 		q := queues[i]
+		for _, u := range c.unrouted[q.Name] {
+			*u.queue, u.assumed = q, false
+		}
 		if old := c.queues[q.Name]; old != nil {
 			*old = q
 			continue
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -52,20 +52,6 @@
 	return true
 }
 
-// queueOf returns the policy of a job's queue. If the settings have no such queue, it is the policy
-// under which the job was accepted, or, if that is not known either, a default policy.
-func (c *Cell) queueOf(j *Job) *Queue {
-	q := c.queues[j.Queue]
-	if q == nil {
-		q = &Queue{Name: j.Queue, Pool: j.Pool, Priority: 1, MaxAttempts: 3, SlackFactor: 2}
-		if j.QueuePolicy != nil {
-			*q = *j.QueuePolicy
-		}
-		c.queues[j.Queue] = q
-	}
-	return q
-}
-
 // addStartable adds a group to the startable ones if it has waiting tasks and no open
 // dependencies.
 func (c *Cell) addStartable(g *group) {
--- a/sched/cell/policychange_test.go
+++ b/sched/cell/policychange_test.go
@@ -77,3 +77,37 @@
 	w.endRun(starts[0].Run, EndFailed)
 	must.False(t, second.State().Final())
 }
+
+// Guards against jobs of a removed queue that run by another job's policy after a change of the scheduler: the
+// record of a completed job has none, and may be loaded first.
+func TestJobsOfRemovedQueueKeepTheirOwnPolicies(t *testing.T) {
+	w := newTestCell(t, 4)
+	ended := &Job{ID: "0000000000000001", Queue: "q", Pool: "pool"}
+	must.True(t, w.cell.AddJob(w.now, ended, &SavedJob{State: Completed}))
+	advised, plain := advisedQueue(), Queue{Name: "q", Pool: "pool", MaxAttempts: 1, SlackFactor: 2}
+	add := func(id string, policy Queue) *Job {
+		j := &Job{ID: id, Queue: "q", Pool: "pool", QueuePolicy: &policy, Spec: Spec{Payload: "p", Steps: []Step{smallStep(1)}}}
+		must.True(t, w.cell.AddJob(w.now, j, nil))
+		return j
+	}
+	add("0000000000000002", advised)
+	add("0000000000000003", plain)
+	tickets := make(map[string]string)
+	for len(tickets) < 2 {
+		starts := w.stepUntilStart(time.Second)
+		must.Positive(t, len(starts))
+		for _, s := range starts {
+			tickets[s.Run.Task.Job] = s.Ticket
+		}
+	}
+	must.Eq(t, map[string]string{"0000000000000002": "t", "0000000000000003": ""}, tickets)
+	// A route that is added again decides for all of them, also when it changes once more.
+	for _, attempts := range []int{2, 5} {
+		advised.MaxAttempts = attempts
+		w.cell.SetQueues([]Queue{advised})
+		for _, id := range []string{"0000000000000002", "0000000000000003"} {
+			must.Eq(t, attempts, w.cell.jobs[id].groups[0].queue.MaxAttempts)
+			must.NotNil(t, w.cell.jobs[id].groups[0].queue.Advice)
+		}
+	}
+}
