--- a/standin/cellrunner/fleet.go
+++ b/standin/cellrunner/fleet.go
@@ -134,7 +134,7 @@
 		used.GPUs += y.size.GPUs
 	}
 	if size := r.size(); used.MilliCPU > size.MilliCPU || used.MemoryMB > size.MemoryMB || used.GPUs > size.GPUs {
-		f.recordViolation("runner %s runs more than its capacity: %+v", r.ID, used)
+		f.recordViolation("runner %s runs more than its capacity since %s, %+v of %+v: %s", r.ID, timeOfDay(x.startedAt), used, size, r.runList())
 	}
 }
 
--- a/standin/cellrunner/run.go
+++ b/standin/cellrunner/run.go
@@ -1,6 +1,11 @@
 package cellrunner
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Size is the capacity of a runner or the share of it that a task claims.
 type Size struct {
@@ -21,6 +26,16 @@
 	startedAt time.Time
 }
 
+// runList returns the runs of a runner with the times of their starts.
+func (r *Runner) runList() string {
+	var out []string
+	for _, x := range r.runs {
+		out = append(out, fmt.Sprintf("%s#%d at %s", x.task, x.execution, timeOfDay(x.startedAt)))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
 type end struct {
 	sequence  int64
 	task      string
