--- a/soak/play/faults.go
+++ b/soak/play/faults.go
@@ -15,6 +15,10 @@
 // linkDelay is the delay of a slow link in each direction.
 const linkDelay = 150 * time.Millisecond
 
+// downTime is how long a runner is away before its next life, so that what its earlier life had received does not
+// reach the next.
+const downTime = 50 * time.Millisecond
+
 // lateShare is the share of calls that a fault of the store or of runners hits.
 const lateShare = 0.33
 
@@ -29,9 +33,8 @@
 	`{"service":"pool","address":7,"state":["ready"],"labels":{"a":1},"capacity":[],"born":"now"}`,
 }
 
-// changeRunner lets a runner that may change crash and start again as another kind.
-func (w *world) changeRunner(pick int) {
-	r := w.runners[lastingRunners+pick%(len(w.runners)-lastingRunners)]
+// changeRunner lets a runner crash and start again as another kind.
+func (w *world) changeRunner(r *runner, pick int) {
 	kind := []string{plainKind, rareKind, gpuKind}[pick/len(w.runners)%3]
 	size := runnerSizes[kind]
 	if pick%2 == 0 {
@@ -40,6 +43,7 @@
 	// Nothing reaches the runner until its entry is written.
 	r.link.Cut(true, true)
 	r.link.Reset()
+	time.Sleep(downTime)
 	w.fleet.CrashInto(r.Runner, kind, size)
 	w.register(r)
 	r.link.Cut(false, false)
@@ -52,14 +56,27 @@
 	w.register(r)
 }
 
-// inject begins a fault, and returns what ends it.
-func (w *world) inject(f fault) (end func()) {
-	v := w.vms[f.pick%len(w.vms)]
-	r := w.runners[f.pick%len(w.runners)]
+// targets returns the VM and the runner that a fault hits, and the name of the one that it is about.
+func (w *world) targets(f fault) (v *vm, r *runner, name string) {
+	v, r = w.vm(f.pick), w.runners[f.pick%len(w.runners)]
 	switch f.kind {
 	case killLeader, freezeLeader, silenceAll, cutLeader, muteLeader:
 		v = w.leader(f.pick)
+	case changeRunner:
+		r = w.runners[lastingRunners+f.pick%(len(w.runners)-lastingRunners)]
+		return v, r, r.ID
+	case cutRunner, crashRunner, drainRunner:
+		return v, r, r.ID
+	case lateWrites, lostAnswers, storeDown, dropHistory, oddEntry, changeRoutes:
+		return v, r, "store"
+	case lateOrders, failingRuns:
+		return v, r, "runners"
 	}
+	return v, r, v.name
+}
+
+// inject begins a fault, and returns what ends it.
+func (w *world) inject(f fault, v *vm, r *runner) (end func()) {
 	nothing := func() {}
 	switch f.kind {
 	case killVM, killLeader:
@@ -123,7 +140,7 @@
 		v.store.Delay(linkDelay)
 		return func() { v.store.Delay(0) }
 	case changeRunner:
-		w.changeRunner(f.pick)
+		w.changeRunner(r, f.pick)
 	case drainRunner:
 		w.drain(r)
 		return func() { w.leave(r) }
@@ -146,7 +163,9 @@
 
 // span is a fault that was played; end is zero while it lasts.
 type span struct {
-	kind       faultKind
+	kind faultKind
+	// target names the VM or the runner that it hit, or "store" or "runners".
+	target     string
 	begin, end time.Time
 }
 
@@ -160,22 +179,23 @@
 			continue
 		}
 		faults.Go(func() {
-			w.logf("begins: %d %s (%d)", i, f.kind, f.pick)
-			n := w.beginSpan(f.kind)
-			end := w.inject(f)
+			v, r, target := w.targets(f)
+			w.logf("begins: %d %s: %s", i, f.kind, target)
+			n := w.beginSpan(f.kind, target)
+			end := w.inject(f, v, r)
 			time.Sleep(time.Until(begin.Add(f.at + f.lasts)))
 			end()
 			w.endSpan(n)
-			w.logf("ends: %d %s (%d)", i, f.kind, f.pick)
+			w.logf("ends: %d %s: %s", i, f.kind, target)
 		})
 	}
 	faults.Wait()
 }
 
-func (w *world) beginSpan(kind faultKind) int {
+func (w *world) beginSpan(kind faultKind, target string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.spans = append(w.spans, span{kind: kind, begin: time.Now()})
+	w.spans = append(w.spans, span{kind: kind, target: target, begin: time.Now()})
 	return len(w.spans) - 1
 }
 
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -119,3 +119,20 @@
 	}
 	return resp.Body.Close()
 }
+
+// Guards against a timeline that lacks a fault, a holder of the scheduler's role or a broken promise.
+func TestTimelineShowsWhatHappened(t *testing.T) {
+	begin := time.Now().Add(-20 * time.Second)
+	w := &world{beganAt: begin, spans: []span{{kind: killVM, target: "vm2", begin: begin.Add(time.Second), end: begin.Add(3 * time.Second)}}}
+	w.recordTerm([]byte(`{"vm":"vm1"}`))
+	w.recordTerm([]byte(`{"vm":"vm1"}`))
+	w.recordTerm([]byte(`{"vm":"vm3"}`))
+	must.SliceLen(t, 2, w.terms)
+	dir := t.TempDir()
+	must.NoError(t, w.drawTimeline(dir, []string{"LOST: <job>"}))
+	data, err := os.ReadFile(filepath.Join(dir, "timeline.svg"))
+	must.NoError(t, err)
+	for _, part := range []string{"vm2: kill a VM", "vm1: scheduler", "vm3: scheduler", "LOST: &lt;job&gt;"} {
+		must.StrContains(t, string(data), part)
+	}
+}
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -75,8 +75,10 @@
 	version int
 	advised bool
 	// log holds the lines of the report; spans the faults that were played.
-	log     []string
-	spans   []span
+	log   []string
+	spans []span
+	// terms holds when which VM took the scheduler's role.
+	terms   []term
 	beganAt time.Time
 }
 
@@ -205,6 +207,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordTerm(value)
 	for addr, through := range w.peers {
 		value = bytes.Replace(value, []byte(`"`+addr+`"`), []byte(`"`+through+`"`), 1)
 	}
