Ask for a report at once after an order of unknown outcome

Cause: after a start without an answer, the renewal in progress is cancelled so that the next one tells what became of the order. But the next one waited for a run to end as well, up to 1 s: the outcome stayed unknown and its capacity held, and a runner that had restarted kept getting work by its old entry.

Change: the renewal after renewNow does not wait; the one after it does again.

Evidence: TestRenewalAfterUnknownOutcomeDoesNotWait; tests of cellsched pass.

--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -140,3 +140,18 @@
 	must.Eq(t, 0, o.s.loadCounts.stopsOrdered.Load())
 	must.Eq(t, 0, o.s.loadCounts.stopsInFlight.Load())
 }
+
+// Guards against an order whose outcome stays unknown for a second, and against more work for a runner that has
+// restarted meanwhile: the report that would tell waited for a run to end.
+func TestRenewalAfterUnknownOutcomeDoesNotWait(t *testing.T) {
+	o := newOrderTest(t, 0)
+	l := o.s.runnerLoops["r0"]
+	l.setClock(time.Now(), platform.RunnerClock{Reading: time.Minute})
+	waiting, _ := l.nextRenewal()
+	must.Positive(t, waiting.Wait)
+	l.renewNow()
+	atOnce, _ := l.nextRenewal()
+	must.Eq(t, 0, atOnce.Wait)
+	waiting, _ = l.nextRenewal()
+	must.Positive(t, waiting.Wait)
+}
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -50,6 +50,8 @@
 	// restarted tells whether the runner's clock has gone back since the last report, which
 	// means that the runner has restarted.
 	restarted atomic.Bool
+	// reportDue tells that the next renewal must not wait for a run to end, because its report is needed.
+	reportDue atomic.Bool
 }
 
 func newRunnerLoop(s *Scheduler, info cell.RunnerInfo) *runnerLoop {
@@ -146,9 +148,6 @@
 	s := l.s
 	sent := time.Now()
 	request, allAcked := l.nextRenewal()
-	if allAcked && request.LeaseEnd > 0 {
-		request.Wait = min(renewalWait, s.leaseDuration/minRenewalsPerLease)
-	}
 	if !s.mayAct() {
 		// The term expired because the VM was suspended or waited long for the lock.
 		return
@@ -195,8 +194,8 @@
 	}
 }
 
-// nextRenewal returns the next request to renew the leases, without a wait, and whether it acknowledges
-// all ends that the runner has reported.
+// nextRenewal returns the next request to renew the leases, and whether it acknowledges all ends that the
+// runner has reported.
 func (l *runnerLoop) nextRenewal() (request platform.RenewLeaseRequest, allAcked bool) {
 	s := l.s
 	s.mu.Lock()
@@ -213,6 +212,9 @@
 		return request, false
 	}
 	request.AckedEnd = acked
+	if !l.reportDue.Swap(false) && allAcked && request.LeaseEnd > 0 {
+		request.Wait = min(renewalWait, s.leaseDuration/minRenewalsPerLease)
+	}
 	return request, allAcked
 }
 
@@ -260,6 +262,7 @@
 
 // renewNow cancels the renewal in progress, so that the loop starts the next one at once.
 func (l *runnerLoop) renewNow() {
+	l.reportDue.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cancelRenewal != nil {
