--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,8 +15,19 @@
 	"github.com/shoenig/test/must"
 )
 
-// regressionSeeds are seeds that once failed, each with its cause. None has yet.
-var regressionSeeds []uint64
+// regressionSeeds are seeds that once failed by a fault of the daemon, each with its cause. They are played at the length
+// at which they failed.
+var regressionSeeds = []uint64{
+	// After a change of the scheduler, the record of a completed job set the policy of a removed queue (LOST).
+	502,
+	// A runner that had restarted smaller got work by its old entry, since no report came for a while (LIMIT).
+	503,
+}
+
+const (
+	shortTraffic = 12 * time.Second
+	usualTraffic = 20 * time.Second
+)
 
 // ciSeeds are played in each test run, side by side.
 var ciSeeds = []uint64{1, 2, 3}
@@ -27,11 +39,15 @@
 	out, err := build.CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
 	for _, seed := range slices.Concat(ciSeeds, regressionSeeds) {
-		t.Run("", func(t *testing.T) {
+		traffic := shortTraffic
+		if slices.Contains(regressionSeeds, seed) {
+			traffic = usualTraffic
+		}
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
 			result, err := Run(t.Context(), Options{
-				Seed: seed, Program: program, Dir: dir, Traffic: 12 * time.Second, SubmitEvery: 100 * time.Millisecond, VMs: 4, Runners: 10,
+				Seed: seed, Program: program, Dir: dir, Traffic: traffic, SubmitEvery: 100 * time.Millisecond, VMs: 4, Runners: 10,
 			})
 			must.NoError(t, err)
 			t.Log(result)
