Ask for a needed report also while ends wait to be stored

Cause: between two renewals a runner's loop waits up to 500 ms until the ends that it reported are stored. renewNow cancelled only a renewal in progress, so with a slow store the report after an unknown outcome, or after a restart, came half a second late.

Evidence: TestNeededReportDoesNotWaitForStoredEnds; tests of cellsched pass.

--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -141,6 +141,19 @@
 	must.Eq(t, 0, o.s.loadCounts.stopsInFlight.Load())
 }
 
+// Guards against a restart or an unknown outcome that shows only half a second later, because the loop waits
+// until ends are stored, and the store is slow.
+func TestNeededReportDoesNotWaitForStoredEnds(t *testing.T) {
+	o := newOrderTest(t, 0)
+	l := o.s.runnerLoops["r0"]
+	l.renewNow()
+	begin := time.Now()
+	l.waitForStoredEnds(make(chan struct{}))
+	must.Less(t, maxStoredEndsWait/2, time.Since(begin))
+	l.waitForStoredEnds(make(chan struct{}))
+	must.GreaterEq(t, maxStoredEndsWait, time.Since(begin))
+}
+
 // Guards against an order whose outcome stays unknown for a second, and against more work for a runner that has
 // restarted meanwhile: the report that would tell waited for a run to end.
 func TestRenewalAfterUnknownOutcomeDoesNotWait(t *testing.T) {
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -50,12 +50,14 @@
 	// restarted tells whether the runner's clock has gone back since the last report, which
 	// means that the runner has restarted.
 	restarted atomic.Bool
+	// wake ends a wait between two renewals.
+	wake chan struct{}
 	// reportDue tells that the next renewal must not wait for a run to end, because its report is needed.
 	reportDue atomic.Bool
 }
 
 func newRunnerLoop(s *Scheduler, info cell.RunnerInfo) *runnerLoop {
-	return &runnerLoop{s: s, id: info.ID, addr: info.Address, draining: info.Draining}
+	return &runnerLoop{s: s, id: info.ID, addr: info.Address, draining: info.Draining, wake: make(chan struct{}, 1)}
 }
 
 func (l *runnerLoop) setAddr(addr string) {
@@ -190,7 +192,7 @@
 		signal(s.statesDirty)
 	}
 	if !allAcked {
-		waitForStoredEnds(s.ctx, endsStored)
+		l.waitForStoredEnds(endsStored)
 	}
 }
 
@@ -218,14 +220,16 @@
 	return request, allAcked
 }
 
-// waitForStoredEnds waits until every end that a runner reported is stored, at most
-// maxStoredEndsWait: until then the runner would repeat these ends in each report.
-func waitForStoredEnds(ctx context.Context, stored <-chan struct{}) {
+// waitForStoredEnds waits until every end that the runner reported is stored, at most
+// maxStoredEndsWait: until then it would repeat these ends in each report. It returns early if a report is
+// needed all the same.
+func (l *runnerLoop) waitForStoredEnds(stored <-chan struct{}) {
 	t := time.NewTimer(maxStoredEndsWait)
 	defer t.Stop()
 	select {
-	case <-ctx.Done():
+	case <-l.s.ctx.Done():
 	case <-stored:
+	case <-l.wake:
 	case <-t.C:
 	}
 }
@@ -260,9 +264,11 @@
 	}
 }
 
-// renewNow cancels the renewal in progress, so that the loop starts the next one at once.
+// renewNow ends the renewal in progress, or the wait before the next one, so that the loop asks the runner for a
+// report at once.
 func (l *runnerLoop) renewNow() {
 	l.reportDue.Store(true)
+	signal(l.wake)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cancelRenewal != nil {
