Start nothing on a restarted runner before its report

Cause: if the clock in the answer to an order shows that the runner has restarted, only its leases were extended. Until the next report it counted as before, with the capacity and labels of its previous life.

Evidence: the case "clock in an answer first" of TestRestartedRunnerIsUsedOnlyByItsOwnEntry fails before, passes after; tests of sched/cell and cellsched pass.

--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -193,10 +193,15 @@
 }
 
 // RecordRestart records that the answer to an order showed that the runner had restarted before. The
-// order gave the end of its lease by the clock of the previous incarnation.
+// order gave the end of its lease by the clock of the previous incarnation. No new runs start there until the
+// report of the new one, which may be smaller or of another kind.
 func (c *Cell) RecordRestart(now time.Time, id string) {
 	if r := c.runners[id]; r != nil {
 		r.extendLease(now, c.cfg.MaxLease)
+		if !r.suspect {
+			r.suspect = true
+			c.event(Event{Kind: EventRunnerSuspect, Runner: id, Detail: "restarted"})
+		}
 	}
 }
 
--- a/sched/cell/pools_test.go
+++ b/sched/cell/pools_test.go
@@ -227,6 +227,13 @@
 			func(w *testCell) { w.cell.SetRunner(w.now, smaller) },
 			func(w *testCell) { w.report("r0", Report{Incarnation: 2}) },
 		},
+		"clock in an answer first": {
+			func(w *testCell) { w.cell.RecordRestart(w.now, "r0") },
+			func(w *testCell) {
+				w.cell.SetRunner(w.now, smaller)
+				w.report("r0", Report{Incarnation: 2})
+			},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newTestCell(t, 1)
