Break off what reaches a simulated runner while it is away

The soak let a link hold bytes back while a runner was between two lives, and passed them on to the next one, as a silent network would; a process that is gone refuses. What the link accepted meanwhile is now reset. A link that is reset closes also what it had opened meanwhile on the other side.

--- a/soak/play/faults.go
+++ b/soak/play/faults.go
@@ -46,6 +46,8 @@
 	time.Sleep(downTime)
 	w.fleet.CrashInto(r.Runner, kind, size)
 	w.register(r)
+	// What was sent meanwhile met no process.
+	r.link.Reset()
 	r.link.Cut(false, false)
 }
 
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -61,6 +61,9 @@
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // Without it, the ends would see a regular close.
 		}
+	}
+	// The end of one connection closes the other, so all of them are set first.
+	for c := range l.conns {
 		_ = c.Close()
 	}
 }
@@ -126,7 +129,9 @@
 			}
 		}
 		if errors.Is(err, net.ErrClosed) {
-			return // The link closed both ends, or is about to.
+			// The link closed this end. The other one may have been opened since.
+			_ = to.Close()
+			return
 		}
 		if err != nil {
 			if tcp, ok := to.(*net.TCPConn); ok {
