--- a/soak/play/job.go
+++ b/soak/play/job.go
@@ -2,15 +2,10 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"rhubarbstall.example/standin/cellrunner"
 )
 
 // step is a step of a job, as the body of a POST names its fields.
@@ -134,35 +129,6 @@
 	return time.UnixMilli(j.body.FirstRunMS + int64(occurrence)*j.body.IntervalMS)
 }
 
-// taskName is the name of a task in parts.
-type taskName struct {
-	job                     string
-	occurrence, step, index int
-}
-
-// parseTask splits the name of a task, ID.K.STEP.INDEX. ok is false if it has another form.
-func parseTask(name string) (t taskName, ok bool) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return t, false
-	}
-	t.job = parts[0]
-	for i, n := range []*int{&t.occurrence, &t.step, &t.index} {
-		var err error
-		if *n, err = strconv.Atoi(parts[i+1]); err != nil {
-			return t, false
-		}
-	}
-	return t, true
-}
-
-func (t taskName) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.job, t.occurrence, t.step, t.index)
-}
-
-// stepKey names the step of a task in its occurrence.
-func (t taskName) stepKey() string { return fmt.Sprintf("%s.%d.%d", t.job, t.occurrence, t.step) }
-
 // has reports whether the job has a task.
 func (j *job) has(t taskName) bool {
 	return t.occurrence >= 0 && t.occurrence < j.occurrences() && t.step >= 0 && t.step < len(j.body.Steps) &&
@@ -177,67 +143,3 @@
 	}
 	return out
 }
-
-// jobTable holds the jobs of a run by id.
-type jobTable struct {
-	mu   sync.Mutex
-	jobs map[string]*job
-	list []*job
-}
-
-func newJobTable() *jobTable { return &jobTable{jobs: make(map[string]*job)} }
-
-func (t *jobTable) add(j *job) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.jobs[j.id] = j
-	t.list = append(t.list, j)
-}
-
-// all returns the jobs in the order of their submission.
-func (t *jobTable) all() []*job {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Clone(t.list)
-}
-
-// find returns the job, the step and the name of a task; j is nil if no client drew such a task.
-func (t *jobTable) find(task string) (j *job, s step, name taskName) {
-	name, ok := parseTask(task)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	j = t.jobs[name.job]
-	if !ok || j == nil || !j.has(name) {
-		return nil, step{}, name
-	}
-	return j, j.body.Steps[name.step], name
-}
-
-// taskSize returns the size and the work of a task for the runners.
-func (t *jobTable) taskSize(task string) (cellrunner.Size, time.Duration) {
-	h := fnv.New32()
-	_, _ = h.Write([]byte(task))
-	work := time.Duration(200+h.Sum32()%1800) * time.Millisecond
-	_, s, name := t.find(task)
-	if s.Gang {
-		// The members end together.
-		h.Reset()
-		_, _ = h.Write([]byte(name.stepKey()))
-		work = time.Duration(200+h.Sum32()%1800) * time.Millisecond
-	}
-	return cellrunner.Size{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB, GPUs: s.GPUs}, work
-}
-
-// gangSize returns how many tasks the gang of a task has; 0 if it is in none.
-func (t *jobTable) gangSize(task string) int {
-	if _, s, _ := t.find(task); s.Gang {
-		return s.Count
-	}
-	return 0
-}
-
-// taskTraits returns the traits of a task for the runners.
-func (t *jobTable) taskTraits(task string) cellrunner.Traits {
-	j, s, name := t.find(task)
-	return cellrunner.Traits{Lasting: s.Lasting, Checkpoints: s.Checkpointing, Poisoned: j != nil && j.poisoned && name.step == 0}
-}
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -181,18 +180,6 @@
 	return l.Addr().String(), nil
 }
 
-// register writes the entry of a runner.
-func (w *world) register(r *runner) {
-	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "ready"))
-	w.checker.setDraining(r.ID, time.Time{})
-}
-
-// drain writes an entry of a runner that says that it drains.
-func (w *world) drain(r *runner) {
-	w.store.Put(platform.RunnerPrefix+r.ID, w.fleet.RunnerRecord(r.Runner, pool, r.link.Addr(), "draining"))
-	w.checker.setDraining(r.ID, time.Now())
-}
-
 // learnPeer tells that other VMs reach the peer port at an address through a link.
 func (w *world) learnPeer(addr, through string) {
 	w.mu.Lock()
@@ -220,40 +207,6 @@
 // skips reports whether the run leaves out the job with a number.
 func (w *world) skips(job int) bool { return slices.Contains(w.options.SkipJobs, job) }
 
-// configure writes a version of the operator's configuration, with or without the route of advisedQueue, and
-// with or without its recommendation. Jobs of a queue whose route is gone need what they needed before.
-func (w *world) configure(route, advised bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.version += 3
-	var routes []map[string]any
-	for _, name := range []string{plainQueue, advisedQueue} {
-		r := map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "timeout_ms": 3000, "target_latency_ms": 1000,
-			"priority": 1, "service": pool, "max_attempts": maxAttempts, "slack_factor": 2,
-		}
-		if name == advisedQueue && !route {
-			continue
-		}
-		if name == advisedQueue {
-			w.advised = advised
-		}
-		if name == advisedQueue && advised {
-			r["recommendation"] = map[string]any{
-				"decision_ms": adviceBase.Milliseconds(), "per_worker_ms": advicePerRunner.Milliseconds(), "validity_ms": adviceValidity.Milliseconds(),
-			}
-		}
-		routes = append(routes, r)
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": routes, "services": []map[string]any{{"name": pool}}, "limits": map[string]any{"body_bytes": 262144},
-	})
-	if err != nil {
-		panic(err) // The fields are plain.
-	}
-	w.store.Put(platform.ConfigKey, value)
-}
-
 // awaitReady waits until all VMs are ready.
 func (w *world) awaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
