Ask for a report at once only after a broken connection or a restart

Cause: a report that does not wait costs the scheduler one call more. A busy VM has many starts whose answer is only late, and asked for one after each: more work when there is too much already.

Change: reportNow after a broken connection or a restart, which tell that runs may be gone; renewNow as before for late answers and for stops.

Evidence: TestRenewalAfterUnknownOutcomeDoesNotWait also asks that a late answer costs no extra report; tests of cellsched pass.

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -143,7 +143,7 @@
 	}
 	s.recordStart(run, outcome, reason, err)
 	if outcome == cell.StartUnknown {
-		l.renewNow()
+		l.reportNow()
 	}
 }
 
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -146,7 +146,7 @@
 func TestNeededReportDoesNotWaitForStoredEnds(t *testing.T) {
 	o := newOrderTest(t, 0)
 	l := o.s.runnerLoops["r0"]
-	l.renewNow()
+	l.reportNow()
 	begin := time.Now()
 	l.waitForStoredEnds(make(chan struct{}))
 	must.Less(t, maxStoredEndsWait/2, time.Since(begin))
@@ -163,6 +163,9 @@
 	waiting, _ := l.nextRenewal()
 	must.Positive(t, waiting.Wait)
 	l.renewNow()
+	waiting, _ = l.nextRenewal()
+	must.Positive(t, waiting.Wait, must.Sprint("an answer that is only late"))
+	l.reportNow()
 	atOnce, _ := l.nextRenewal()
 	must.Eq(t, 0, atOnce.Wait)
 	waiting, _ = l.nextRenewal()
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -113,7 +113,7 @@
 	if wentBack {
 		l.restarted.Store(true)
 		l.s.exclusive(func() { l.s.cell.RecordRestart(time.Now(), l.id) })
-		l.renewNow()
+		l.reportNow()
 	}
 }
 
@@ -264,11 +264,16 @@
 	}
 }
 
-// renewNow ends the renewal in progress, or the wait before the next one, so that the loop asks the runner for a
-// report at once.
-func (l *runnerLoop) renewNow() {
+// reportNow makes the loop ask the runner for a report at once, because its connection broke or it has
+// restarted. On a busy VM, answers that are only late are many; for these, renewNow costs less.
+func (l *runnerLoop) reportNow() {
 	l.reportDue.Store(true)
 	signal(l.wake)
+	l.renewNow()
+}
+
+// renewNow cancels the renewal in progress, so that the loop starts the next one at once.
+func (l *runnerLoop) renewNow() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cancelRenewal != nil {
