Keep the times of a run's jobs if some are left out

A run that soak minimize plays without some jobs sent the others sooner, so it played something else. Jobs now have their time in the run. Found by reading.

--- a/soak/play/clients.go
+++ b/soak/play/clients.go
@@ -41,6 +41,7 @@
 // run submits jobs at a steady rate and waits for their clients.
 func (c *clients) run(traffic, every time.Duration) {
 	var all sync.WaitGroup
+	begin := time.Now()
 	for n := 0; time.Duration(n)*every < traffic; n++ {
 		j := newJob(c.random, n)
 		c.w.jobs.add(j)
@@ -49,6 +50,8 @@
 		if c.w.skips(n) {
 			continue
 		}
+		// The other jobs keep their times if some are left out.
+		time.Sleep(time.Until(begin.Add(time.Duration(n) * every)))
 		all.Go(func() {
 			if unknown {
 				c.cancel(j, p.first)
@@ -56,8 +59,8 @@
 			}
 			c.serve(j, p)
 		})
-		time.Sleep(every)
 	}
+	time.Sleep(time.Until(begin.Add(traffic)))
 	all.Wait()
 }
 
