Make the calls with runners through relays on other VMs

Change: from 200 runners a core of its VM on, the scheduler passes its calls in batches to a few other VMs (sched/relays selects them and divides the runners by weighted rendezvous hashing; daemon/internal/relay carries the calls). A relay decides nothing: leases, fencing tokens and stale orders stay with the scheduler, so a relay that is lost, frozen or cut off is a call without an answer, as on a network that fails. A batch carries the last reading of the relay's own clock after which it may start no call, so that orders that were held up, or that a suspended VM wakes with, are not sent. Rejected: relays that renew leases by themselves (a second authority over how long runs live).

--- a/daemon/internal/cellsched/directory.go
+++ b/daemon/internal/cellsched/directory.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		if p := d.peers[a.VM]; p == nil || p.addr != a.Addr {
-			d.peers[a.VM] = &knownPeer{addr: a.Addr, lastHeard: now}
+			d.peers[a.VM] = &knownPeer{addr: a.Addr, lastHeard: now, capacity: a.Capacity}
 		}
 	}
 }
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -156,6 +157,8 @@
 		return cell.StartOK, ""
 	case errors.As(err, &refused):
 		return cell.StartRefused, refused.Reason
+	case errors.Is(err, relay.ErrNotPassedOn):
+		return cell.StartRefused, cell.StaleLate
 	case errors.Is(err, platform.ErrNotSent):
 		return cell.StartRefused, "unreachable"
 	default:
--- a/daemon/internal/cellsched/overload_scenarios_test.go
+++ b/daemon/internal/cellsched/overload_scenarios_test.go
@@ -46,6 +46,9 @@
 	// linkBytesPerSecond is the bandwidth of a VM's link; 0 for no limit. payloadBytes is the
 	// length of the payload that each start order carries.
 	linkBytesPerSecond, payloadBytes int
+	// coresPerVM is the capacity of each VM by which relays are selected; 0 for a deployment without
+	// relays.
+	coresPerVM float64
 }
 
 // sizeForRunners returns the size of a deployment in which the number of entry VMs and the calls
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -11,6 +11,7 @@
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -25,6 +26,7 @@
 	methodPending = "cell.pending"
 	methodAdvice  = "cell.advice"
 	methodAdvised = "cell.advised"
+	methodRelay   = "cell.relay"
 )
 
 // ErrNoScheduler means that no scheduler is known, or that it has not loaded its jobs yet.
@@ -59,9 +61,14 @@
 
 type empty struct{}
 
-// Register registers the methods that this VM serves for its peers. All but methodHello and
-// methodPut fail with NoZoneScheduler on a VM that does not run the scheduler.
+// Register registers the methods that this VM serves for its peers. All but methodHello, methodPut and
+// methodRelay fail with NoZoneScheduler on a VM that does not run the scheduler.
 func Register(server *peer.Server, c *Client) {
+	if c.relay != nil {
+		peer.Handle(server, methodRelay, func(ctx context.Context, _ string, b *relay.Batch) (*relay.Reply, error) {
+			return c.relay.Exchange(ctx, b), nil
+		})
+	}
 	peer.Handle(server, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
 		return &empty{}, c.withLocalScheduler(func(s *Scheduler) error { return s.Submit(*a) })
 	})
@@ -122,6 +129,8 @@
 	jobMemoryBytes int64
 	// schedulerLoad is the load that a scheduler on another VM last reported.
 	schedulerLoad atomic.Pointer[loadReading]
+	// relay makes calls to runners for a scheduler on another VM; nil if this VM makes none.
+	relay *relay.Server
 	// reportedVMs is the list of VMs that another VM sent last.
 	reportedVMs atomic.Pointer[vmList]
 }
@@ -137,14 +146,16 @@
 	StoreTimeout     func() time.Duration
 	// JobMemoryBytes is the memory that known jobs may take; 0 for no limit.
 	JobMemoryBytes int64
-	Log            *zap.Logger
+	// Relay makes calls to runners for schedulers on other VMs; nil to make none.
+	Relay *relay.Server
+	Log   *zap.Logger
 }
 
 // NewClient returns the client of a VM.
 func NewClient(p ClientConfig) *Client {
 	return &Client{
 		local: p.LocalScheduler, elector: p.Elector, peers: p.Peers, directory: NewDirectory(p.Self.VM), store: p.Store,
-		vm: p.Self.VM, addr: p.Self.Addr, storeUnreachable: p.StoreUnreachable, storeTimeout: p.StoreTimeout, log: p.Log, jobMemoryBytes: p.JobMemoryBytes,
+		vm: p.Self.VM, addr: p.Self.Addr, storeUnreachable: p.StoreUnreachable, storeTimeout: p.StoreTimeout, log: p.Log, jobMemoryBytes: p.JobMemoryBytes, relay: p.Relay,
 	}
 }
 
--- a/daemon/internal/cellsched/runnerlist.go
+++ b/daemon/internal/cellsched/runnerlist.go
@@ -17,6 +17,8 @@
 	if !ok {
 		return 0, false
 	}
+	s.listedRunners.Store(int64(len(items)))
+	s.awaitRelays()
 	s.applyRunners(items, true)
 	s.runnersAge.applied(begin)
 	return at, true
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
@@ -239,6 +240,12 @@
 	if s.ctx.Err() != nil {
 		return
 	}
+	if relay.IsLost(err) {
+		// That tells nothing about the runner, which another relay may reach.
+		s.log.Debug("[sched] renewal got no answer from its relay", zap.String("runner", l.id), zap.Error(err))
+		wait.For(s.ctx, relayRetryDelay)
+		return
+	}
 	if !l.failing {
 		l.failing = true
 		s.log.Warn("[sched] renewing the leases of a runner failed", zap.String("runner", l.id), zap.Error(err))
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbstall.example/daemon/internal/election"
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
@@ -68,6 +69,8 @@
 	StoreUnreachable func() bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64
+	// Relays tells how to spread the calls to runners over other VMs; nil to make all of them on this VM.
+	Relays *RelaySettings
 }
 
 // storeTimeout returns the timeout of a write to the store.
@@ -83,7 +86,7 @@
 	settings    Settings
 	term        election.Term
 	store       *platform.Store
-	runners     *platform.Runners
+	runners     relay.Runners
 	log         *zap.Logger
 	adviceQueue *adviceQueue
 	orders      *orderQueue
@@ -91,6 +94,10 @@
 	idleSenders   chan queuedOrder
 	metrics       *metrics
 	leaseDuration time.Duration
+	// relays makes the calls to runners through other VMs; nil if all are made on this one.
+	relays *relay.Pool
+	// listedRunners is the number of runners in the last full listing of their entries.
+	listedRunners atomic.Int64
 	// loadCounts holds the counts for the load report.
 	loadCounts loadCounts
 
@@ -130,7 +137,7 @@
 }
 
 // New returns a scheduler for a term; it fails if the metrics cannot be set up.
-func New(set Settings, term election.Term, store *platform.Store, runners *platform.Runners, log *zap.Logger) (*Scheduler, error) {
+func New(set Settings, term election.Term, store *platform.Store, runners relay.Runners, log *zap.Logger) (*Scheduler, error) {
 	m, err := newMetrics()
 	if err != nil {
 		return nil, err
@@ -161,6 +168,7 @@
 		return
 	}
 	s.spawn(s.loadLoop)
+	s.startRelays()
 	begin := time.Now()
 	work, ok := s.loadFromStore()
 	if !ok {
--- a/daemon/internal/entryvm/vm.go
+++ b/daemon/internal/entryvm/vm.go
@@ -18,9 +18,11 @@
 	"rhubarbstall.example/daemon/internal/front"
 	"rhubarbstall.example/daemon/internal/netcount"
 	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/daemon/internal/storehealth"
 	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/relays"
 )
 
 const (
@@ -56,6 +58,7 @@
 	elector        *election.Elector
 	client         *cellsched.Client
 	peers          *peer.Client
+	relay          *relay.Server
 	draining       atomic.Bool
 	// background counts the goroutines that run until the process ends. Run does not wait for
 	// them.
@@ -94,11 +97,20 @@
 	})
 	runners := platform.NewRunners(netcount.WrapDial(netcount.Runner, platform.TCPDialer()))
 	runners.LimitIdleConnections(int(idleRunnerConnShare * float64(boot.FileDescriptors)))
+	v.relay = relay.NewServer(runners, relay.Clock(election.BootClock), log)
 	set := cellsched.Settings{
 		VM: boot.VM, MaxLease: boot.MaxHold, DrainTimeout: boot.DrainTimeout, EarlyStart: boot.EarlyStart,
 		JobRetention: boot.StatusKept, RemoteFactor: boot.RemoteFactor, StoreTimeout: v.storeTimeout.Timeout,
 		StoreWritesPerSecond: boot.WritesPerS, Cores: boot.ProcessorShare, LinkMbps: boot.LinkMbps,
 		StoreUnreachable: func() bool { return v.health.Unreachable(time.Now()) },
+		Relays: &cellsched.RelaySettings{
+			OwnCores:   schedulerCapacity(boot),
+			Candidates: func() []relays.VM { return v.client.RelayCandidates() },
+			Exchange: func(ctx context.Context, to relays.VM, b *relay.Batch) (*relay.Reply, error) {
+				return v.client.ExchangeWithRelay(ctx, to, b)
+			},
+			Clock: relay.Clock(election.BootClock),
+		},
 	}
 	v.elector = election.New(v.store, boot.VM, v.peerAddr(), boot.MinLeaseTTL, func(ctx context.Context, t election.Term) {
 		s, err := cellsched.New(set, t, v.store, runners, log)
@@ -110,7 +122,7 @@
 	}, election.BootClock, log)
 	v.client = cellsched.NewClient(cellsched.ClientConfig{
 		Self: cellsched.VMAddr{VM: boot.VM, Addr: v.peerAddr()}, LocalScheduler: v.localScheduler, Elector: v.elector, Peers: v.peers,
-		Store: v.store, StoreUnreachable: func() bool { return v.health.Unreachable(time.Now()) }, StoreTimeout: v.storeTimeout.Timeout, Log: log, JobMemoryBytes: cellsched.JobMemoryBytes(boot.MemoryMB),
+		Store: v.store, StoreUnreachable: func() bool { return v.health.Unreachable(time.Now()) }, StoreTimeout: v.storeTimeout.Timeout, Log: log, JobMemoryBytes: cellsched.JobMemoryBytes(boot.MemoryMB), Relay: v.relay,
 	})
 	v.elector.SetCapacities(election.Capacities{Own: schedulerCapacity(boot), LargestOther: v.client.LargestPeerCapacity})
 	return v, nil
@@ -218,6 +230,7 @@
 	begin := time.Now()
 	v.log.Info("[vm] draining", zap.Duration("grace", v.settings.Load().Grace))
 	v.draining.Store(true)
+	v.relay.Leave()
 	v.elector.Resign()
 	endElection()
 	// Close the connection after each further response, so that clients move to other VMs.
--- /dev/null
+++ b/daemon/internal/relay/pool.go
@@ -0,0 +1,281 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/wait"
+	"rhubarbstall.example/sched/relays"
+)
+
+const (
+	// updateInterval is the longest time after which relays are selected again.
+	updateInterval = 250 * time.Millisecond
+	// minGather and maxGather bound the least time between two batches to a relay. In between it grows
+	// with the number of relays, so that the scheduler's VM exchanges batchesPerCore a second for each of its
+	// cores with all of them: its processor time for batches must not grow with the cell.
+	minGather      = 8 * time.Millisecond
+	maxGather      = 80 * time.Millisecond
+	batchesPerCore = 500
+	// minExclusion and maxExclusion bound the time for which a lost relay is not selected again. It
+	// doubles with each loss.
+	minExclusion = 2 * time.Second
+	maxExclusion = 16 * time.Second
+	// leavingExclusion is longer than a VM takes to shut down.
+	leavingExclusion = 15 * time.Second
+	// closeTimeout is how long a relay that is not used any more may take for the calls under way.
+	closeTimeout = 3 * time.Second
+)
+
+// Config holds what a Pool depends on.
+type Config struct {
+	// Session begins the names of the pool's sessions. No other pool uses it.
+	Session      string
+	FencingToken int64
+	// OwnCores is the capacity of the scheduler's VM in cores.
+	OwnCores float64
+	// Candidates returns the VMs that may be relays.
+	Candidates func() []relays.VM
+	// Runners returns the number of runners.
+	Runners func() int
+	// Exchange sends a batch to a VM and returns its reply.
+	Exchange func(ctx context.Context, to relays.VM, b *Batch) (*Reply, error)
+	Clock    Clock
+	// MayAct reports whether the scheduler's term allows orders.
+	MayAct func() bool
+	// Direct calls runners without a relay.
+	Direct Runners
+	Log    *zap.Logger
+}
+
+// Pool makes the calls of a scheduler to runners through relays, or directly while there are none. It
+// is safe for concurrent use.
+type Pool struct {
+	config Config
+	ctx    context.Context
+	// changed is signalled when the relays have to be selected again.
+	changed chan struct{}
+	workers sync.WaitGroup
+	// gather is the least time between two batches to a relay.
+	gather atomic.Int64
+
+	mu sync.RWMutex
+	// selected are the relays of the last selection, sessions those with a session, by name.
+	selected []relays.VM
+	sessions map[string]*session
+	// active are the relays that have replied, which share the runners; owners caches who relays
+	// the calls to a runner.
+	active  []*session
+	owners  map[string]*session
+	started int
+	// excluded holds the VMs that are not selected for some time.
+	excluded map[string]exclusion
+}
+
+// exclusion tells until when a VM is not selected, and for how long it was excluded.
+type exclusion struct {
+	until    time.Time
+	duration time.Duration
+}
+
+// NewPool returns a pool without relays, which is usable until the context ends.
+func NewPool(ctx context.Context, c Config) *Pool {
+	p := &Pool{
+		config: c, ctx: ctx, changed: make(chan struct{}, 1),
+		sessions: make(map[string]*session), owners: make(map[string]*session), excluded: make(map[string]exclusion),
+	}
+	p.gather.Store(int64(minGather))
+	return p
+}
+
+// Run selects relays until the context ends, and then ends all sessions.
+func (p *Pool) Run() {
+	for p.ctx.Err() == nil {
+		p.update(time.Now())
+		select {
+		case <-p.ctx.Done():
+		case <-p.changed:
+		case <-time.After(updateInterval):
+		}
+	}
+	p.mu.Lock()
+	sessions := p.sessions
+	p.sessions, p.active, p.owners = make(map[string]*session), nil, make(map[string]*session)
+	p.mu.Unlock()
+	for _, x := range sessions {
+		x.finish(fmt.Errorf("%w: the term has ended", ErrLost))
+	}
+	p.workers.Wait()
+}
+
+// update selects the relays, begins sessions with new ones, and stops using those that are not selected
+// any more.
+func (p *Pool) update(now time.Time) {
+	runners := p.config.Runners()
+	candidates := p.config.Candidates()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := candidates[:0:0]
+	for _, vm := range candidates {
+		if now.After(p.excluded[vm.Name].until) {
+			usable = append(usable, vm)
+		}
+	}
+	p.selected = relays.Select(usable, p.selected, p.config.OwnCores, runners)
+	wanted := make(map[string]bool, len(p.selected))
+	for _, vm := range p.selected {
+		wanted[vm.Name] = true
+		if x := p.sessions[vm.Name]; x == nil || x.vm != vm {
+			p.begin(vm)
+		}
+	}
+	for name, x := range p.sessions {
+		if !wanted[name] {
+			p.config.Log.Info("[relay] relay not used any more", zap.String("vm", name))
+			p.retire(x)
+		}
+	}
+	p.share()
+}
+
+// begin begins a session with a relay. The caller holds p.mu.
+func (p *Pool) begin(vm relays.VM) {
+	if old := p.sessions[vm.Name]; old != nil {
+		p.retire(old)
+	}
+	p.started++
+	x := newSession(p.ctx, p, vm, fmt.Sprintf("%s/%s/%d", p.config.Session, vm.Name, p.started))
+	p.sessions[vm.Name] = x
+	for range maxBatchesUnderWay {
+		p.workers.Go(x.work)
+	}
+}
+
+// retire stops passing new calls to a session, and ends it once its calls have ended. The caller holds
+// p.mu.
+func (p *Pool) retire(x *session) {
+	delete(p.sessions, x.vm.Name)
+	p.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(x.ctx, closeTimeout)
+		defer cancel()
+		for x.callCount() > 0 && wait.For(ctx, updateInterval) {
+		}
+		x.finish(fmt.Errorf("%w: it is not used any more", ErrLost))
+	})
+}
+
+// share divides the runners among the relays that have replied. The caller holds p.mu.
+func (p *Pool) share() {
+	before := len(p.active)
+	same := true
+	var active []*session
+	for _, vm := range p.selected {
+		if x := p.sessions[vm.Name]; x != nil && x.ready() {
+			same = same && len(active) < before && p.active[len(active)] == x
+			active = append(active, x)
+		}
+	}
+	if same && len(active) == before {
+		return
+	}
+	p.active = active
+	gather := time.Duration(float64(len(active)) / (batchesPerCore * p.config.OwnCores) * float64(time.Second))
+	p.gather.Store(int64(min(max(minGather, gather), maxGather)))
+	p.owners = make(map[string]*session)
+	p.config.Log.Info("[relay] relays changed", zap.Int("relays", len(active)), zap.Int("before", before), zap.Int("selected", len(p.selected)))
+}
+
+// replied handles the first reply of a relay, or one that says that the relay leaves.
+func (p *Pool) replied(x *session, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sessions[x.vm.Name] != x {
+		return
+	}
+	if leaving {
+		p.config.Log.Info("[relay] relay leaves", zap.String("vm", x.vm.Name))
+		p.excluded[x.vm.Name] = exclusion{until: time.Now().Add(leavingExclusion)}
+		p.retire(x)
+	}
+	p.share()
+	signal(p.changed)
+}
+
+// lost excludes the relay of a session that failed.
+func (p *Pool) lost(x *session, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sessions[x.vm.Name] != x || p.ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	e := p.excluded[x.vm.Name]
+	e.duration = min(max(minExclusion, 2*e.duration), maxExclusion)
+	if now.Sub(e.until) > maxExclusion {
+		e.duration = minExclusion
+	}
+	e.until = now.Add(e.duration)
+	p.excluded[x.vm.Name] = e
+	delete(p.sessions, x.vm.Name)
+	p.config.Log.Warn("[relay] relay lost", zap.String("vm", x.vm.Name), zap.Duration("excluded", e.duration), zap.Error(err))
+	p.share()
+	signal(p.changed)
+}
+
+// route returns the session that relays the calls to a runner; nil if they are made directly.
+func (p *Pool) route(runner string) *session {
+	p.mu.RLock()
+	x, known := p.owners[runner]
+	n := len(p.active)
+	p.mu.RUnlock()
+	if known || n == 0 {
+		return x
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vms := make([]relays.VM, len(p.active))
+	for i, a := range p.active {
+		vms[i] = a.vm
+	}
+	if i := relays.Owner(runner, vms); i >= 0 {
+		x = p.active[i]
+	}
+	p.owners[runner] = x
+	return x
+}
+
+// WaitReady waits until the relays for the present number of runners have replied, at most for a time:
+// to open connections to all runners would take the scheduler's VM longer.
+func (p *Pool) WaitReady(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(p.ctx, limit)
+	defer cancel()
+	for p.update(time.Now()); !p.complete() && wait.For(ctx, minGather); {
+	}
+}
+
+// complete reports whether all selected relays have replied.
+func (p *Pool) complete() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.active) >= len(p.selected)
+}
+
+// Names returns the relays that are in use, for logs.
+func (p *Pool) Names() []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	names := make([]string, len(p.active))
+	for i, x := range p.active {
+		names[i] = x.vm.Name
+	}
+	return names
+}
+
+// IsLost reports whether a call failed because of its relay and not of its runner.
+func IsLost(err error) bool { return errors.Is(err, ErrLost) || errors.Is(err, ErrNotPassedOn) }
--- /dev/null
+++ b/daemon/internal/relay/relay_test.go
@@ -0,0 +1,282 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+// Guards against answers that reach another call, and against runners that are reached through several
+// relays or none.
+func TestAnswersReachTheirCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		defer f.close()
+		must.Len(t, minRelaysInFixture, f.pool.Names())
+		var calls sync.WaitGroup
+		for i := range fixtureRunners {
+			for k := range 3 {
+				calls.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					defer cancel()
+					id := fmt.Sprintf("r%d", i)
+					report, clock, err := f.pool.RenewLease(ctx, platform.RunnerAddr{ID: id}, platform.RenewLeaseRequest{AckedEnd: int64(k), Wait: time.Duration(i*7%50) * time.Millisecond})
+					must.NoError(t, err)
+					must.Eq(t, clockOf(id), clock)
+					must.Eq(t, []cell.ReportedRun{{Task: cell.TaskRef{Job: id, Index: 1}, Execution: int64(k), Percent: 50}}, report.Running)
+				})
+			}
+		}
+		calls.Wait()
+		renewals := 0
+		for _, x := range f.vms {
+			answered, _ := x.runners.renewalCounts()
+			renewals += answered
+		}
+		must.Eq(t, 3*fixtureRunners, renewals)
+		direct, _ := f.direct.renewalCounts()
+		must.Eq(t, 0, direct)
+	})
+}
+
+const minRelaysInFixture = 2
+
+// Guards against a number of messages that grows with the calls: batches would cost the scheduler's VM as
+// much as the calls themselves.
+func TestManyCallsShareABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		before := f.exchangeCount()
+		var calls sync.WaitGroup
+		for i := range 1000 {
+			calls.Go(func() { must.NoError(t, f.startTask(fmt.Sprintf("r%d", i%fixtureRunners), i)) })
+			time.Sleep(time.Millisecond)
+		}
+		calls.Wait()
+		exchanges := f.exchangeCount() - before
+		must.Between(t, 10, exchanges, 2*batchesPerCore/5)
+		must.Eq(t, 1000, f.vms[0].runners.startCount()+f.vms[1].runners.startCount())
+		for _, x := range f.vms {
+			x.runners.mu.Lock()
+			defer x.runners.mu.Unlock()
+			must.SliceContains(t, x.runners.tokens, fixtureToken)
+			must.SliceContains(t, x.runners.payloads, "payload")
+		}
+	})
+}
+
+// Guards against an order that reaches a runner seconds after the scheduler checked it, because its batch was
+// held up in the network.
+func TestBatchThatArrivesLateStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		x := f.relayOf("r1")
+		f.set(x, func(x *relayVM) { x.requestDelay = 3 * time.Second })
+		err := f.startTask("r1", 1)
+		must.ErrorIs(t, err, ErrLost)
+		must.False(t, errors.Is(err, ErrNotPassedOn), must.Sprint("the batch may have arrived"))
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 0, x.runners.startCount())
+	})
+}
+
+// Guards against a relay that was suspended and makes calls of before when it wakes.
+func TestSuspendedRelayStartsNothingWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		x := f.relayOf("r1")
+		f.set(x, func(x *relayVM) { x.suspended = 5 * time.Second })
+		must.ErrorIs(t, f.startTask("r1", 1), ErrNotPassedOn)
+		must.Eq(t, 0, x.runners.startCount())
+	})
+}
+
+// Guards against orders that are refused because the clocks of the VMs differ.
+func TestClocksOfVMsMayDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		for i := range 20 {
+			must.NoError(t, f.startTask(fmt.Sprintf("r%d", i), i))
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a process that makes calls which were meant for the one before it.
+func TestRestartedRelayMakesNoCallsOfItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		x := f.relayOf("r1")
+		f.set(x, func(x *relayVM) { x.server = f.newVM(x.vm.Name).server })
+		must.ErrorIs(t, f.startTask("r1", 1), ErrLost)
+		must.Eq(t, 0, x.runners.startCount())
+	})
+}
+
+// Guards against calls that wait long for a relay that is gone, against runners without a relay after its
+// loss, and against a loss that affects runners of other relays.
+func TestLossOfARelayMovesItsRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3)
+		defer f.close()
+		lost := f.relayOf("r1")
+		other := ""
+		for i := 2; other == ""; i++ {
+			if id := fmt.Sprintf("r%d", i); f.relayOf(id) != lost {
+				other = id
+			}
+		}
+		keeps := f.relayOf(other)
+		f.set(lost, func(x *relayVM) { x.down = true })
+		begin := time.Now()
+		must.ErrorIs(t, f.startTask("r1", 1), ErrLost)
+		must.LessEq(t, exchangeTimeout+holdLimit, time.Since(begin))
+		time.Sleep(2 * updateInterval)
+		must.NoError(t, f.startTask("r1", 2))
+		must.True(t, f.relayOf("r1") != lost)
+		must.True(t, f.relayOf(other) == keeps)
+		must.NoError(t, f.startTask(other, 3))
+		must.Eq(t, 0, f.direct.startCount())
+		must.Len(t, minRelaysInFixture, f.pool.Names())
+	})
+}
+
+// Guards against a scheduler that reaches no runner because it reaches no other VM.
+func TestCallsAreMadeDirectlyWithoutRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		for _, x := range f.vms {
+			f.set(x, func(x *relayVM) { x.down = true })
+		}
+		time.Sleep(2 * time.Second)
+		must.NoError(t, f.startTask("r1", 1))
+		must.Eq(t, 1, f.direct.startCount())
+		for _, x := range f.vms {
+			f.set(x, func(x *relayVM) { x.down = false })
+		}
+		time.Sleep(maxExclusion + time.Second)
+		must.NoError(t, f.startTask("r1", 2))
+		must.Eq(t, 1, f.direct.startCount())
+	})
+}
+
+// Guards against calls that are lost when a VM with a relay shuts down in an orderly way.
+func TestRelayThatLeavesLosesNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3)
+		defer f.close()
+		leaving := f.relayOf("r1")
+		var calls sync.WaitGroup
+		for i := range 2000 {
+			if i == 500 {
+				leaving.server.Leave()
+			}
+			calls.Go(func() { must.NoError(t, f.startTask(fmt.Sprintf("r%d", i%fixtureRunners), i)) })
+			time.Sleep(time.Millisecond)
+		}
+		calls.Wait()
+		must.True(t, f.relayOf("r1") != leaving)
+		must.SliceNotContains(t, f.pool.Names(), leaving.vm.Name)
+	})
+}
+
+// Guards against orders that wait for a batch and are sent although the term may be over meanwhile.
+func TestQueuedCallsAreNotSentAfterTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		f.mu.Lock()
+		f.expired = true
+		f.mu.Unlock()
+		must.ErrorIs(t, f.startTask("r1", 1), ErrNotPassedOn)
+		must.Eq(t, 0, f.vms[0].runners.startCount()+f.vms[1].runners.startCount())
+	})
+}
+
+// Guards against a refusal that looks like a missing answer, and the other way round, behind a relay.
+func TestOutcomesKeepTheirMeaning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		for _, c := range []struct{ in, want error }{
+			{fmt.Errorf("%w: refused connection", platform.ErrNotSent), platform.ErrNotSent},
+			{fmt.Errorf("%w: reset", platform.ErrNoAnswer), platform.ErrNoAnswer},
+			{errors.New("other"), platform.ErrNoAnswer},
+		} {
+			for _, x := range f.vms {
+				x.runners.failWith(c.in)
+			}
+			err := f.startTask("r1", 1)
+			must.ErrorIs(t, err, c.want)
+			must.False(t, IsLost(err))
+		}
+		for _, x := range f.vms {
+			x.runners.failWith(&platform.RefusedError{Reason: platform.RefusedFence})
+		}
+		var refused *platform.RefusedError
+		must.True(t, errors.As(f.startTask("r1", 1), &refused))
+		must.Eq(t, platform.RefusedFence, refused.Reason)
+	})
+}
+
+// Guards against a runner that holds renewals whose scheduler does not wait for them any more.
+func TestAbandonedRenewalIsCancelledAtTheRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		time.AfterFunc(500*time.Millisecond, cancel)
+		begin := time.Now()
+		_, _, err := f.pool.RenewLease(ctx, platform.RunnerAddr{ID: "r1"}, platform.RenewLeaseRequest{Wait: 5 * time.Second})
+		must.ErrorIs(t, err, platform.ErrNoAnswer)
+		must.Eq(t, 500*time.Millisecond, time.Since(begin))
+		time.Sleep(200 * time.Millisecond)
+		_, first := f.vms[0].runners.renewalCounts()
+		_, second := f.vms[1].runners.renewalCounts()
+		must.Eq(t, 1, first+second)
+	})
+}
+
+// Guards against a call from outside that ends a relay's process, or makes it call a runner with a task
+// that nobody named.
+func TestMalformedCallsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		x := f.vms[0]
+		hello := x.server.Exchange(context.Background(), &Batch{Session: "s"})
+		calls := []Call{
+			{Number: 1}, {Number: 2, Start: &Start{Run: Run{Task: "job"}}}, {Number: 3, Start: &Start{Run: Run{Task: "a.0.0.0"}, Payload: 1}},
+			{Number: 4, Start: &Start{Run: Run{Task: "a.0.0.0"}, Payload: -1}}, {Number: 5, Stop: &Run{Task: "...."}}, {Number: 6, Pace: &Pace{}},
+		}
+		for i := range calls {
+			calls[i].TimeoutMS = 100
+		}
+		var answers []Answer
+		b := &Batch{Session: "s", Instance: hello.Instance, NotAfter: hello.Clock + time.Second, Calls: calls}
+		for range 10 {
+			answers = append(answers, x.server.Exchange(context.Background(), b).Answers...)
+			b = &Batch{Session: "s", Instance: hello.Instance}
+		}
+		must.Len(t, len(calls), answers)
+		for _, a := range answers {
+			must.Eq(t, reasonInvalid, a.Refused)
+		}
+		must.Eq(t, 0, x.runners.startCount())
+	})
+}
