Send renewals and reports that nothing waits for in fewer batches

Cause: with 1,100 idle runners the scheduler exchanged about 400 batches a second with six relays, as many as under load, for renewals whose answers only say that runs go on.

TestOnlyAnswersThatSomethingWaitsForAreSentAtOnce.

--- a/daemon/internal/relay/message.go
+++ b/daemon/internal/relay/message.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"time"
 
 	"rhubarbstall.example/platform"
@@ -17,9 +18,11 @@
 	Instance string `json:"instance,omitempty"`
 	// NotAfter is the reading of the relay's clock after which it starts no call of the batch.
 	NotAfter time.Duration `json:"not_after,omitempty"`
-	// Gather is the least time between two replies with answers.
-	Gather       time.Duration `json:"gather"`
-	FencingToken int64         `json:"token"`
+	// Gather is the least time between two replies with answers, and PatientGather that between two
+	// replies with answers that nothing waits for.
+	Gather        time.Duration `json:"gather"`
+	PatientGather time.Duration `json:"patient_gather"`
+	FencingToken  int64         `json:"token"`
 	// Payloads holds the payloads of the starts: the tasks of a job have the same.
 	Payloads []string `json:"payloads,omitempty"`
 	Calls    []Call   `json:"calls,omitempty"`
@@ -91,6 +94,15 @@
 	failedNoAnswer Failure = "no_answer"
 )
 
+// patient reports whether nothing waits for the call: a renewal that a runner may hold only keeps
+// leases from lapsing.
+func (c *Call) patient() bool { return c.Renew != nil && c.Renew.WaitMS > 0 }
+
+// patient reports whether nothing waits for the answer: it is that to a renewal, and no run has ended.
+func (a *Answer) patient() bool {
+	return a.Report != nil && len(bytes.TrimSpace(a.Report.Ended)) <= len("[]")
+}
+
 // Answer is the outcome of a call.
 type Answer struct {
 	Number int64 `json:"n"`
--- a/daemon/internal/relay/relay_test.go
+++ b/daemon/internal/relay/relay_test.go
@@ -280,3 +280,39 @@
 		must.Eq(t, 0, x.runners.startCount())
 	})
 }
+
+// Guards against a batch for each report of an idle runner, and against an end of a run or an order that
+// waits for reports of idle runners.
+func TestOnlyAnswersThatSomethingWaitsForAreSentAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		stop := time.Now().Add(10 * time.Second)
+		var loops sync.WaitGroup
+		for i := range fixtureRunners {
+			loops.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				for time.Now().Before(stop) {
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					_, _, err := f.pool.RenewLease(ctx, platform.RunnerAddr{ID: fmt.Sprintf("r%d", i)}, platform.RenewLeaseRequest{Wait: time.Second})
+					cancel()
+					must.NoError(t, err)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		before := f.exchangeCount()
+		time.Sleep(5 * time.Second)
+		perSecondAndRelay := float64(f.exchangeCount()-before) / 5 / minRelaysInFixture
+		must.LessEq(t, 2*float64(time.Second/patientGather), perSecondAndRelay)
+		begin := time.Now()
+		must.NoError(t, f.startTask("r1", 1))
+		must.Less(t, 2*patientGather, time.Since(begin))
+		loops.Wait()
+		ended := platform.RawReport{Ended: []byte(`[[1,"a.0.0.0",1,"done",""]]`)}
+		must.False(t, (&Answer{Report: &ended}).patient())
+		must.True(t, (&Answer{Report: &platform.RawReport{Ended: []byte(" [] ")}}).patient())
+		must.False(t, (&Answer{Refused: "fence"}).patient())
+		must.False(t, (&Call{Renew: &Renew{}}).patient(), must.Sprint("a report is wanted at once"))
+	})
+}
--- a/daemon/internal/relay/server.go
+++ b/daemon/internal/relay/server.go
@@ -66,7 +66,7 @@
 			x.start(b, &b.Calls[i])
 		}
 		if b.Instance != "" {
-			x.wait(ctx, turn, b.Gather)
+			x.wait(ctx, turn, b)
 		}
 		answers = x.take(ctx)
 	}
--- a/daemon/internal/relay/serversession.go
+++ b/daemon/internal/relay/serversession.go
@@ -17,6 +17,8 @@
 	// cancels holds the functions that cancel the calls under way, by number.
 	cancels map[int64]context.CancelFunc
 	answers []Answer
+	// urgent tells whether something waits for one of the answers.
+	urgent bool
 	// turn numbers the batches. Only the newest one waits for answers.
 	turn int64
 	// repliedAt is when the last reply with answers was sent.
@@ -86,18 +88,25 @@
 		defer x.mu.Unlock()
 		delete(x.cancels, c.Number)
 		x.answers = append(x.answers, a)
+		if !a.patient() {
+			x.urgent = true
+		}
 		x.signal()
 	}()
 }
 
 // wait returns when there are answers to send, a later batch has arrived, or holdLimit has passed.
-func (x *serverSession) wait(ctx context.Context, turn int64, gather time.Duration) {
+func (x *serverSession) wait(ctx context.Context, turn int64, b *Batch) {
 	hold := time.NewTimer(holdLimit)
 	defer hold.Stop()
 	for {
 		x.mu.Lock()
 		changed, ready, in := x.changed, x.turn != turn, time.Duration(0)
 		if len(x.answers) > 0 {
+			gather := b.PatientGather
+			if x.urgent {
+				gather = b.Gather
+			}
 			in = gather - time.Since(x.repliedAt)
 			ready = ready || in <= 0
 		}
@@ -128,6 +137,6 @@
 		return nil
 	}
 	answers := x.answers
-	x.answers, x.repliedAt = nil, time.Now()
+	x.answers, x.urgent, x.repliedAt = nil, false, time.Now()
 	return answers
 }
--- a/daemon/internal/relay/session.go
+++ b/daemon/internal/relay/session.go
@@ -31,6 +31,8 @@
 
 	mu     sync.Mutex
 	queued []*pendingCall
+	// urgent tells whether something waits for one of the queued calls.
+	urgent bool
 	// sent holds the calls without an answer, by number.
 	sent      map[int64]*pendingCall
 	cancelled []int64
@@ -106,10 +108,15 @@
 		return nil, 0
 	}
 	gather := time.Duration(x.pool.gather.Load())
-	if in := gather - time.Since(x.sentAt); in > 0 {
+	patient := max(gather, patientGather)
+	wait := gather
+	if x.underWay > 0 && !x.urgent {
+		wait = patient
+	}
+	if in := wait - time.Since(x.sentAt); in > 0 {
 		return nil, in
 	}
-	b := &Batch{Session: x.id, Instance: x.instance, Gather: gather, FencingToken: x.pool.config.FencingToken}
+	b := &Batch{Session: x.id, Instance: x.instance, Gather: gather, PatientGather: patient, FencingToken: x.pool.config.FencingToken}
 	if x.instance != "" {
 		// The relay's clock reads at least this much more than in its last reply, so the batch
 		// may count as too old early, but not late.
@@ -125,7 +132,7 @@
 // addCalls moves the queued calls into a batch. The caller holds x.mu.
 func (x *session) addCalls(b *Batch) {
 	queued := x.queued
-	x.queued = nil
+	x.queued, x.urgent = nil, false
 	if !x.pool.config.MayAct() {
 		for _, p := range queued {
 			p.finish(outcome{err: fmt.Errorf("%w: the term may be over", ErrNotPassedOn)})
@@ -184,6 +191,7 @@
 	x.last++
 	p.call.Number = x.last
 	x.queued = append(x.queued, p)
+	x.urgent = x.urgent || !p.call.patient()
 	signal(x.wake)
 	return true
 }
