Decide only after reports that change something

Cause: each report of a runner asked for a decision. 1,100 idle runners send 1,100 reports a second, so a calm cell decided 105 to 140 times a second with nothing to do.

Change: HandleReport tells whether something may follow: an end, a lost run, a runner that is back, an order. The tick every 100 ms stays.

TestOnlyReportsThatChangeSomethingNeedADecision.

--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -176,19 +176,21 @@
 		s.log.Info("[sched] renewing the leases of a runner works again", zap.String("runner", l.id))
 	}
 	var endsStored chan struct{}
-	dirty := false
+	dirty, needsDecision := false, false
 	s.exclusive(func() {
 		if !s.cell.HasReported(l.id) {
 			// The roster lists a runner from its first report on.
 			signal(s.rosterChanged)
 		}
-		s.cell.HandleReport(now, sent, l.id, report)
+		needsDecision = s.cell.HandleReport(now, sent, l.id, report)
 		if _, allAcked = s.cell.StoredEnds(l.id); !allAcked {
 			endsStored = s.endWaiters.subscribe(l.id)
 		}
 		dirty = s.cell.HasDirty()
 	})
-	s.requestDecision()
+	if needsDecision {
+		s.requestDecision()
+	}
 	if dirty {
 		signal(s.statesDirty)
 	}
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -52,13 +52,20 @@
 const maxEndsPerReport = 500
 
 // HandleReport updates the cell from a runner's report; sentAt is when the report was
-// requested.
-func (c *Cell) HandleReport(now, sentAt time.Time, id string, rep Report) {
+// requested. It reports whether a decision may have something to do because of it. Most reports of
+// a large cell only show that runs go on.
+func (c *Cell) HandleReport(now, sentAt time.Time, id string, rep Report) (needsDecision bool) {
 	c.lastUpdate = now
 	r := c.runners[id]
 	if r == nil {
-		return
+		return false
 	}
+	wasUsable, runs, orders := !r.suspect && r.reported && r.incarnation == rep.Incarnation, len(r.runs), len(c.stops)+len(c.paces)
+	c.applyReport(now, sentAt, r, rep)
+	return !wasUsable || len(rep.Ended) > 0 || len(r.runs) != runs || len(c.stops)+len(c.paces) != orders
+}
+
+func (c *Cell) applyReport(now, sentAt time.Time, r *runner, rep Report) {
 	c.reportCounts.add(r, &rep)
 	r.suspect = false
 	r.lastReportAt, r.endsAwaited = now, false
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -107,3 +107,29 @@
 	must.SliceEmpty(t, w.stepUntilStart(10*time.Second))
 	must.Len(t, 1, w.stepUntilStart(2*time.Second))
 }
+
+// Guards against a large cell that spends its processor on decisions after reports which only show that
+// runs go on, and against reports whose consequence waits for the next tick.
+func TestOnlyReportsThatChangeSomethingNeedADecision(t *testing.T) {
+	w := newTestCell(t, 1)
+	w.addJob("a", smallStep(2))
+	w.stepUntilStart(time.Second)
+	w.step(100 * time.Millisecond)
+	r := w.cell.runners["r0"]
+	must.MapLen(t, 2, r.runs)
+	report := Report{Incarnation: r.incarnation}
+	for _, run := range r.sortedRuns() {
+		report.Running = append(report.Running, ReportedRun{Task: run.Task, Execution: run.Execution, Percent: 10})
+	}
+	must.False(t, w.cell.HandleReport(w.now, w.now, "r0", report), must.Sprint("runs go on"))
+	w.cell.MarkUnreachable("r0")
+	must.True(t, w.cell.HandleReport(w.now, w.now, "r0", report), must.Sprint("the runner is back"))
+	last := report.Running[1]
+	report.Running = report.Running[:1]
+	ended := report
+	ended.Ended = []ReportedEnd{{Number: r.lastEndNumber + 1, Task: last.Task, Execution: last.Execution, Kind: EndDone}}
+	must.True(t, w.cell.HandleReport(w.now, w.now, "r0", ended), must.Sprint("a run has ended"))
+	later := w.now.Add(time.Second)
+	must.True(t, w.cell.HandleReport(later, later, "r0", Report{Incarnation: r.incarnation}), must.Sprint("a run is lost"))
+	must.False(t, w.cell.HandleReport(later, later, "unknown", Report{}))
+}
