Keep the runs of a runner in the order of their expected end

Cause: each waiting gang sorted the runs of hundreds of runners in each decision. Change: the order is kept until a run is added or removed; runs that end at the same time are now ordered by task, so a decision does not depend on a map.

--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -240,7 +240,7 @@
 
 func (r *runner) addRun(run *Run) {
 	r.runs[runKey{run.Task, run.Execution}] = run
-	r.sortedCache = nil
+	r.sortedCache, r.endOrderCache = nil, nil
 	r.used = r.used.Add(run.claimed)
 }
 
@@ -248,7 +248,7 @@
 	k := runKey{run.Task, run.Execution}
 	if r.runs[k] == run {
 		delete(r.runs, k)
-		r.sortedCache = nil
+		r.sortedCache, r.endOrderCache = nil, nil
 		r.used = r.used.Sub(run.claimed)
 	}
 }
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -229,13 +229,20 @@
 	return farFuture
 }
 
-// byExpectedEnd returns the runs on a runner by their expected end.
+// byExpectedEnd returns the runs on a runner by their expected end. The slice is cached until a run is
+// added or removed, since each waiting gang looks at the runs on hundreds of runners; callers must not change it.
 func (r *runner) byExpectedEnd() []*Run {
+	if r.endOrderCache != nil || len(r.runs) == 0 {
+		return r.endOrderCache
+	}
 	runs := make([]*Run, 0, len(r.runs))
 	for _, run := range r.runs {
 		runs = append(runs, run)
 	}
-	slices.SortFunc(runs, func(a, b *Run) int { return a.expectedEnd().Compare(b.expectedEnd()) })
+	slices.SortFunc(runs, func(a, b *Run) int {
+		return cmp.Or(a.expectedEnd().Compare(b.expectedEnd()), a.Task.compare(b.Task), cmp.Compare(a.Execution, b.Execution))
+	})
+	r.endOrderCache = runs
 	return runs
 }
 
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -40,6 +40,8 @@
 	runs map[runKey]*Run
 	// sortedCache holds the result of sortedRuns; nil if it has to be rebuilt.
 	sortedCache []*Run
+	// endOrderCache holds the result of byExpectedEnd; nil if it has to be rebuilt.
+	endOrderCache []*Run
 	// lastEndNumber is the number of the last reported end that was handled.
 	lastEndNumber int64
 	// unsavedEnds holds the handled ends that may not be stored yet, in order.
