Take fewer messages between VMs for pending jobs and advice

Cause: the load line now counts the calls of other VMs by method (peer_calls). Of about 1,200 a second under load 110 ask how many jobs are pending, each of which visits all known jobs under the lock, and 430 hand out calls to the advisor and take their results.

Change: the counts of pending jobs come with the load in the answer to heartbeats and are told for up to 1.5 s; callers may see them up to 2 s old. The result of a call to the advisor travels with the request for the next one. VMs and schedulers of the last release are served as before (testdata of both).

--- a/daemon/internal/cellsched/admit.go
+++ b/daemon/internal/cellsched/admit.go
@@ -13,6 +13,8 @@
 	// maxLoadAge is how long a reading of the scheduler's load is valid. The load arrives with
 	// the answer to a heartbeat call, one each helloInterval, of which a few may fail.
 	maxLoadAge = 3 * time.Second
+	// maxPendingAge is how old a reading of the load may be from which pending jobs are told.
+	maxPendingAge = 1500 * time.Millisecond
 	// jobMemoryShare is the share of a VM's memory that the jobs known to the scheduler may
 	// take. The rest is for connections, copies of records that are being written to the
 	// store, and garbage that is not collected yet.
@@ -32,7 +34,11 @@
 func (s *Scheduler) Load(now time.Time) cell.Load {
 	s.mu.Lock()
 	defer s.unlock()
-	return s.cell.Load(now)
+	load := s.cell.Load(now)
+	if !s.jobsLoaded {
+		load.Pending = nil
+	}
+	return load
 }
 
 // CheckAdmission returns nil if the job may be accepted, or if this VM does not know the
--- a/daemon/internal/cellsched/adviceassignment_test.go
+++ b/daemon/internal/cellsched/adviceassignment_test.go
@@ -98,7 +98,7 @@
 		loops.Go(func() {
 			time.Sleep(time.Duration(i) * 27 * time.Millisecond)
 			for ctx.Err() == nil {
-				request, ok, err := c.nextAdviceRequest(ctx)
+				request, ok, err := c.nextAdviceRequest(ctx, nil)
 				switch {
 				case err != nil:
 					failed.Add(1)
--- a/daemon/internal/cellsched/encoding_test.go
+++ b/daemon/internal/cellsched/encoding_test.go
@@ -39,6 +39,9 @@
 	encodingtest.RoundTrip[helloReply](t, "hello_reply.json")
 	encodingtest.RoundTripOlder[helloArgs](t, "hello_args_1.json")
 	encodingtest.RoundTripOlder[helloReply](t, "hello_reply_1.json")
+	encodingtest.RoundTripOlder[helloReply](t, "hello_reply_2.json")
+	encodingtest.RoundTripOlder[adviceArgs](t, "advice_args_1.json")
+	encodingtest.RoundTripOlder[adviceReply](t, "advice_reply_1.json")
 	encodingtest.RoundTrip[Submission](t, "submission.json")
 	encodingtest.RoundTrip[putReply](t, "put_reply.json")
 	encodingtest.RoundTrip[idArgs](t, "id_args.json")
@@ -52,9 +55,9 @@
 	encodingtest.RoundTrip[runnersReply](t, "runners_reply.json")
 	must.Eq(t, []string{
 		"cell.hello", "cell.submit", "cell.put", "cell.state", "cell.cancel", "cell.pending", "cell.advice", "cell.advised",
-		"cell.view", "cell.runners",
+		"cell.relay", "cell.view", "cell.runners",
 	}, []string{
 		methodHello, methodSubmit, methodPut, methodState, methodCancel, methodPending, methodAdvice, methodAdvised,
-		methodView, methodRunners,
+		methodRelay, methodView, methodRunners,
 	})
 }
--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -108,7 +108,7 @@
 	startsInFlight, stopsInFlight                         int64
 	startLatencies, decisionDurations, lockWaits          durationSummary
 	adviceQueued, adviceAssigned, adviceVMs               int
-	refusals                                              namedCounts
+	refusals, peerCalls                                   namedCounts
 	orders                                                orderQueueStats
 	adviceOldest                                          time.Duration
 	process                                               processUsage
@@ -165,6 +165,9 @@
 		startLatencies: counts.startLatencies.takeSummary(), decisionDurations: counts.decisionDurations.takeSummary(), lockWaits: s.mu.waits.takeSummary(),
 		process: proc.read(),
 	}
+	if s.peerCalls != nil {
+		r.peerCalls = s.peerCalls.take()
+	}
 	r.orders, r.refusals = s.orders.stats(), counts.refusals.take()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
 	s.exclusive(func() { r.Stats = s.cell.Stats(now, now.Round(0)) })
@@ -265,6 +268,9 @@
 	if r.linkMbps > 0 {
 		count("link_limit_bytes", int64(r.linkMbps*bytesPerMbit*r.interval.Seconds()))
 	}
+	if err := e.AddObject("peer_calls", r.peerCalls); err != nil {
+		return err
+	}
 	for l, t := range r.traffic {
 		if t.Sent > 0 || t.Received > 0 {
 			count("sent_"+netcount.Link(l).String()+"_bytes", t.Sent)
--- a/daemon/internal/cellsched/localscheduler.go
+++ b/daemon/internal/cellsched/localscheduler.go
@@ -13,6 +13,8 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	queues    []cell.Queue
+	// peerCalls counts the calls of other VMs by method.
+	peerCalls countsByName
 }
 
 // Run runs s, and makes it the current scheduler until it returns.
@@ -28,6 +30,7 @@
 	defer h.mu.Unlock()
 	h.scheduler = s
 	if s != nil {
+		s.peerCalls = &h.peerCalls
 		s.SetQueues(h.queues)
 	}
 }
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 
 // Methods that peers call; those for operators are in views.go.
 const (
+	methodPrefix  = "cell."
 	methodHello   = "cell.hello"
 	methodSubmit  = "cell.submit"
 	methodPut     = "cell.put"
@@ -52,11 +54,15 @@
 
 type adviceArgs struct {
 	VM string `json:"vm"`
+	// Result is that of the VM's last call; nil if there is none to report.
+	Result *AdviceResult `json:"result,omitempty"`
 }
 
 type adviceReply struct {
 	Request  AdviceRequest `json:"task"`
 	Assigned bool          `json:"given"`
+	// Recorded tells that the result was recorded. Schedulers of earlier releases ignore it.
+	Recorded bool `json:"recorded,omitempty"`
 }
 
 type empty struct{}
@@ -65,48 +71,62 @@
 // methodRelay fail with NoZoneScheduler on a VM that does not run the scheduler.
 func Register(server *peer.Server, c *Client) {
 	if c.relay != nil {
-		peer.Handle(server, methodRelay, func(ctx context.Context, _ string, b *relay.Batch) (*relay.Reply, error) {
+		handle(server, c, methodRelay, func(ctx context.Context, _ string, b *relay.Batch) (*relay.Reply, error) {
 			return c.relay.Exchange(ctx, b), nil
 		})
 	}
-	peer.Handle(server, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
+	handle(server, c, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
 		return &empty{}, c.withLocalScheduler(func(s *Scheduler) error { return s.Submit(*a) })
 	})
-	peer.Handle(server, methodHello, func(_ context.Context, _ string, a *helloArgs) (*helloReply, error) {
+	handle(server, c, methodHello, func(_ context.Context, _ string, a *helloArgs) (*helloReply, error) {
 		return c.handleHello(a), nil
 	})
-	peer.Handle(server, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
+	handle(server, c, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
 		return c.putForPeer(ctx, *a)
 	})
-	peer.Handle(server, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
+	handle(server, c, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.State, r.Known = s.State(a.ID); return nil })
 	})
-	peer.Handle(server, methodCancel, func(ctx context.Context, _ string, a *idArgs) (*stateReply, error) {
+	handle(server, c, methodCancel, func(ctx context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) (err error) { r.Known, err = s.Cancel(ctx, a.ID); return err })
 	})
-	peer.Handle(server, methodPending, func(_ context.Context, _ string, a *pendingArgs) (*pendingReply, error) {
+	handle(server, c, methodPending, func(_ context.Context, _ string, a *pendingArgs) (*pendingReply, error) {
 		r := &pendingReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.Count, r.Ready = s.Pending(a.Queue); return nil })
 	})
-	peer.Handle(server, methodView, func(_ context.Context, _ string, a *idArgs) (*viewReply, error) {
+	handle(server, c, methodView, func(_ context.Context, _ string, a *idArgs) (*viewReply, error) {
 		r := &viewReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.View, r.Known = s.View(a.ID); return nil })
 	})
-	peer.Handle(server, methodRunners, func(context.Context, string, *empty) (*runnersReply, error) {
+	handle(server, c, methodRunners, func(context.Context, string, *empty) (*runnersReply, error) {
 		r := &runnersReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.Runners = s.RunnerViews(); return nil })
 	})
-	peer.Handle(server, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
-		r := &adviceReply{}
-		return r, c.withLocalScheduler(func(s *Scheduler) error { r.Request, r.Assigned = s.NextAdviceRequest(ctx, a.VM); return nil })
+	handle(server, c, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
+		r := &adviceReply{Recorded: a.Result != nil}
+		return r, c.withLocalScheduler(func(s *Scheduler) error {
+			if a.Result != nil {
+				s.RecordAdviceResult(*a.Result)
+			}
+			r.Request, r.Assigned = s.NextAdviceRequest(ctx, a.VM)
+			return nil
+		})
 	})
-	peer.Handle(server, methodAdvised, func(_ context.Context, _ string, a *AdviceResult) (*empty, error) {
+	handle(server, c, methodAdvised, func(_ context.Context, _ string, a *AdviceResult) (*empty, error) {
 		return &empty{}, c.withLocalScheduler(func(s *Scheduler) error { s.RecordAdviceResult(*a); return nil })
 	})
 }
 
+// handle registers a method whose calls the load line counts.
+func handle[A, R any](server *peer.Server, c *Client, method string, h func(ctx context.Context, from string, args *A) (*R, error)) {
+	peer.Handle(server, method, func(ctx context.Context, from string, args *A) (*R, error) {
+		c.local.peerCalls.add(strings.TrimPrefix(method, methodPrefix))
+		return h(ctx, from, args)
+	})
+}
+
 // silentConnectionTimeout is how long a connection may deliver no reply before it is replaced;
 // it is a few times as long as a reply usually takes.
 const silentConnectionTimeout = 600 * time.Millisecond
@@ -217,12 +237,15 @@
 	return r.Known, nil
 }
 
-// Pending returns the number of jobs in a queue that have neither ended nor started any task. It
+// Pending returns the number of jobs in a queue that have neither ended nor started any task, as of the
+// last reading of the scheduler's load: callers ask often, and each question would be a call. It
 // fails with ErrNoScheduler while the scheduler loads the jobs.
 func (c *Client) Pending(ctx context.Context, queue string) (int, error) {
 	r := &pendingReply{}
 	if s := c.local.Current(); s != nil {
 		r.Count, r.Ready = s.Pending(queue)
+	} else if reading := c.schedulerLoad.Load(); reading != nil && reading.load.Pending != nil && time.Since(reading.readAt) < maxPendingAge {
+		return reading.load.Pending[queue], nil
 	} else {
 		var err error
 		if r, err = callScheduler[pendingArgs, pendingReply](ctx, c, methodPending, &pendingArgs{queue}); err != nil {
@@ -238,12 +261,16 @@
 // adviceRequestWait is the timeout of one wait for a call to the advisor.
 const adviceRequestWait = time.Second
 
-// nextAdviceRequest waits for a call to the advisor that this VM is to make; false if there was
-// none in time.
-func (c *Client) nextAdviceRequest(ctx context.Context) (AdviceRequest, bool, error) {
+// nextAdviceRequest reports the result of the last call to the advisor, if any, and waits for the next one
+// that this VM is to make; false if there was none in time. Both take one message, since a cell makes
+// hundreds of calls a second.
+func (c *Client) nextAdviceRequest(ctx context.Context, result *AdviceResult) (AdviceRequest, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, adviceRequestWait)
 	defer cancel()
 	if s := c.local.Current(); s != nil {
+		if result != nil {
+			s.RecordAdviceResult(*result)
+		}
 		request, ok := s.NextAdviceRequest(ctx, c.vm)
 		return request, ok, nil
 	}
@@ -251,18 +278,14 @@
 	// The scheduler waits only for queueWaitShare of it, so its answer arrives in time.
 	callCtx, cancelOuter := context.WithTimeout(context.WithoutCancel(ctx), adviceRequestWait)
 	defer cancelOuter()
-	r, err := callScheduler[adviceArgs, adviceReply](callCtx, c, methodAdvice, &adviceArgs{c.vm})
+	r, err := callScheduler[adviceArgs, adviceReply](callCtx, c, methodAdvice, &adviceArgs{c.vm, result})
 	if err != nil {
 		return AdviceRequest{}, false, err
 	}
-	return r.Request, r.Assigned, nil
-}
-
-func (c *Client) reportAdviceResult(ctx context.Context, result AdviceResult) error {
-	if s := c.local.Current(); s != nil {
-		s.RecordAdviceResult(result)
-		return nil
+	if result != nil && !r.Recorded {
+		if _, err := callScheduler[AdviceResult, empty](ctx, c, methodAdvised, result); err != nil {
+			c.log.Warn("[advice] cannot report the result to the scheduler", zap.Error(err))
+		}
 	}
-	_, err := callScheduler[AdviceResult, empty](ctx, c, methodAdvised, &result)
-	return err
+	return r.Request, r.Assigned, nil
 }
--- a/daemon/internal/cellsched/scheduler_bench_test.go
+++ b/daemon/internal/cellsched/scheduler_bench_test.go
@@ -171,7 +171,7 @@
 func (c *benchCell) startRelays() {
 	for i := range c.size.relays {
 		runners := platform.NewRunners(platform.TCPDialer())
-		client := &Client{relay: relay.NewServer(runners, relay.Clock(election.BootClock), zap.NewNop())}
+		client := &Client{local: new(LocalScheduler), relay: relay.NewServer(runners, relay.Clock(election.BootClock), zap.NewNop())}
 		server := peer.NewServer()
 		Register(server, client)
 		l := c.listen()
@@ -203,7 +203,7 @@
 	defer client.Close()
 	for c.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(c.ctx, adviceRequestWait)
-		r, err := peer.Call[adviceArgs, adviceReply](ctx, client, c.schedulerAddr, methodAdvice, &adviceArgs{vm})
+		r, err := peer.Call[adviceArgs, adviceReply](ctx, client, c.schedulerAddr, methodAdvice, &adviceArgs{VM: vm})
 		cancel()
 		if err != nil || !r.Assigned {
 			time.Sleep(time.Millisecond)
--- a/sched/cell/admit.go
+++ b/sched/cell/admit.go
@@ -30,6 +30,9 @@
 	// ExpectedWaits holds, by queue, how long a new job is expected to wait before it
 	// starts. Queues with a wait of at most minRejectedWait are left out.
 	ExpectedWaits map[string]time.Duration `json:"waits,omitempty"`
+	// Pending holds, by queue, the number of jobs that have neither ended nor started any task.
+	// nil if an earlier release sent the load.
+	Pending map[string]int `json:"pending,omitempty"`
 }
 
 // AdmitsByMemory reports whether another job may be accepted under a memory limit in bytes,
@@ -51,9 +54,9 @@
 func (c *Cell) Load(now time.Time) Load {
 	c.finishedJobs.advance(now)
 	if now.Sub(c.cachedWaitsAt) >= cachedWaitsMaxAge {
-		c.cachedWaits, c.cachedWaitsAt = c.expectedWaits(), now
+		c.cachedWaits, c.cachedPending, c.cachedWaitsAt = c.expectedWaits(), c.pendingJobs(), now
 	}
-	return Load{Open: c.openJobs, Bytes: c.memoryBytes, EndedPerSecond: c.finishedJobs.perSecond(), ExpectedWaits: c.cachedWaits}
+	return Load{Open: c.openJobs, Bytes: c.memoryBytes, EndedPerSecond: c.finishedJobs.perSecond(), ExpectedWaits: c.cachedWaits, Pending: c.cachedPending}
 }
 
 // estimateMemory returns the estimated memory of a job.
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -92,9 +92,11 @@
 	// seconds, as of promotionRefilledAt.
 	promotionBudget     float64
 	promotionRefilledAt time.Time
-	// cachedWaits holds the expected waits by queue, computed at cachedWaitsAt. Callers
+	// cachedWaits holds the expected waits by queue, and cachedPending the numbers of pending jobs,
+	// computed at cachedWaitsAt. Callers
 	// share the map, so it is replaced and never changed.
 	cachedWaits   map[string]time.Duration
+	cachedPending map[string]int
 	cachedWaitsAt time.Time
 	// nextScan is when Tick checks all runs again.
 	nextScan time.Time
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -123,16 +123,19 @@
 // JobCount returns the number of known jobs.
 func (c *Cell) JobCount() int { return len(c.jobs) }
 
-// PendingJobCount returns the number of jobs of a queue that have not ended and have started no
-// run.
-func (c *Cell) PendingJobCount(queue string) int {
-	n := 0
+// pendingJobs returns, by queue, the number of jobs that have neither ended nor started any task. It
+// visits all known jobs.
+func (c *Cell) pendingJobs() map[string]int {
+	pending := make(map[string]int, len(c.queues))
+	for name := range c.queues {
+		pending[name] = 0
+	}
 	for _, j := range c.jobs {
-		if j.Queue == queue && !j.started && !j.state.Final() {
-			n++
+		if !j.started && !j.state.Final() {
+			pending[j.Queue]++
 		}
 	}
-	return n
+	return pending
 }
 
 // EndedJobs returns up to limit jobs that ended before the given time and whose final state
