Keep the send window open while orders wait for a batch

Cause: the window closes when answers take 60 ms longer than the fastest ever. With relays, orders and answers wait up to 80 ms each to share a message, so it stood at its lower bound of 64 kB, which is 40 orders in 160 ms. Change: the scheduler tells the window how long batches may take. Evidence: TestOrdersThatWaitForABatchDoNotShrinkTheWindow: less than half of the orders without it, 0.9 and more with it; the tests for a full link and for a busy processor hold.

--- a/daemon/internal/cellsched/orderqueue.go
+++ b/daemon/internal/cellsched/orderqueue.go
@@ -60,6 +60,13 @@
 	return n
 }
 
+// setBatching sets how long orders and answers together may wait to share messages with others.
+func (q *orderQueue) setBatching(d time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window.SetBatching(d)
+}
+
 // addStart queues a start with a payload of the given size.
 func (q *orderQueue) addStart(payloadBytes int, send func(bytes int)) {
 	q.mu.Lock()
--- a/sched/sendwindow/window.go
+++ b/sched/sendwindow/window.go
@@ -57,6 +57,8 @@
 	// whether one got no answer in time.
 	limited, timedOut bool
 	rtt               roundTrips
+	// batching is how long orders and answers wait on purpose, to share messages.
+	batching time.Duration
 }
 
 // New returns the window of a link that sends bytesPerSecond bytes a second; 0 if that is not
@@ -73,6 +75,10 @@
 func (w *Window) Size() int     { return int(w.size) }
 func (w *Window) InFlight() int { return w.inFlight }
 
+// SetBatching sets how long orders and answers together may wait to share messages with others. That delay
+// does not grow with the orders under way, so it does not shrink the window.
+func (w *Window) SetBatching(d time.Duration) { w.batching = d }
+
 // Room returns how many bytes may be sent now.
 func (w *Window) Room() int { return max(0, int(w.size)-w.inFlight) }
 
@@ -120,7 +126,7 @@
 	if now.Sub(w.intervalAt) < interval {
 		return
 	}
-	delayed := w.fastest > 0 && w.fastest > w.base+maxQueueDelay
+	delayed := w.fastest > 0 && w.fastest > w.base+maxQueueDelay+w.batching
 	switch {
 	case delayed || (w.timedOut && w.fastest == 0):
 		w.size = max(w.minBytes, w.size*shrinkFactor)
--- a/sched/sendwindow/window_test.go
+++ b/sched/sendwindow/window_test.go
@@ -156,3 +156,34 @@
 	}
 	must.Eq(t, 2*time.Second, w.Timeout(500*time.Millisecond, 2*time.Second))
 }
+
+// Guards against a window that closes because orders and their answers share messages: their answers
+// take longer, and fewer orders under way would not change that.
+func TestOrdersThatWaitForABatchDoNotShrinkTheWindow(t *testing.T) {
+	const perSecond, orderBytes, batching = 1500, 1500, 160 * time.Millisecond
+	for _, c := range []struct {
+		batching     time.Duration
+		fewest, most int
+	}{{batching, 10 * perSecond * 9 / 10, 10 * perSecond}, {0, 0, 10 * perSecond / 2}} {
+		l := newLink(25_000_000)
+		w := New(25e6)
+		// A few answers come at once, before the load.
+		must.True(t, w.Admit(l.now, orderBytes))
+		l.send(orderBytes, 0)
+		l.step(w, 100*time.Millisecond)
+		w.SetBatching(c.batching)
+		queued, owed, sent := 0, 0, 0
+		for range 10000 {
+			for owed += perSecond; owed >= 1000; owed -= 1000 {
+				queued++
+			}
+			for queued > 0 && w.Admit(l.now, orderBytes) {
+				l.send(orderBytes, batching)
+				queued--
+				sent++
+			}
+			l.step(w, time.Millisecond)
+		}
+		must.Between(t, c.fewest, sent, c.most, must.Sprintf("orders sent in ten seconds, of which batching explains %v", c.batching))
+	}
+}
