Do not take relays for lost because the own process runs late

The scheduler's VM of 0.192 cores read the replies of its 23 relays more than 750 ms late, took one after the other for lost, and then called 1,100 runners itself. Change: the silence of a relay is counted in intervals in which this process ran, and after the loss of the last relay calls fail for up to 1.5 s, until new relays have replied, before they are made directly. Decisions may pause for up to 100 ms.

--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -38,7 +38,7 @@
 	// milliseconds; the pause then grows so that decisions take decisionShare of the time, up to
 	// maxDecisionPause. Reports and orders need the rest, and a later decision sees more of them at once.
 	minDecisionPause = 4 * time.Millisecond
-	maxDecisionPause = 40 * time.Millisecond
+	maxDecisionPause = 100 * time.Millisecond
 	decisionShare    = 0.2
 	// drainMarginShare is the share of DrainTimeout that is left for an order to be sent and to
 	// arrive: on a busy VM both take long. minRunnersAge is above the age that the known entries
@@ -273,6 +273,10 @@
 		return
 	}
 	now := time.Now()
+	if s.relays != nil {
+		// An order waits for a batch, and its answer for another one.
+		s.orders.setBatching(2 * s.relays.Gather())
+	}
 	maxStarts, paused := s.orders.maxStarts(), s.runnersOutdated(now)
 	var d cell.Decisions
 	var events []cell.Event
--- a/daemon/internal/relay/calls.go
+++ b/daemon/internal/relay/calls.go
@@ -24,8 +24,11 @@
 
 // RenewLease implements Runners.
 func (p *Pool) RenewLease(ctx context.Context, to platform.RunnerAddr, req platform.RenewLeaseRequest) (cell.Report, platform.RunnerClock, error) {
-	x := p.route(to.ID)
-	if x == nil {
+	x, err := p.route(to.ID)
+	switch {
+	case err != nil:
+		return cell.Report{}, platform.RunnerClock{}, err
+	case x == nil:
 		return p.config.Direct.RenewLease(ctx, to, req)
 	}
 	a, clock, err := x.call(ctx, to, "", Call{Renew: &Renew{AckedEnd: req.AckedEnd, LeaseEndMS: req.LeaseEnd.Milliseconds(), WaitMS: req.Wait.Milliseconds()}})
@@ -41,8 +44,11 @@
 
 // Start implements Runners.
 func (p *Pool) Start(ctx context.Context, to platform.RunnerAddr, o platform.StartOrder) (platform.RunnerClock, error) {
-	x := p.route(to.ID)
-	if x == nil {
+	x, err := p.route(to.ID)
+	switch {
+	case err != nil:
+		return platform.RunnerClock{}, err
+	case x == nil:
 		return p.config.Direct.Start(ctx, to, o)
 	}
 	_, clock, err := x.call(ctx, to, o.Payload, Call{Start: &Start{
@@ -53,8 +59,11 @@
 
 // Stop implements Runners.
 func (p *Pool) Stop(ctx context.Context, to platform.RunnerAddr, task cell.TaskRef, execution, fencingToken int64) (platform.RunnerClock, error) {
-	x := p.route(to.ID)
-	if x == nil {
+	x, err := p.route(to.ID)
+	switch {
+	case err != nil:
+		return platform.RunnerClock{}, err
+	case x == nil:
 		return p.config.Direct.Stop(ctx, to, task, execution, fencingToken)
 	}
 	_, clock, err := x.call(ctx, to, "", Call{Stop: &Run{task.String(), execution}})
@@ -63,8 +72,11 @@
 
 // SetSpeed implements Runners.
 func (p *Pool) SetSpeed(ctx context.Context, to platform.RunnerAddr, task cell.TaskRef, execution, fencingToken int64, percent int) (platform.RunnerClock, error) {
-	x := p.route(to.ID)
-	if x == nil {
+	x, err := p.route(to.ID)
+	switch {
+	case err != nil:
+		return platform.RunnerClock{}, err
+	case x == nil:
 		return p.config.Direct.SetSpeed(ctx, to, task, execution, fencingToken, percent)
 	}
 	_, clock, err := x.call(ctx, to, "", Call{Pace: &Pace{Run{task.String(), execution}, percent}})
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,9 @@
 	maxExclusion = 16 * time.Second
 	// leavingExclusion is longer than a VM takes to shut down.
 	leavingExclusion = 15 * time.Second
+	// directAfter is how long after the loss of its last relay a scheduler makes calls itself. New relays
+	// usually reply sooner, and calls with all runners would take the processor from them.
+	directAfter = 1500 * time.Millisecond
 	// closeTimeout is how long a relay that is not used any more may take for the calls under way.
 	closeTimeout = 3 * time.Second
 )
@@ -73,9 +78,11 @@
 	sessions map[string]*session
 	// active are the relays that have replied, which share the runners; owners caches who relays
 	// the calls to a runner.
-	active  []*session
-	owners  map[string]*session
-	started int
+	active []*session
+	owners map[string]*session
+	// activeAt is when there was a relay last.
+	activeAt time.Time
+	started  int
 	// excluded holds the VMs that are not selected for some time.
 	excluded map[string]exclusion
 }
@@ -98,6 +105,7 @@
 
 // Run selects relays until the context ends, and then ends all sessions.
 func (p *Pool) Run() {
+	p.workers.Go(p.watch)
 	for p.ctx.Err() == nil {
 		p.update(time.Now())
 		select {
@@ -116,6 +124,18 @@
 	p.workers.Wait()
 }
 
+// watch looks for relays that do not reply.
+func (p *Pool) watch() {
+	for wait.For(p.ctx, watchInterval) {
+		p.mu.RLock()
+		sessions := slices.Collect(maps.Values(p.sessions))
+		p.mu.RUnlock()
+		for _, x := range sessions {
+			x.watch()
+		}
+	}
+}
+
 // update selects the relays, begins sessions with new ones, and stops using those that are not selected
 // any more.
 func (p *Pool) update(now time.Time) {
@@ -130,6 +150,10 @@
 		}
 	}
 	p.selected = relays.Select(usable, p.selected, p.config.OwnCores, runners)
+	if len(p.selected) == 0 && len(relays.Select(candidates, nil, p.config.OwnCores, runners)) == 0 {
+		// No relay is needed, or there is no VM that could be one.
+		p.activeAt = time.Time{}
+	}
 	wanted := make(map[string]bool, len(p.selected))
 	for _, vm := range p.selected {
 		wanted[vm.Name] = true
@@ -186,6 +210,7 @@
 	if same && len(active) == before {
 		return
 	}
+	p.activeAt = time.Now()
 	p.active = active
 	gather := time.Duration(float64(len(active)) / (batchesPerCore * p.config.OwnCores) * float64(time.Second))
 	p.gather.Store(int64(min(max(minGather, gather), maxGather)))
@@ -230,14 +255,19 @@
 	signal(p.changed)
 }
 
-// route returns the session that relays the calls to a runner; nil if they are made directly.
-func (p *Pool) route(runner string) *session {
+// route returns the session that relays the calls to a runner; nil if they are made directly. It fails
+// with ErrLost while a new relay is awaited.
+func (p *Pool) route(runner string) (*session, error) {
 	p.mu.RLock()
 	x, known := p.owners[runner]
 	n := len(p.active)
+	awaited := n == 0 && time.Since(p.activeAt) < directAfter
 	p.mu.RUnlock()
+	if awaited {
+		return nil, fmt.Errorf("%w: %w", ErrNotPassedOn, ErrLost)
+	}
 	if known || n == 0 {
-		return x
+		return x, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -249,7 +279,7 @@
 		x = p.active[i]
 	}
 	p.owners[runner] = x
-	return x
+	return x, nil
 }
 
 // WaitReady waits until the relays for the present number of runners have replied, at most for a time:
@@ -268,6 +298,17 @@
 	return len(p.active) >= len(p.selected)
 }
 
+// Gather returns the longest time for which a call that something waits for, or its answer, waits for a
+// batch; 0 without relays.
+func (p *Pool) Gather() time.Duration {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if len(p.active) == 0 {
+		return 0
+	}
+	return time.Duration(p.gather.Load())
+}
+
 // Names returns the relays that are in use, for logs.
 func (p *Pool) Names() []string {
 	p.mu.RLock()
--- a/daemon/internal/relay/session.go
+++ b/daemon/internal/relay/session.go
@@ -12,9 +12,13 @@
 const (
 	// maxBatchesUnderWay is one that the relay holds and one that carries new calls.
 	maxBatchesUnderWay = 2
-	// exchangeTimeout is the time limit of a batch. It bounds how long calls through a relay that has
-	// become silent get no answer.
-	exchangeTimeout = holdLimit + 500*time.Millisecond
+	// silenceLimit is how long a relay may not reply to a batch before it counts as lost. It is counted in
+	// intervals of watchInterval in which this process ran, so that a process that is short of
+	// processor time, and reads replies late, does not take its relays for lost and their calls upon itself.
+	silenceLimit  = holdLimit + 500*time.Millisecond
+	watchInterval = 50 * time.Millisecond
+	// exchangeTimeout ends a batch in any case.
+	exchangeTimeout = 5 * time.Second
 	// maxBatchAge is how old a batch may be when the relay starts its calls.
 	maxBatchAge = 500 * time.Millisecond
 )
@@ -40,6 +44,8 @@
 	// underWay counts the batches without a reply, and sentAt is when the last one was sent.
 	underWay int
 	sentAt   time.Time
+	// silent is how long no reply has arrived to the batches under way.
+	silent time.Duration
 	// instance is the relay's process, empty before the first reply; clock is the reading of its
 	// clock in the reply that arrived at clockAt by the own clock.
 	instance       string
@@ -124,11 +130,27 @@
 		b.Cancelled, x.cancelled = x.cancelled, nil
 		x.addCalls(b)
 	}
+	if x.underWay == 0 {
+		x.silent = 0
+	}
 	x.underWay++
 	x.sentAt = time.Now()
 	return b, 0
 }
 
+// watch counts an interval without a reply, and ends the session after too many.
+func (x *session) watch() {
+	x.mu.Lock()
+	if x.underWay > 0 {
+		x.silent += watchInterval
+	}
+	lost := x.silent > silenceLimit
+	x.mu.Unlock()
+	if lost {
+		x.fail(fmt.Errorf("%w: no reply for %v", ErrLost, silenceLimit))
+	}
+}
+
 // addCalls moves the queued calls into a batch. The caller holds x.mu.
 func (x *session) addCalls(b *Batch) {
 	queued := x.queued
@@ -168,6 +190,7 @@
 	first := x.instance == ""
 	x.instance, x.clock, x.clockAt = r.Instance, r.Clock, now
 	x.underWay--
+	x.silent = 0
 	for i := range r.Answers {
 		if p := x.sent[r.Answers[i].Number]; p != nil {
 			delete(x.sent, p.call.Number)
