--- a/daemon/internal/cellsched/advicequeue_test.go
+++ b/daemon/internal/cellsched/advicequeue_test.go
@@ -76,3 +76,20 @@
 		must.False(t, ok, must.Sprintf("call %d of the earlier term", id))
 	}
 }
+
+// Guards against a VM that waits for a call of a scheduler whose term is over, and gets none of the next
+// scheduler meanwhile.
+func TestWaitForACallEndsWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStoreFixture(t)
+		defer c.close()
+		s, end := c.newScheduler(alwaysValid)
+		time.AfterFunc(500*time.Millisecond, end)
+		ctx, cancel := context.WithTimeout(context.Background(), adviceRequestWait)
+		defer cancel()
+		begin := time.Now()
+		_, ok := s.NextAdviceRequest(ctx, "vm")
+		must.False(t, ok)
+		must.Eq(t, 500*time.Millisecond, time.Since(begin))
+	})
+}
