Name runners to the advisor from an order that is built once a decision

Cause: each call to the advisor looked at all 1,100 runners and sorted a hundred of them; with a backlog that was a third to a half of a decision (CPU profiles of a simulated cell of that size: 0.95 of 3.43 s, and 0.86 of 1.74 s with few starts a decision). Change: the runners are divided into levels by free CPU once a decision; a call visits and sorts the first few. The order is that of a full sort, as before.

--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -208,18 +208,10 @@
 // runnersToName returns the runners that a call names: those with the most available CPU,
 // and as few as are likely to give the group enough approved slots.
 func (c *Cell) runnersToName(now time.Time, g *group) []*runner {
-	fit := c.candidateBuf[:0]
-	for _, r := range c.sortedRunners {
-		if r.info.Pool == g.job.Pool && r.usable(now) && !g.advice.asked[r.info.ID] && g.fitsEmptyRunner(r) {
-			fit = append(fit, r)
-		}
-	}
-	c.candidateBuf = fit
 	limit := maxRunnersPerCall
 	if g.spec.Gang {
 		limit = maxRunnersPerGang
 	}
-	fit = sortSmallest(fit, limit, byCPUAfterExpected)
 	share := c.approvalShare(g.queue)
 	// With minNamed runners, the probability that none is approved is at most
 	// noneApprovedProbability.
@@ -233,18 +225,28 @@
 		minNamed = max(minNamed, int(math.Ceil(float64(len(g.tasks))/share)))
 	}
 	claim := g.claim()
-	for i, r := range fit {
-		if i >= minNamed && slotsWanted <= 0 {
-			return fit[:i]
+	if !c.nameOrder.built {
+		c.nameOrder.build(c.sortedRunners, c.free.largestCapacity)
+	}
+	named := c.candidateBuf[:0]
+	c.nameOrder.each(c.free.largestCapacity, func(r *runner) bool {
+		if len(named) >= limit || (len(named) >= minNamed && slotsWanted <= 0) {
+			return false
 		}
+		if r.info.Pool != g.job.Pool || !r.usable(now) || g.advice.asked[r.info.ID] || !g.fitsEmptyRunner(r) {
+			return true
+		}
+		named = append(named, r)
 		left, slots := r.availableAfterExpected(), 0
 		for slots < len(g.tasks) && claim.Fits(left) {
 			left = left.Sub(claim)
 			slots++
 		}
 		slotsWanted -= max(1, float64(slots))
-	}
-	return fit
+		return true
+	})
+	c.candidateBuf = named
+	return named
 }
 
 const (
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -61,6 +61,8 @@
 	// look-ahead that the decision in progress has visited.
 	starts         startRate
 	lookaheadTasks int
+	// nameOrder is the order in which the decision in progress names runners to the advisor.
+	nameOrder nameOrder
 	// candidateBuf is a buffer that is reused from group to group.
 	candidateBuf []*runner
 	// indexBuilds counts how often the index free was rebuilt. lastGroupNumber is the
--- a/sched/cell/freeindex.go
+++ b/sched/cell/freeindex.go
@@ -100,6 +100,9 @@
 	if r.inFreeIndex && r.available == avail {
 		return
 	}
+	if avail.MilliCPU > r.available.MilliCPU {
+		c.nameOrder.reset()
+	}
 	r.available, r.inFreeIndex = avail, true
 	cpu, memory := -1, -1
 	if r.prevUsable {
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -37,6 +37,7 @@
 func (c *Cell) Decide(now, wall time.Time) Decisions {
 	var d Decisions
 	c.refreshFreeIndex(now)
+	c.nameOrder.reset()
 	c.freedCPU.add(now, c.free.freedMilliCPU)
 	c.sortNewlyStartable(now, wall)
 	front, sweep := c.groupsToConsider(now, wall)
