Skip the search for runners while no ticket is valid

Cause: most groups of a backlog hold tickets that have expired, and each decision looked through the runners that the advisor had approved for them. TestGroupsWithoutValidTicketsDoNotLookForRunners.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -25,6 +25,8 @@
 	permittedSet runnerSet
 	generation   int
 	tickets      map[string]ticket
+	// ticketsUntil is when the last of the tickets expires.
+	ticketsUntil time.Time
 	// inFlight counts the calls without an answer.
 	inFlight int
 	// callAgainAt is the earliest time of the next call, after a call that failed or that
@@ -104,6 +106,9 @@
 		a.approved[p.Runner] = true
 		a.tickets[p.Runner] = ticket{value: p.Ticket, incarnation: call.incarnations[p.Runner], until: until}
 	}
+	if len(approvals) > 0 && until.After(a.ticketsUntil) {
+		a.ticketsUntil = until
+	}
 	a.generation = 0
 	call.group.retryAt = time.Time{}
 }
@@ -152,6 +157,12 @@
 	return g.advice.permitted
 }
 
+// mayHaveTickets reports whether a group may have a valid ticket for some runner. Most groups of a backlog
+// have none, and need not look for a runner.
+func (g *group) mayHaveTickets(now time.Time) bool {
+	return g.queue.Advice == nil || now.Before(g.advice.ticketsUntil)
+}
+
 // ticketFor returns the ticket with which a group may start on a runner now, and whether it
 // may start there; the ticket is empty if the queue has no advisor.
 func (g *group) ticketFor(now time.Time, r *runner) (string, bool) {
--- a/sched/cell/advicecalls_test.go
+++ b/sched/cell/advicecalls_test.go
@@ -86,3 +86,25 @@
 	// The cell has capacity for four steps.
 	must.Between(t, 4, calls, 8)
 }
+
+// Guards against a group that looks for runners while all its tickets have expired, and against one that
+// does not look although one is valid.
+func TestGroupsWithoutValidTicketsDoNotLookForRunners(t *testing.T) {
+	w := newTestCell(t, 2)
+	w.cell.SetQueues([]Queue{advisedQueue()})
+	w.approved = map[string]bool{"r0": true, "r1": true}
+	w.addJob("a", smallStep(30))
+	w.stepUntilStart(time.Second)
+	g := w.cell.jobs["a"].groups[0]
+	until := time.Time{}
+	for _, x := range g.advice.tickets {
+		if x.until.After(until) {
+			until = x.until
+		}
+	}
+	must.False(t, until.IsZero())
+	must.True(t, g.mayHaveTickets(until.Add(-time.Nanosecond)))
+	must.False(t, g.mayHaveTickets(until))
+	g.queue.Advice = nil
+	must.True(t, g.mayHaveTickets(until))
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -92,7 +92,7 @@
 		c.deductReservation(g)
 		return
 	}
-	if g.beginMarkStored() && c.anyRunnerMayFit(g.claim(), permitted) {
+	if g.beginMarkStored() && g.mayHaveTickets(now) && c.anyRunnerMayFit(g.claim(), permitted) {
 		if g.spec.Gang {
 			c.placeGang(now, g, d)
 		} else {
