Do not add calls to a scheduler that answers late

Change: while heartbeats fail, a VM that reaches the store repeats them after 200 ms, then 400, 800 and 1,000; it learns of a new scheduler from the store. Callers that ask for pending jobs at the same time share a call.

--- a/daemon/internal/cellsched/discovery.go
+++ b/daemon/internal/cellsched/discovery.go
@@ -20,6 +20,8 @@
 	// searchInterval is the pause between these calls while the scheduler's VM is not known,
 	// cannot be reached or cannot reach the store.
 	searchInterval = 200 * time.Millisecond
+	// maxSearchDoublings keeps the pause from overflowing.
+	maxSearchDoublings = 8
 	// helloTimeout is the timeout of a heartbeat call.
 	helloTimeout = 300 * time.Millisecond
 )
@@ -62,15 +64,30 @@
 // RunPeerDiscovery keeps the directory of VMs up to date until the context ends. A VM that
 // cannot reach the store learns of a new scheduler only in this way.
 func (c *Client) RunPeerDiscovery(ctx context.Context) {
+	failures := 0
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		interval := helloInterval
-		if !c.contactScheduler(ctx, attempt) {
-			interval = searchInterval
+		if c.contactScheduler(ctx, attempt) {
+			failures = 0
+		} else {
+			failures++
 		}
-		wait.For(ctx, interval)
+		wait.For(ctx, discoveryInterval(failures, c.storeUnreachable()))
 	}
 }
 
+// discoveryInterval returns the pause before the next heartbeat call after a number of failures in a row. A VM
+// that reaches the store learns of a new scheduler from there; its calls become rarer, since those
+// of all VMs together would keep a scheduler busy that answers late because it is overloaded.
+func discoveryInterval(failures int, storeUnreachable bool) time.Duration {
+	switch {
+	case failures == 0:
+		return helloInterval
+	case storeUnreachable:
+		return searchInterval
+	}
+	return min(searchInterval<<min(failures-1, maxSearchDoublings), helloInterval)
+}
+
 // contactScheduler calls the scheduler's VM. If that VM cannot be reached or cannot reach the
 // store, it calls another VM, which attempt selects, and returns false.
 func (c *Client) contactScheduler(ctx context.Context, attempt int) bool {
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/daemon/internal/election"
@@ -151,6 +152,8 @@
 	schedulerLoad atomic.Pointer[loadReading]
 	// relay makes calls to runners for a scheduler on another VM; nil if this VM makes none.
 	relay *relay.Server
+	// pendingCalls shares the calls that ask for pending jobs, by queue.
+	pendingCalls singleflight.Group
 	// reportedVMs is the list of VMs that another VM sent last.
 	reportedVMs atomic.Pointer[vmList]
 }
@@ -248,7 +251,7 @@
 		return reading.load.Pending[queue], nil
 	} else {
 		var err error
-		if r, err = callScheduler[pendingArgs, pendingReply](ctx, c, methodPending, &pendingArgs{queue}); err != nil {
+		if r, err = c.askPending(ctx, queue); err != nil {
 			return 0, err
 		}
 	}
@@ -258,6 +261,28 @@
 	return r.Count, nil
 }
 
+// askPending asks the scheduler how many jobs of a queue are pending. Callers that ask at the same time share
+// a call: a scheduler whose load arrives late is busy enough.
+func (c *Client) askPending(ctx context.Context, queue string) (*pendingReply, error) {
+	shared := c.pendingCalls.DoChan(queue, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pendingTimeout)
+		defer cancel()
+		return callScheduler[pendingArgs, pendingReply](ctx, c, methodPending, &pendingArgs{queue})
+	})
+	select {
+	case result := <-shared:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*pendingReply), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// pendingTimeout is the time limit of a call that asks for pending jobs.
+const pendingTimeout = 700 * time.Millisecond
+
 // adviceRequestWait is the timeout of one wait for a call to the advisor. Most VMs of a large cell wait
 // most of the time. A wait for a scheduler that is lost ends with its connection, which heartbeats close.
 const adviceRequestWait = 4 * time.Second
--- a/daemon/internal/cellsched/pending_test.go
+++ b/daemon/internal/cellsched/pending_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/sched/cell"
 )
 
@@ -31,3 +35,33 @@
 	_, err = pending(cell.Load{}, 0)
 	must.Error(t, err)
 }
+
+// Guards against a busy scheduler that gets a call for each question how many jobs are pending, once its load
+// reaches the other VMs late.
+func TestQuestionsForPendingJobsShareACall(t *testing.T) {
+	var calls atomic.Int64
+	release := make(chan struct{})
+	server := peer.NewServer()
+	peer.Handle(server, methodPending, func(context.Context, string, *pendingArgs) (*pendingReply, error) {
+		calls.Add(1)
+		<-release
+		return &pendingReply{Count: 5, Ready: true}, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
+	c := adviceClient(t, l.Addr().String())
+	var questions sync.WaitGroup
+	for range 20 {
+		questions.Go(func() {
+			n, err := c.Pending(context.Background(), "q")
+			must.NoError(t, err)
+			must.Eq(t, 5, n)
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(release)
+	questions.Wait()
+	must.Eq(t, 1, calls.Load())
+}
