--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -3433,15 +3433,22 @@
 			s.ZoneScheduler.Encode(e)
 		}
 	}
+	{
+		if s.Relay.Set {
+			e.FieldStart("relay")
+			s.Relay.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfVM = [6]string{
+var jsonFieldsNameOfVM = [7]string{
 	0: "id",
 	1: "availability_zone",
 	2: "state",
 	3: "settings_revision",
 	4: "self",
 	5: "zone_scheduler",
+	6: "relay",
 }
 
 // Decode decodes VM from json.
@@ -3519,6 +3526,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"zone_scheduler\"")
 			}
+		case "relay":
+			if err := func() error {
+				s.Relay.Reset()
+				if err := s.Relay.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"relay\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -1736,6 +1736,8 @@
 	SettingsRevision int64   `json:"settings_revision"`
 	Self             OptBool `json:"self"`
 	ZoneScheduler    OptBool `json:"zone_scheduler"`
+	// The VM relays calls of the scheduler to runners.
+	Relay OptBool `json:"relay"`
 }
 
 // GetID returns the value of ID.
@@ -1768,6 +1770,11 @@
 	return s.ZoneScheduler
 }
 
+// GetRelay returns the value of Relay.
+func (s *VM) GetRelay() OptBool {
+	return s.Relay
+}
+
 // SetID sets the value of ID.
 func (s *VM) SetID(val string) {
 	s.ID = val
@@ -1798,6 +1805,11 @@
 	s.ZoneScheduler = val
 }
 
+// SetRelay sets the value of Relay.
+func (s *VM) SetRelay(val OptBool) {
+	s.Relay = val
+}
+
 type VMState string
 
 const (
--- a/cli/command/vms.go
+++ b/cli/command/vms.go
@@ -13,8 +13,11 @@
 		fetch:  (*oas.Client).ListVMs,
 		addRow: func(t *table, v oas.VM) {
 			role := "-"
-			if v.ZoneScheduler.Or(false) {
+			switch {
+			case v.ZoneScheduler.Or(false):
 				role = "zone scheduler"
+			case v.Relay.Or(false):
+				role = "relay"
 			}
 			id := v.ID
 			if v.Self.Or(false) {
--- a/daemon/internal/cellsched/encoding_test.go
+++ b/daemon/internal/cellsched/encoding_test.go
@@ -55,9 +55,9 @@
 	encodingtest.RoundTrip[runnersReply](t, "runners_reply.json")
 	must.Eq(t, []string{
 		"cell.hello", "cell.submit", "cell.put", "cell.state", "cell.cancel", "cell.pending", "cell.advice", "cell.advised",
-		"cell.relay", "cell.view", "cell.runners",
+		"cell.relay", "cell.view", "cell.runners", "cell.relays",
 	}, []string{
 		methodHello, methodSubmit, methodPut, methodState, methodCancel, methodPending, methodAdvice, methodAdvised,
-		methodRelay, methodView, methodRunners,
+		methodRelay, methodView, methodRunners, methodRelays,
 	})
 }
--- a/daemon/internal/cellsched/loadmetrics.go
+++ b/daemon/internal/cellsched/loadmetrics.go
@@ -14,8 +14,8 @@
 type loadGauges struct {
 	meter                                                 metric.Meter
 	jobs, tasks, groups, orders, window, runs             metric.Int64ObservableGauge
-	advice, states, runners                               metric.Int64ObservableGauge
-	reports, ends                                         metric.Int64ObservableCounter
+	advice, states, runners, relays                       metric.Int64ObservableGauge
+	reports, ends, relayBatches, relayCalls               metric.Int64ObservableCounter
 	adviceAge, stateAge, reportAge, runQueue, cores, lock metric.Float64ObservableGauge
 }
 
@@ -34,6 +34,7 @@
 		{&g.advice, "rhubarbstall.cell.advice.calls", "Calls to the advisor that wait for a VM or are under way"},
 		{&g.states, "rhubarbstall.cell.states.dirty", "Changed states of jobs that wait for a write"},
 		{&g.runners, "rhubarbstall.cell.runners", "Listed runners, by whether they answer"},
+		{&g.relays, "rhubarbstall.cell.relays", "VMs through which the scheduler calls runners"},
 	} {
 		var err error
 		if *x.to, err = g.meter.Int64ObservableGauge(x.name, metric.WithDescription(x.description)); err != nil {
@@ -46,6 +47,8 @@
 	}{
 		{&g.reports, "rhubarbstall.cell.reports", "Reports of runners in this term"},
 		{&g.ends, "rhubarbstall.cell.reports.ends", "Ends in the reports of this term, by whether they were listed before"},
+		{&g.relayBatches, "rhubarbstall.cell.relay.batches", "Batches of calls to relays in this term"},
+		{&g.relayCalls, "rhubarbstall.cell.relay.calls", "Calls to runners through relays in this term"},
 	} {
 		var err error
 		if *x.to, err = g.meter.Int64ObservableCounter(x.name, metric.WithDescription(x.description)); err != nil {
@@ -75,7 +78,7 @@
 func (g *loadGauges) register(f func(metric.Observer)) (metric.Registration, error) {
 	return g.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error { f(o); return nil },
 		g.jobs, g.tasks, g.groups, g.orders, g.window, g.runs, g.advice, g.states, g.runners,
-		g.reports, g.ends, g.adviceAge, g.stateAge, g.reportAge, g.runQueue, g.lock, g.cores)
+		g.relays, g.reports, g.ends, g.relayBatches, g.relayCalls, g.adviceAge, g.stateAge, g.reportAge, g.runQueue, g.lock, g.cores)
 }
 
 func (g *loadGauges) observe(o metric.Observer, r *loadReport) {
@@ -99,6 +102,9 @@
 	counts(g.advice, "state", labelledCount{"queued", int64(r.adviceQueued)}, labelledCount{"under_way", int64(r.adviceAssigned)})
 	o.ObserveInt64(g.states, int64(r.DirtyStates))
 	counts(g.runners, "state", labelledCount{"listed", int64(r.Runners)}, labelledCount{"suspect", int64(r.Suspect)}, labelledCount{"unheard", int64(r.NeverReported)})
+	o.ObserveInt64(g.relays, int64(r.relays.Relays))
+	o.ObserveInt64(g.relayBatches, r.relaySums.Batches)
+	o.ObserveInt64(g.relayCalls, r.relaySums.Calls)
 	o.ObserveInt64(g.reports, r.Reports.Reports)
 	counts(g.ends, "repeated", labelledCount{"false", r.Reports.Ends - r.Reports.Repeated}, labelledCount{"true", r.Reports.Repeated})
 	o.ObserveFloat64(g.adviceAge, r.adviceOldest.Seconds())
--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"rhubarbstall.example/daemon/internal/netcount"
+	"rhubarbstall.example/daemon/internal/relay"
 	"rhubarbstall.example/sched/cell"
 )
 
@@ -110,8 +111,11 @@
 	adviceQueued, adviceAssigned, adviceVMs               int
 	refusals, peerCalls                                   namedCounts
 	orders                                                orderQueueStats
-	adviceOldest                                          time.Duration
-	process                                               processUsage
+	// relays holds the counts of the relays, of which Batches and Calls are those of the interval;
+	// relaySums has them since the term began.
+	relays, relaySums relay.Stats
+	adviceOldest      time.Duration
+	process           processUsage
 	// traffic is what the whole VM sent and received in the interval, not only its scheduler.
 	traffic netcount.Traffic
 	// linkMbps is the bandwidth of the VM's network link; 0 if unknown.
@@ -171,9 +175,14 @@
 	r.orders, r.refusals = s.orders.stats(), counts.refusals.take()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
 	s.exclusive(func() { r.Stats = s.cell.Stats(now, now.Round(0)) })
-	r.intervalReports = r.Reports
+	if s.relays != nil {
+		r.relaySums = s.relays.Stats()
+	}
+	r.intervalReports, r.relays = r.Reports, r.relaySums
 	if before := counts.lastReport.Load(); before != nil {
 		r.intervalReports = r.Reports.Since(before.Reports)
+		r.relays.Batches -= before.relaySums.Batches
+		r.relays.Calls -= before.relaySums.Calls
 	}
 	return r
 }
@@ -250,6 +259,10 @@
 	e.AddInt("runners_suspect", r.Suspect)
 	e.AddInt("runners_unheard", r.NeverReported)
 	ms("report_oldest_ms", r.OldestReport)
+	e.AddInt("relays", r.relays.Relays)
+	e.AddInt("relay_calls_waiting", r.relays.Waiting)
+	count("relay_batches", r.relays.Batches)
+	count("relay_calls", r.relays.Calls)
 	count("reports", r.intervalReports.Reports)
 	count("reports_runs", r.intervalReports.Runs)
 	count("reports_ends", r.intervalReports.Ends)
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -105,6 +105,10 @@
 		r := &runnersReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.Runners = s.RunnerViews(); return nil })
 	})
+	handle(server, c, methodRelays, func(context.Context, string, *empty) (*relaysReply, error) {
+		r := &relaysReply{}
+		return r, c.withLocalScheduler(func(s *Scheduler) error { r.VMs = s.RelayNames(); return nil })
+	})
 	handle(server, c, methodAdvice, func(ctx context.Context, _ string, a *adviceArgs) (*adviceReply, error) {
 		r := &adviceReply{Recorded: a.Result != nil}
 		return r, c.withLocalScheduler(func(s *Scheduler) error {
--- a/daemon/internal/cellsched/views.go
+++ b/daemon/internal/cellsched/views.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rhubarbstall.example/api/codes"
 	"rhubarbstall.example/sched/cell"
 )
@@ -12,6 +15,7 @@
 const (
 	methodView    = "cell.view"
 	methodRunners = "cell.runners"
+	methodRelays  = "cell.relays"
 )
 
 type viewReply struct {
@@ -23,6 +27,10 @@
 	Runners []cell.RunnerView `json:"runners"`
 }
 
+type relaysReply struct {
+	VMs []string `json:"vms"`
+}
+
 // View returns a job and the reasons why it waits; false if the scheduler does not know it.
 func (s *Scheduler) View(id string) (cell.JobView, bool) {
 	now := time.Now()
@@ -81,15 +89,40 @@
 	// Self tells whether it is this VM, Scheduler whether it holds the scheduler role.
 	Self      bool
 	Scheduler bool
+	// Relay tells whether the scheduler calls runners through the VM.
+	Relay bool
 }
 
-// VMViews returns the entry VMs that this one knows, itself first.
-func (c *Client) VMViews() []VMView {
+// VMViews returns the entry VMs that this one knows, itself first. If the scheduler cannot be reached, none of
+// them counts as a relay.
+func (c *Client) VMViews(ctx context.Context) []VMView {
 	holder := c.elector.Current().VM
-	out := []VMView{{VM: c.vm, StoreUnreachable: c.storeUnreachable(), Self: true, Scheduler: holder == c.vm}}
+	relays := c.relayNames(ctx)
+	out := []VMView{{VM: c.vm, StoreUnreachable: c.storeUnreachable(), Self: true, Scheduler: holder == c.vm, Relay: slices.Contains(relays, c.vm)}}
 	for _, p := range c.directory.vmViews(time.Now()) {
-		p.Scheduler = holder == p.VM
+		p.Scheduler, p.Relay = holder == p.VM, slices.Contains(relays, p.VM)
 		out = append(out, p)
 	}
 	return out
 }
+
+// relayNames returns the VMs through which the scheduler calls runners.
+func (c *Client) relayNames(ctx context.Context) []string {
+	if s := c.local.Current(); s != nil {
+		return s.RelayNames()
+	}
+	r, err := callScheduler[empty, relaysReply](ctx, c, methodRelays, &empty{})
+	if err != nil {
+		c.log.Info("[peers] relays not known", zap.Error(err))
+		return nil
+	}
+	return r.VMs
+}
+
+// RelayNames returns the VMs through which the scheduler calls runners.
+func (s *Scheduler) RelayNames() []string {
+	if s.relays == nil {
+		return nil
+	}
+	return s.relays.Names()
+}
--- a/daemon/internal/httpapi/cell.go
+++ b/daemon/internal/httpapi/cell.go
@@ -14,7 +14,7 @@
 type CellService interface {
 	View(ctx context.Context, id string) (cell.JobView, error)
 	RunnerViews(ctx context.Context) ([]cell.RunnerView, error)
-	VMViews() []cellsched.VMView
+	VMViews(ctx context.Context) []cellsched.VMView
 }
 
 // cellHandler implements the part of the API that a cell offers to operators.
@@ -99,10 +99,10 @@
 // ListVMs implements oas.Handler. It reports a VM that does not reach the store as
 // suspect. It sets the zone only for the VM that answers, since the zones of the other
 // VMs are not known to it.
-func (h *cellHandler) ListVMs(context.Context) ([]oas.VM, error) {
+func (h *cellHandler) ListVMs(ctx context.Context) ([]oas.VM, error) {
 	var out []oas.VM
-	for _, v := range h.service.VMViews() {
-		vm := oas.VM{ID: v.VM, State: oas.VMStateAlive, ZoneScheduler: oas.NewOptBool(v.Scheduler), Self: oas.NewOptBool(v.Self)}
+	for _, v := range h.service.VMViews(ctx) {
+		vm := oas.VM{ID: v.VM, State: oas.VMStateAlive, ZoneScheduler: oas.NewOptBool(v.Scheduler), Self: oas.NewOptBool(v.Self), Relay: oas.NewOptBool(v.Relay)}
 		if v.StoreUnreachable {
 			vm.State = oas.VMStateSuspect
 		}
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -71,6 +71,8 @@
 	workers sync.WaitGroup
 	// gather is the least time between two batches to a relay.
 	gather atomic.Int64
+	// batches and calls count what was sent to relays.
+	batches, calls atomic.Int64
 
 	mu sync.RWMutex
 	// selected are the relays of the last selection, sessions those with a session, by name.
--- a/daemon/internal/relay/session.go
+++ b/daemon/internal/relay/session.go
@@ -135,6 +135,8 @@
 	}
 	x.underWay++
 	x.sentAt = time.Now()
+	x.pool.batches.Add(1)
+	x.pool.calls.Add(int64(len(b.Calls)))
 	return b, 0
 }
 
