Let the soak play cells that need relays

The soak's VMs have a whole core by their settings, so the scheduler called all ten runners itself and no run met a relay. Runs with an odd seed now have VMs of 0.01 cores by their settings, which nothing enforces: all calls to runners go through other VMs, which are killed, frozen, stopped and started like all.

--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -67,6 +67,7 @@
 		group.Go(func() error {
 			result, err := play.Run(cmd.Context(), play.Options{
 				Seed: seed, Program: f.program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Traffic: f.traffic, SubmitEvery: f.every, VMs: f.vms, Runners: f.runners,
+				Relays: seed%2 == 1,
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -29,8 +29,12 @@
 	usualTraffic = 20 * time.Second
 )
 
-// ciSeeds are played in each test run, side by side.
-var ciSeeds = []uint64{1, 2, 3}
+// ciSeeds are played in each test run, side by side; relayedSeeds are those of them in which the scheduler calls
+// runners through other VMs.
+var (
+	ciSeeds      = []uint64{1, 2, 3, 4}
+	relayedSeeds = []uint64{1, 4}
+)
 
 // Guards against broken promises of real processes under faults that come in series and overlap.
 func TestShortSoak(t *testing.T) {
@@ -48,6 +52,7 @@
 			dir := t.TempDir()
 			result, err := Run(t.Context(), Options{
 				Seed: seed, Program: program, Dir: dir, Traffic: traffic, SubmitEvery: 100 * time.Millisecond, VMs: 4, Runners: 10,
+				Relays: slices.Contains(relayedSeeds, seed),
 			})
 			must.NoError(t, err)
 			t.Log(result)
--- a/soak/play/run.go
+++ b/soak/play/run.go
@@ -22,10 +22,27 @@
 	SubmitEvery time.Duration
 	// VMs and Runners size the deployment.
 	VMs, Runners int
+	// Relays makes the VMs so small by their settings that the scheduler calls its runners through other VMs.
+	Relays bool `json:",omitempty"`
 	// SkipFaults and SkipJobs are the numbers of faults and jobs that the run leaves out of what its seed draws.
 	SkipFaults, SkipJobs []int `json:",omitempty"`
 }
 
+// relayedRunnersPerVM is how many runners the scheduler's VM calls itself in a run with relays, and
+// directRunnersPerCore how many a daemon calls itself for each core of its VM.
+const (
+	relayedRunnersPerVM  = 2
+	directRunnersPerCore = 200
+)
+
+// cores returns the processor share in the settings of the VMs.
+func (o Options) cores() float64 {
+	if o.Relays {
+		return float64(relayedRunnersPerVM) / directRunnersPerCore
+	}
+	return 1
+}
+
 // Result is the outcome of a run.
 type Result struct {
 	Seed uint64
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -89,7 +89,7 @@
 		return w, err
 	}
 	for i := range o.VMs {
-		v, err := newVM(o.Dir, o.Program, fmt.Sprintf("vm%d", i+1), w.storeAddr, w.advisorAddr, w.learnPeer)
+		v, err := newVM(o.Dir, o.Program, fmt.Sprintf("vm%d", i+1), o.cores(), w.storeAddr, w.advisorAddr, w.learnPeer)
 		if err != nil {
 			return w, err
 		}
