Refuse calls that other VMs can do without while the scheduler is short of processor time

Cause: on a VM whose processor is the limit all goroutines wait alike, for 1 to 2 s in a trial with small VMs. Reports, decisions and writes, which keep the cell going, wait behind hundreds of calls a second that pass on jobs, ask for states and for pending jobs, most of which have timed out when they are served. Change: the scheduler measures how late its goroutines run. Above 60 ms in the mean it refuses these three kinds of calls at once; their callers find jobs and states in the store, as they do when the scheduler is away. Tests: TestOverloadedSchedulerRefusesWhatVMsCanDoWithout, TestProcessThatRunsInTimeHasNoLag.

--- /dev/null
+++ b/daemon/internal/cellsched/lag_test.go
@@ -0,0 +1,70 @@
+package cellsched
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/api/codes"
+	"rhubarbstall.example/daemon/internal/peer"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/standin/memnet"
+)
+
+// Guards against a lag that is measured in a process that runs in time.
+func TestProcessThatRunsInTimeHasNoLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m lagMonitor
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.run(ctx)
+		}()
+		time.Sleep(time.Second)
+		must.Eq(t, 0, m.lag())
+		stop()
+		<-done
+	})
+}
+
+// Guards against a scheduler that is short of processor time and spends it on calls that other VMs can do
+// without, and against one that refuses cancels, advice or operators.
+func TestOverloadedSchedulerRefusesWhatVMsCanDoWithout(t *testing.T) {
+	network := memnet.New()
+	server := peer.NewServer()
+	local := new(LocalScheduler)
+	c := NewClient(ClientConfig{Self: VMAddr{VM: "vm"}, LocalScheduler: local})
+	Register(server, c)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
+	fixture := newStoreFixture(t)
+	defer fixture.close()
+	s, end := fixture.newScheduler(alwaysValid)
+	defer end()
+	s.runners = platform.NewRunners(network.Dialer("vm"))
+	local.setCurrent(s)
+	peers := peer.NewClient("other")
+	t.Cleanup(peers.Close)
+	call := func(method string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, err := peer.Call[idArgs, empty](ctx, peers, l.Addr().String(), method, &idArgs{"0000000000000001"})
+		return err
+	}
+	must.NoError(t, call(methodState))
+	must.NoError(t, call(methodPending))
+	s.lag.average.Store(int64(2 * sheddingLag))
+	for _, method := range []string{methodState, methodPending, methodSubmit} {
+		must.Eq(t, codes.TooManyRequests, codes.Of(call(method)), must.Sprint(method))
+	}
+	for _, method := range []string{methodCancel, methodView, methodRunners} {
+		must.NoError(t, call(method), must.Sprint(method))
+	}
+}
--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -109,7 +109,8 @@
 	startsInFlight, stopsInFlight                         int64
 	startLatencies, decisionDurations, lockWaits          durationSummary
 	adviceQueued, adviceAssigned, adviceVMs               int
-	refusals, peerCalls                                   namedCounts
+	refusals, peerCalls, shedCalls                        namedCounts
+	lag                                                   time.Duration
 	orders                                                orderQueueStats
 	// relays holds the counts of the relays, of which Batches and Calls are those of the interval;
 	// relaySums has them since the term began.
@@ -170,8 +171,9 @@
 		process: proc.read(),
 	}
 	if s.peerCalls != nil {
-		r.peerCalls = s.peerCalls.take()
+		r.peerCalls, r.shedCalls = s.peerCalls.take(), s.shedCalls.take()
 	}
+	r.lag = s.lag.lag()
 	r.orders, r.refusals = s.orders.stats(), counts.refusals.take()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
 	s.exclusive(func() { r.Stats = s.cell.Stats(now, now.Round(0)) })
@@ -284,6 +286,10 @@
 	if err := e.AddObject("peer_calls", r.peerCalls); err != nil {
 		return err
 	}
+	if err := e.AddObject("peer_calls_shed", r.shedCalls); err != nil {
+		return err
+	}
+	ms("lag_ms", r.lag)
 	for l, t := range r.traffic {
 		if t.Sent > 0 || t.Received > 0 {
 			count("sent_"+netcount.Link(l).String()+"_bytes", t.Sent)
--- a/daemon/internal/cellsched/localscheduler.go
+++ b/daemon/internal/cellsched/localscheduler.go
@@ -13,8 +13,9 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	queues    []cell.Queue
-	// peerCalls counts the calls of other VMs by method.
-	peerCalls countsByName
+	// peerCalls counts the calls of other VMs by method, shedCalls those of them that were refused
+	// because the process was short of processor time.
+	peerCalls, shedCalls countsByName
 }
 
 // Run runs s, and makes it the current scheduler until it returns.
@@ -30,7 +31,7 @@
 	defer h.mu.Unlock()
 	h.scheduler = s
 	if s != nil {
-		s.peerCalls = &h.peerCalls
+		s.peerCalls, s.shedCalls = &h.peerCalls, &h.shedCalls
 		s.SetQueues(h.queues)
 	}
 }
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -76,7 +76,7 @@
 			return c.relay.Exchange(ctx, b), nil
 		})
 	}
-	handle(server, c, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
+	handleUnlessOverloaded(server, c, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
 		return &empty{}, c.withLocalScheduler(func(s *Scheduler) error { return s.Submit(*a) })
 	})
 	handle(server, c, methodHello, func(_ context.Context, _ string, a *helloArgs) (*helloReply, error) {
@@ -85,7 +85,7 @@
 	handle(server, c, methodPut, func(ctx context.Context, _ string, a *Submission) (*putReply, error) {
 		return c.putForPeer(ctx, *a)
 	})
-	handle(server, c, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
+	handleUnlessOverloaded(server, c, methodState, func(_ context.Context, _ string, a *idArgs) (*stateReply, error) {
 		r := &stateReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.State, r.Known = s.State(a.ID); return nil })
 	})
@@ -93,7 +93,7 @@
 		r := &stateReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) (err error) { r.Known, err = s.Cancel(ctx, a.ID); return err })
 	})
-	handle(server, c, methodPending, func(_ context.Context, _ string, a *pendingArgs) (*pendingReply, error) {
+	handleUnlessOverloaded(server, c, methodPending, func(_ context.Context, _ string, a *pendingArgs) (*pendingReply, error) {
 		r := &pendingReply{}
 		return r, c.withLocalScheduler(func(s *Scheduler) error { r.Count, r.Ready = s.Pending(a.Queue); return nil })
 	})
@@ -132,6 +132,18 @@
 	})
 }
 
+// handleUnlessOverloaded registers a method that a scheduler refuses while it is short of processor time,
+// because its callers find in the store what they need.
+func handleUnlessOverloaded[A, R any](server *peer.Server, c *Client, method string, h func(ctx context.Context, from string, args *A) (*R, error)) {
+	handle(server, c, method, func(ctx context.Context, from string, args *A) (*R, error) {
+		if s := c.local.Current(); s != nil && s.shedding() {
+			c.local.shedCalls.add(strings.TrimPrefix(method, methodPrefix))
+			return nil, codes.TooManyRequests.With("the scheduler is short of processor time", codes.WithOutcome(codes.OutcomeNotRun))
+		}
+		return h(ctx, from, args)
+	})
+}
+
 // silentConnectionTimeout is how long a connection may deliver no reply before it is replaced;
 // it is a few times as long as a reply usually takes.
 const silentConnectionTimeout = 600 * time.Millisecond
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -102,8 +102,11 @@
 	relays *relay.Pool
 	// listedRunners is the number of runners in the last full listing of their entries.
 	listedRunners atomic.Int64
-	// peerCalls counts the calls of other VMs to this one; nil if they are not counted.
-	peerCalls *countsByName
+	// peerCalls counts the calls of other VMs to this one, shedCalls those that were refused for lack of
+	// processor time; nil if they are not counted.
+	peerCalls, shedCalls *countsByName
+	// lag is how late goroutines of the process run.
+	lag lagMonitor
 	// loadCounts holds the counts for the load report.
 	loadCounts loadCounts
 
@@ -174,6 +177,7 @@
 		return
 	}
 	s.spawn(s.loadLoop)
+	s.spawn(func() { s.lag.run(s.ctx) })
 	s.startRelays()
 	begin := time.Now()
 	work, ok := s.loadFromStore()
