--- a/daemon/internal/cellsched/loadreport.go
+++ b/daemon/internal/cellsched/loadreport.go
@@ -110,7 +110,6 @@
 	startLatencies, decisionDurations, lockWaits          durationSummary
 	adviceQueued, adviceAssigned, adviceVMs               int
 	refusals, peerCalls, shedCalls                        namedCounts
-	lag                                                   time.Duration
 	orders                                                orderQueueStats
 	// relays holds the counts of the relays, of which Batches and Calls are those of the interval;
 	// relaySums has them since the term began.
@@ -173,7 +172,6 @@
 	if s.peerCalls != nil {
 		r.peerCalls, r.shedCalls = s.peerCalls.take(), s.shedCalls.take()
 	}
-	r.lag = s.lag.lag()
 	r.orders, r.refusals = s.orders.stats(), counts.refusals.take()
 	r.adviceQueued, r.adviceAssigned, r.adviceVMs, r.adviceOldest = s.adviceQueue.stats(now)
 	s.exclusive(func() { r.Stats = s.cell.Stats(now, now.Round(0)) })
@@ -289,7 +287,6 @@
 	if err := e.AddObject("peer_calls_shed", r.shedCalls); err != nil {
 		return err
 	}
-	ms("lag_ms", r.lag)
 	for l, t := range r.traffic {
 		if t.Sent > 0 || t.Received > 0 {
 			count("sent_"+netcount.Link(l).String()+"_bytes", t.Sent)
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -105,8 +105,6 @@
 	// peerCalls counts the calls of other VMs to this one, shedCalls those that were refused for lack of
 	// processor time; nil if they are not counted.
 	peerCalls, shedCalls *countsByName
-	// lag is how late goroutines of the process run.
-	lag lagMonitor
 	// loadCounts holds the counts for the load report.
 	loadCounts loadCounts
 
@@ -177,7 +175,6 @@
 		return
 	}
 	s.spawn(s.loadLoop)
-	s.spawn(func() { s.lag.run(s.ctx) })
 	s.startRelays()
 	begin := time.Now()
 	work, ok := s.loadFromStore()
