Take submitted jobs also while the scheduler is short of processor time

The scheduler refused the calls that pass jobs on, and the watch of the store, which brings them otherwise, was late as well. Change: only questions for states and pending jobs are refused. The wait of a VM for an advisor call ends when another VM becomes the scheduler: nothing ends it on the connection to a VM without power, and it takes up to 4 s now. Renewals of idle runners stay within a third of the lease.

--- a/daemon/internal/cellsched/advisorcalls_test.go
+++ b/daemon/internal/cellsched/advisorcalls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
@@ -64,3 +65,25 @@
 		})
 	}
 }
+
+// Guards against a VM that waits for a call of a scheduler whose VM is lost, and makes none for the next
+// one for seconds: nothing arrives on the connection to a VM without power.
+func TestWaitForACallEndsWhenAnotherVMBecomesTheScheduler(t *testing.T) {
+	server := peer.NewServer()
+	peer.Handle(server, methodAdvice, func(ctx context.Context, _ string, _ *adviceArgs) (*adviceReply, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
+	c := adviceClient(t, l.Addr().String())
+	time.AfterFunc(300*time.Millisecond, func() {
+		c.elector.ObserveHolder(election.Holder{VM: "next", Addr: "127.0.0.1:1", Term: 2})
+	})
+	begin := time.Now()
+	_, _, err = c.nextAdviceRequest(context.Background(), nil)
+	must.Error(t, err)
+	must.Less(t, adviceRequestWait/2, time.Since(begin))
+}
--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -14,6 +14,7 @@
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/daemon/internal/relay"
+	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -76,7 +77,7 @@
 			return c.relay.Exchange(ctx, b), nil
 		})
 	}
-	handleUnlessOverloaded(server, c, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
+	handle(server, c, methodSubmit, func(ctx context.Context, _ string, a *Submission) (*empty, error) {
 		return &empty{}, c.withLocalScheduler(func(s *Scheduler) error { return s.Submit(*a) })
 	})
 	handle(server, c, methodHello, func(_ context.Context, _ string, a *helloArgs) (*helloReply, error) {
@@ -132,8 +133,8 @@
 	})
 }
 
-// handleUnlessOverloaded registers a method that a scheduler refuses while it is short of processor time,
-// because its callers find in the store what they need.
+// handleUnlessOverloaded registers a method that a scheduler refuses while it is short of processor time; see
+// shedding.
 func handleUnlessOverloaded[A, R any](server *peer.Server, c *Client, method string, h func(ctx context.Context, from string, args *A) (*R, error)) {
 	handle(server, c, method, func(ctx context.Context, from string, args *A) (*R, error) {
 		if s := c.local.Current(); s != nil && s.shedding() {
@@ -277,6 +278,21 @@
 	return r.Count, nil
 }
 
+// cancelAtNextTerm cancels a call once another VM holds the scheduler's role. The connection to the VM that
+// held it may be silent for good.
+func (c *Client) cancelAtNextTerm(ctx context.Context, cancel context.CancelFunc) {
+	holder := c.elector.Current()
+	for wait.For(ctx, holderCheckInterval) {
+		if c.elector.Current() != holder {
+			cancel()
+			return
+		}
+	}
+}
+
+// holderCheckInterval is how often a long call checks whether its scheduler still holds the role.
+const holderCheckInterval = 200 * time.Millisecond
+
 // askPending asks the scheduler how many jobs of a queue are pending. Callers that ask at the same time share
 // a call: a scheduler whose load arrives late is busy enough.
 func (c *Client) askPending(ctx context.Context, queue string) (*pendingReply, error) {
@@ -300,7 +316,7 @@
 const pendingTimeout = 700 * time.Millisecond
 
 // adviceRequestWait is the timeout of one wait for a call to the advisor. Most VMs of a large cell wait
-// most of the time. A wait for a scheduler that is lost ends with its connection, which heartbeats close.
+// most of the time. A wait ends when another VM becomes the scheduler.
 const adviceRequestWait = 4 * time.Second
 
 // nextAdviceRequest reports the result of the last call to the advisor, if any, and waits for the next one
@@ -320,6 +336,7 @@
 	// The scheduler waits only for queueWaitShare of it, so its answer arrives in time.
 	callCtx, cancelOuter := context.WithTimeout(context.WithoutCancel(ctx), adviceRequestWait)
 	defer cancelOuter()
+	go c.cancelAtNextTerm(callCtx, cancelOuter)
 	r, err := callScheduler[adviceArgs, adviceReply](callCtx, c, methodAdvice, &adviceArgs{c.vm, result})
 	if err != nil {
 		return AdviceRequest{}, false, err
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -221,10 +221,11 @@
 	}
 	request.AckedEnd = acked
 	if !l.reportDue.Swap(false) && allAcked && request.LeaseEnd > 0 {
-		request.Wait = min(renewalWait, s.leaseDuration/minRenewalsPerLease)
+		longest := renewalWait
 		if !s.cell.HasRuns(l.id) {
-			request.Wait = idleRenewalWait
+			longest = idleRenewalWait
 		}
+		request.Wait = min(longest, s.leaseDuration/minRenewalsPerLease)
 	}
 	return request, allAcked
 }
