--- a/daemon/internal/cellsched/advisorcalls_test.go
+++ b/daemon/internal/cellsched/advisorcalls_test.go
@@ -13,6 +13,15 @@
 	"rhubarbstall.example/daemon/internal/peer"
 )
 
+// servePeers serves calls of other VMs until the test ends, and returns the server's address.
+func servePeers(t *testing.T, server *peer.Server) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
+	return l.Addr().String()
+}
+
 // adviceClient returns the client of a VM whose scheduler is at addr.
 func adviceClient(t *testing.T, addr string) *Client {
 	elector := election.New(nil, "vm", "vm", 0, nil, nil, zap.NewNop())
@@ -42,11 +51,8 @@
 				alone = append(alone, r.ID)
 				return &empty{}, nil
 			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			must.NoError(t, err)
-			go func() { _ = server.Serve(l) }()
-			t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
-			c := adviceClient(t, l.Addr().String())
+			addr := servePeers(t, server)
+			c := adviceClient(t, addr)
 			for i := range 3 {
 				var result *AdviceResult
 				if i > 0 {
@@ -74,16 +80,13 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
-	c := adviceClient(t, l.Addr().String())
+	addr := servePeers(t, server)
+	c := adviceClient(t, addr)
 	time.AfterFunc(300*time.Millisecond, func() {
 		c.elector.ObserveHolder(election.Holder{VM: "next", Addr: "127.0.0.1:1", Term: 2})
 	})
 	begin := time.Now()
-	_, _, err = c.nextAdviceRequest(context.Background(), nil)
+	_, _, err := c.nextAdviceRequest(context.Background(), nil)
 	must.Error(t, err)
 	must.Less(t, adviceRequestWait/2, time.Since(begin))
 }
--- a/daemon/internal/cellsched/pending_test.go
+++ b/daemon/internal/cellsched/pending_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,11 +46,8 @@
 		<-release
 		return &pendingReply{Count: 5, Ready: true}, nil
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
-	c := adviceClient(t, l.Addr().String())
+	addr := servePeers(t, server)
+	c := adviceClient(t, addr)
 	var questions sync.WaitGroup
 	for range 20 {
 		questions.Go(func() {
--- a/daemon/internal/cellsched/shedding_test.go
+++ b/daemon/internal/cellsched/shedding_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -22,10 +21,7 @@
 	local := new(LocalScheduler)
 	c := NewClient(ClientConfig{Self: VMAddr{VM: "vm"}, LocalScheduler: local})
 	Register(server, c)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = l.Close(); server.CloseConnections() })
+	addr := servePeers(t, server)
 	fixture := newStoreFixture(t)
 	defer fixture.close()
 	s, end := fixture.newScheduler(alwaysValid)
@@ -37,7 +33,7 @@
 	call := func(method string) error {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		_, err := peer.Call[idArgs, empty](ctx, peers, l.Addr().String(), method, &idArgs{"0000000000000001"})
+		_, err := peer.Call[idArgs, empty](ctx, peers, addr, method, &idArgs{"0000000000000001"})
 		return err
 	}
 	must.NoError(t, call(methodState))
