Split the files of the scheduler and the relays that have grown

Moves only: the decision loop, the load line, questions for pending jobs, the calls for the advisor, the route of a call, and tests of lost relays stand in files of their own.

--- a/daemon/internal/cellsched/peers.go
+++ b/daemon/internal/cellsched/peers.go
@@ -14,7 +14,6 @@
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/peer"
 	"rhubarbstall.example/daemon/internal/relay"
-	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -256,95 +255,3 @@
 	}
 	return r.Known, nil
 }
-
-// Pending returns the number of jobs in a queue that have neither ended nor started any task, as of the
-// last reading of the scheduler's load: callers ask often, and each question would be a call. It
-// fails with ErrNoScheduler while the scheduler loads the jobs.
-func (c *Client) Pending(ctx context.Context, queue string) (int, error) {
-	r := &pendingReply{}
-	if s := c.local.Current(); s != nil {
-		r.Count, r.Ready = s.Pending(queue)
-	} else if reading := c.schedulerLoad.Load(); reading != nil && reading.load.Pending != nil && time.Since(reading.readAt) < maxPendingAge {
-		return reading.load.Pending[queue], nil
-	} else {
-		var err error
-		if r, err = c.askPending(ctx, queue); err != nil {
-			return 0, err
-		}
-	}
-	if !r.Ready {
-		return 0, ErrNoScheduler
-	}
-	return r.Count, nil
-}
-
-// cancelAtNextTerm cancels a call once another VM holds the scheduler's role. The connection to the VM that
-// held it may be silent for good.
-func (c *Client) cancelAtNextTerm(ctx context.Context, cancel context.CancelFunc) {
-	holder := c.elector.Current()
-	for wait.For(ctx, holderCheckInterval) {
-		if c.elector.Current() != holder {
-			cancel()
-			return
-		}
-	}
-}
-
-// holderCheckInterval is how often a long call checks whether its scheduler still holds the role.
-const holderCheckInterval = 200 * time.Millisecond
-
-// askPending asks the scheduler how many jobs of a queue are pending. Callers that ask at the same time share
-// a call: a scheduler whose load arrives late is busy enough.
-func (c *Client) askPending(ctx context.Context, queue string) (*pendingReply, error) {
-	shared := c.pendingCalls.DoChan(queue, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pendingTimeout)
-		defer cancel()
-		return callScheduler[pendingArgs, pendingReply](ctx, c, methodPending, &pendingArgs{queue})
-	})
-	select {
-	case result := <-shared:
-		if result.Err != nil {
-			return nil, result.Err
-		}
-		return result.Val.(*pendingReply), nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// pendingTimeout is the time limit of a call that asks for pending jobs.
-const pendingTimeout = 700 * time.Millisecond
-
-// adviceRequestWait is the timeout of one wait for a call to the advisor. Most VMs of a large cell wait
-// most of the time. A wait ends when another VM becomes the scheduler.
-const adviceRequestWait = 4 * time.Second
-
-// nextAdviceRequest reports the result of the last call to the advisor, if any, and waits for the next one
-// that this VM is to make; false if there was none in time. Both take one message, since a cell makes
-// hundreds of calls a second.
-func (c *Client) nextAdviceRequest(ctx context.Context, result *AdviceResult) (AdviceRequest, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, adviceRequestWait)
-	defer cancel()
-	if s := c.local.Current(); s != nil {
-		if result != nil {
-			s.RecordAdviceResult(*result)
-		}
-		request, ok := s.NextAdviceRequest(ctx, c.vm)
-		return request, ok, nil
-	}
-	// The call to the peer has the full timeout, counted from now, and ignores the end of ctx.
-	// The scheduler waits only for queueWaitShare of it, so its answer arrives in time.
-	callCtx, cancelOuter := context.WithTimeout(context.WithoutCancel(ctx), adviceRequestWait)
-	defer cancelOuter()
-	go c.cancelAtNextTerm(callCtx, cancelOuter)
-	r, err := callScheduler[adviceArgs, adviceReply](callCtx, c, methodAdvice, &adviceArgs{c.vm, result})
-	if err != nil {
-		return AdviceRequest{}, false, err
-	}
-	if result != nil && !r.Recorded {
-		if _, err := callScheduler[AdviceResult, empty](ctx, c, methodAdvised, result); err != nil {
-			c.log.Warn("[advice] cannot report the result to the scheduler", zap.Error(err))
-		}
-	}
-	return r.Request, r.Assigned, nil
-}
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -13,7 +13,6 @@
 
 	"rhubarbstall.example/daemon/internal/election"
 	"rhubarbstall.example/daemon/internal/relay"
-	"rhubarbstall.example/daemon/internal/wait"
 	"rhubarbstall.example/platform"
 	"rhubarbstall.example/sched/cell"
 )
@@ -223,86 +222,3 @@
 	s.exclusive(func() { s.cell.SetQueues(queues) })
 	s.requestDecision()
 }
-
-// decideLoop makes decisions when something changed, and at least every tickInterval.
-func (s *Scheduler) decideLoop() {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-s.decisionNeeded:
-		case <-tick.C:
-		}
-		begin := time.Now()
-		s.decide()
-		if !wait.For(s.ctx, decisionPause(time.Since(begin))) {
-			return
-		}
-	}
-}
-
-// decisionPause returns the pause after a decision that took some time.
-func decisionPause(took time.Duration) time.Duration {
-	return min(max(minDecisionPause, time.Duration(float64(took)*(1-decisionShare)/decisionShare)), maxDecisionPause)
-}
-
-// runnersOutdated reports whether the known entries of runners are so old that a runner may have
-// been draining for too long to be given work. Work then waits until the entries are current, which
-// also leaves the processor to the watch that brings them. While the store cannot be reached, waiting
-// would only stop the work that is stored already. That a watch call got no answer in time is no sign
-// of that: on a busy VM its answer may only be late.
-func (s *Scheduler) runnersOutdated(now time.Time) bool {
-	if s.settings.DrainTimeout <= 0 {
-		return false
-	}
-	if s.settings.StoreUnreachable != nil && s.settings.StoreUnreachable() {
-		return false
-	}
-	outdated, age := s.runnersAge.exceeds(now, max(time.Duration((1-drainMarginShare)*float64(s.settings.DrainTimeout)), minRunnersAge))
-	if s.runnersWereOutdated.Swap(outdated) != outdated {
-		s.log.Warn("[sched] age of the runners' entries changed", zap.Bool("outdated", outdated), zap.Duration("age", age))
-	}
-	return outdated
-}
-
-func (s *Scheduler) decide() {
-	if !s.mayAct() {
-		// The next scheduler may already have renewed leases or ended runs, so this one would
-		// wrongly treat leases as lapsed.
-		return
-	}
-	now := time.Now()
-	if s.relays != nil {
-		// An order waits for a batch, and its answer for another one.
-		s.orders.setBatching(2 * s.relays.Gather())
-	}
-	maxStarts, paused := s.orders.maxStarts(), s.runnersOutdated(now)
-	var d cell.Decisions
-	var events []cell.Event
-	dirty := false
-	s.exclusive(func() {
-		begin := time.Now()
-		s.cell.SetMaxStarts(maxStarts)
-		if paused {
-			s.cell.PauseStarts()
-		}
-		s.cell.Tick(now)
-		d = s.cell.Decide(now, now.Round(0))
-		s.recordDecision(begin, &d)
-		events = s.cell.TakeEvents()
-		dirty = s.cell.HasDirty()
-	})
-	if s.broken.Load() {
-		return
-	}
-	s.logEvents(events)
-	s.queueOrders(&d)
-	for _, call := range d.Advice {
-		s.adviceQueue.add(call)
-	}
-	if dirty {
-		signal(s.statesDirty)
-	}
-}
--- a/daemon/internal/relay/errors.go
+++ b/daemon/internal/relay/errors.go
@@ -11,3 +11,6 @@
 	// with the relay or the scheduler.
 	ErrNotPassedOn = errors.New("call not passed on to the runner")
 )
+
+// IsLost reports whether a call failed because of its relay and not of its runner.
+func IsLost(err error) bool { return errors.Is(err, ErrLost) || errors.Is(err, ErrNotPassedOn) }
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -82,9 +81,9 @@
 	// the calls to a runner.
 	active []*session
 	owners map[string]*session
-	// activeAt is when there was a relay last.
-	activeAt time.Time
-	started  int
+	// changedAt is when the active relays changed last; zero if none is needed.
+	changedAt time.Time
+	started   int
 	// excluded holds the VMs that are not selected for some time.
 	excluded map[string]exclusion
 }
@@ -154,7 +153,7 @@
 	p.selected = relays.Select(usable, p.selected, p.config.OwnCores, runners)
 	if len(p.selected) == 0 && len(relays.Select(candidates, nil, p.config.OwnCores, runners)) == 0 {
 		// No relay is needed, or there is no VM that could be one.
-		p.activeAt = time.Time{}
+		p.changedAt = time.Time{}
 	}
 	wanted := make(map[string]bool, len(p.selected))
 	for _, vm := range p.selected {
@@ -212,7 +211,7 @@
 	if same && len(active) == before {
 		return
 	}
-	p.activeAt = time.Now()
+	p.changedAt = time.Now()
 	p.active = active
 	gather := time.Duration(float64(len(active)) / (batchesPerCore * p.config.OwnCores) * float64(time.Second))
 	p.gather.Store(int64(min(max(minGather, gather), maxGather)))
@@ -257,33 +256,6 @@
 	signal(p.changed)
 }
 
-// route returns the session that relays the calls to a runner; nil if they are made directly. It fails
-// with ErrLost while a new relay is awaited.
-func (p *Pool) route(runner string) (*session, error) {
-	p.mu.RLock()
-	x, known := p.owners[runner]
-	n := len(p.active)
-	awaited := n == 0 && time.Since(p.activeAt) < directAfter
-	p.mu.RUnlock()
-	if awaited {
-		return nil, fmt.Errorf("%w: %w", ErrNotPassedOn, ErrLost)
-	}
-	if known || n == 0 {
-		return x, nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	vms := make([]relays.VM, len(p.active))
-	for i, a := range p.active {
-		vms[i] = a.vm
-	}
-	if i := relays.Owner(runner, vms); i >= 0 {
-		x = p.active[i]
-	}
-	p.owners[runner] = x
-	return x, nil
-}
-
 // WaitReady waits until the relays for the present number of runners have replied, at most for a time:
 // to open connections to all runners would take the scheduler's VM longer.
 func (p *Pool) WaitReady(limit time.Duration) {
@@ -321,6 +293,3 @@
 	}
 	return names
 }
-
-// IsLost reports whether a call failed because of its relay and not of its runner.
-func IsLost(err error) bool { return errors.Is(err, ErrLost) || errors.Is(err, ErrNotPassedOn) }
