Read on at once when an answer to a watch may lack later changes

Cause, shown by a play with a pause of 3 s between watch calls: an answer holds 500 changes at most, whatever came since. At 2,000 heartbeats of runners a second and a call each 450 ms the scheduler fell behind by 1,000 changes a second, and took each answer for current, so the check that stops starts when the entries are old saw nothing. Change: after an answer of half of what the store sends at most (500 changes or 1 MB) the next call follows without a pause, and only a shorter answer makes the entries current. The stand-in of the store cuts its answers in the same way. Test: TestEntriesThatChangeOftenStayCurrent fails before.

--- a/daemon/internal/cellsched/listingage_test.go
+++ b/daemon/internal/cellsched/listingage_test.go
@@ -1,11 +1,15 @@
 package cellsched
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/standin/cellrunner"
 )
 
 // Guards against work on a runner that has been leaving for too long: the scheduler's VM is short
@@ -60,3 +64,41 @@
 	s.settings.StoreUnreachable = func() bool { return true }
 	must.False(t, s.runnersOutdated(now.Add(time.Minute)))
 }
+
+// Guards against work on a runner that has been leaving for seconds in a cell whose runners change their
+// entries more often than one answer to a watch holds between two calls: the scheduler applied older and older
+// changes and took them for current.
+func TestEntriesThatChangeOftenStayCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const runners, changesPerSecond = 20, 2000
+		c := newStoreFixture(t)
+		defer c.close()
+		s, end := c.newScheduler(alwaysValid)
+		defer end()
+		s.settings.DrainTimeout = 4 * time.Second
+		fleet := cellrunner.NewFleet(1, cellrunner.Size{MilliCPU: 4000, MemoryMB: 4000}, simAttempts, nil)
+		var all []*cellrunner.Runner
+		for i := range runners {
+			all = append(all, fleet.Add(fmt.Sprintf("r%d", i)))
+		}
+		put := func(i int, state string) {
+			c.store.Put(platform.RunnerPrefix+all[i].ID, fleet.RunnerRecord(all[i], simPool, runnerAddr(i), state))
+		}
+		for i := range runners {
+			put(i, "ready")
+		}
+		at, ok := s.listRunners()
+		must.True(t, ok)
+		s.spawn(func() { s.watchRunners(at) })
+		for range 5 * 100 {
+			for n := range changesPerSecond / 100 {
+				put(n%(runners-1), "ready")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		put(runners-1, "draining")
+		time.Sleep(2 * watchPause)
+		s.exclusive(func() { must.True(t, s.runnerLoops[all[runners-1].ID].draining) })
+		must.False(t, s.runnersOutdated(time.Now()))
+	})
+}
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -28,6 +28,10 @@
 	// watchPause is the pause between two watch calls. It batches changes, because each call
 	// has a cost.
 	watchPause = 400 * time.Millisecond
+	// truncatedItems and truncatedBytes are half of what the store puts into an answer at most, 500
+	// items or 1 MB with their encoding. An answer above either may lack later changes.
+	truncatedItems = 250
+	truncatedBytes = 350 << 10
 	// storeCallTimeout is the timeout of reading one record, of a write unless
 	// Settings.StoreTimeout is set, and of all writes at the end of a term together.
 	storeCallTimeout = time.Second
@@ -220,10 +224,15 @@
 		switch {
 		case err == nil:
 			at, slack = next, watchReplySlack
-			if len(items) > 0 {
+			switch {
+			case mayBeTruncated(items):
+				// More changes may wait in the store, so nothing is known of their age.
+				apply(items, false)
+				continue
+			case len(items) > 0:
 				apply(items, false)
 				age.applied(sent)
-			} else {
+			default:
 				// The store waited that long for a change.
 				age.applied(sent.Add(min(watchWait, time.Since(sent))))
 			}
@@ -250,6 +259,15 @@
 	}
 }
 
+// mayBeTruncated reports whether the store may have more changes than an answer to a watch holds.
+func mayBeTruncated(items []platform.Item) bool {
+	bytes := 0
+	for i := range items {
+		bytes += len(items[i].Value)
+	}
+	return len(items) >= truncatedItems || bytes >= truncatedBytes
+}
+
 // watchWork adds the jobs and cancel requests of entry VMs that cannot reach this VM.
 func (s *Scheduler) watchWork(at int64) {
 	s.watchPrefix(WorkPrefix, at, new(listingAge), func(items []platform.Item, _ bool) {
--- a/standin/cellstore/store.go
+++ b/standin/cellstore/store.go
@@ -256,6 +256,9 @@
 	return http.StatusOK, map[string]any{"items": items, "has_more": more, "at": s.revision}
 }
 
+// maxWatchEvents is how many changes an answer to a watch holds at most. The next call continues after them.
+const maxWatchEvents = 500
+
 func (s *Store) watch(r *http.Request, prefix string, after int64, wait time.Duration) (int, any) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -274,6 +277,10 @@
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if len(events) > maxWatchEvents {
+			events = events[:maxWatchEvents]
+			at = events[maxWatchEvents-1].Revision
+		}
 		if len(events) > 0 {
 			return http.StatusOK, map[string]any{"events": events, "at": at}
 		}
