--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -184,12 +184,6 @@
 	}
 }
 
-// HasRuns reports whether a run may exist on a runner.
-func (c *Cell) HasRuns(id string) bool {
-	r := c.runners[id]
-	return r != nil && len(r.runs) > 0
-}
-
 // RenewLease records that a call that renews the leases of the runner's runs is sent now.
 func (c *Cell) RenewLease(now time.Time, id string) {
 	if r := c.runners[id]; r != nil {
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -122,3 +122,9 @@
 func (r *runner) entryIsCurrent() bool {
 	return r.info.Incarnation == 0 || r.info.Incarnation == r.incarnation
 }
+
+// HasRuns reports whether a run may exist on a runner.
+func (c *Cell) HasRuns(id string) bool {
+	r := c.runners[id]
+	return r != nil && len(r.runs) > 0
+}
