Let only renewals of idle runners wait for company

Cause: every renewal that a runner may hold waited up to 50 ms for other calls, also those for runners with runs. Change: only renewals of runners without runs wait; 400 batches a second a core instead of 300, so 12 ms instead of 17 between two batches to each of four relays. Test: TestOnlyAnswersThatSomethingWaitsForAreSentAtOnce now asks that a renewal for a runner with runs does not wait, which it had claimed the other way round.

--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -222,7 +222,7 @@
 	request.AckedEnd = acked
 	if !l.reportDue.Swap(false) && allAcked && request.LeaseEnd > 0 {
 		longest := renewalWait
-		if !s.cell.HasRuns(l.id) {
+		if request.Idle = !s.cell.HasRuns(l.id); request.Idle {
 			longest = idleRenewalWait
 		}
 		request.Wait = min(longest, s.leaseDuration/minRenewalsPerLease)
--- a/daemon/internal/relay/calls.go
+++ b/daemon/internal/relay/calls.go
@@ -31,7 +31,7 @@
 	case x == nil:
 		return p.config.Direct.RenewLease(ctx, to, req)
 	}
-	a, clock, err := x.call(ctx, to, "", Call{Renew: &Renew{AckedEnd: req.AckedEnd, LeaseEndMS: req.LeaseEnd.Milliseconds(), WaitMS: req.Wait.Milliseconds()}})
+	a, clock, err := x.call(ctx, to, "", Call{Renew: &Renew{AckedEnd: req.AckedEnd, LeaseEndMS: req.LeaseEnd.Milliseconds(), WaitMS: req.Wait.Milliseconds(), idle: req.Idle}})
 	if err != nil {
 		return cell.Report{}, clock, err
 	}
--- a/daemon/internal/relay/message.go
+++ b/daemon/internal/relay/message.go
@@ -48,6 +48,8 @@
 	AckedEnd   int64 `json:"acked"`
 	LeaseEndMS int64 `json:"lease_ms,omitempty"`
 	WaitMS     int64 `json:"wait_ms,omitempty"`
+	// idle tells that no run may exist on the runner.
+	idle bool
 }
 
 // Run names a run.
@@ -94,9 +96,9 @@
 	failedNoAnswer Failure = "no_answer"
 )
 
-// patient reports whether nothing waits for the call: a renewal that a runner may hold only keeps
-// leases from lapsing.
-func (c *Call) patient() bool { return c.Renew != nil && c.Renew.WaitMS > 0 }
+// patient reports whether nothing waits for the call: it is a renewal for a runner without runs. On others a
+// run may have ended, whose end only the next renewal brings.
+func (c *Call) patient() bool { return c.Renew != nil && c.Renew.idle }
 
 // patient reports whether nothing waits for the answer: it is that to a renewal, and no run has ended.
 func (a *Answer) patient() bool {
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -23,7 +23,7 @@
 	// cores with all of them: its processor time for batches must not grow with the cell.
 	minGather      = 8 * time.Millisecond
 	maxGather      = 80 * time.Millisecond
-	batchesPerCore = 300
+	batchesPerCore = 400
 	// patientGather is the least time between two batches whose calls or answers nothing waits for.
 	patientGather = 50 * time.Millisecond
 	// minExclusion and maxExclusion bound the time for which a lost relay is not selected again. It
--- a/daemon/internal/relay/relay_test.go
+++ b/daemon/internal/relay/relay_test.go
@@ -165,7 +165,7 @@
 				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
 				for time.Now().Before(stop) {
 					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-					_, _, err := f.pool.RenewLease(ctx, platform.RunnerAddr{ID: fmt.Sprintf("r%d", i)}, platform.RenewLeaseRequest{Wait: time.Second})
+					_, _, err := f.pool.RenewLease(ctx, platform.RunnerAddr{ID: fmt.Sprintf("r%d", i)}, platform.RenewLeaseRequest{Wait: time.Second, Idle: true})
 					cancel()
 					must.NoError(t, err)
 				}
@@ -184,7 +184,7 @@
 		must.False(t, (&Answer{Report: &ended}).patient())
 		must.True(t, (&Answer{Report: &platform.RawReport{Ended: []byte(" [] ")}}).patient())
 		must.False(t, (&Answer{Refused: "fence"}).patient())
-		must.False(t, (&Call{Renew: &Renew{}}).patient(), must.Sprint("a report is wanted at once"))
+		must.False(t, (&Call{Renew: &Renew{WaitMS: 1000}}).patient(), must.Sprint("a run may have ended since the last report"))
 	})
 }
 
