Explain the comments on relays, load lines and names of runners in plain words

Cause: several comments of the relays and of the tests beside them could only be read by someone who knows the design: what urgent means for a batch, which disturbances hit relays, why starts wait for the entries of runners. Change: they say it; directDisturbances and relayDisturbances are now disturbancesWithoutRelays and disturbancesWithRelays. No other line of code changes. Evidence: the tests of relay, relays and cell pass.

--- a/daemon/internal/cellsched/countsbyname.go
+++ b/daemon/internal/cellsched/countsbyname.go
@@ -8,7 +8,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// countsByName counts events by name. It is safe for concurrent use.
+// countsByName counts, for the next load line, how often each named event occurred, for example each
+// reason for a refusal. Several goroutines may use it at once.
 type countsByName struct {
 	mu     sync.Mutex
 	counts namedCounts
--- a/daemon/internal/cellsched/decideloop.go
+++ b/daemon/internal/cellsched/decideloop.go
@@ -34,10 +34,11 @@
 }
 
 // runnersOutdated reports whether the known entries of runners are so old that a runner may have
-// been draining for too long to be given work. Work then waits until the entries are current, which
-// also leaves the processor to the watch that brings them. While the store cannot be reached, waiting
-// would only stop the work that is stored already. That a watch call got no answer in time is no sign
-// of that: on a busy VM its answer may only be late.
+// been draining for too long to be given work. Starts then wait until the entries are current, which
+// also leaves processor time for reading them.
+//
+// While the store cannot be reached the entries cannot become current, so starts do not wait. A watch
+// call without an answer does not mean that: on a busy VM the answer may only be late.
 func (s *Scheduler) runnersOutdated(now time.Time) bool {
 	if s.settings.DrainTimeout <= 0 {
 		return false
--- a/daemon/internal/cellsched/overload_scenarios_test.go
+++ b/daemon/internal/cellsched/overload_scenarios_test.go
@@ -204,7 +204,7 @@
 // exceeds the cell's capacity.
 func TestRandomFaultsUnderOverload(t *testing.T) {
 	runSeeds(t, 4, func(t *testing.T, seed uint64) {
-		testRandomFaults(t, seed, sizeForRunners(randomFaultRunners), directDisturbances)
+		testRandomFaults(t, seed, sizeForRunners(randomFaultRunners), disturbancesWithoutRelays)
 	})
 }
 
@@ -214,17 +214,18 @@
 	runSeeds(t, 6, func(t *testing.T, seed uint64) {
 		size := sizeForRunners(randomFaultRunners)
 		size.vms, size.coresPerVM = 6, randomFaultCores
-		testRandomFaults(t, seed, size, relayDisturbances)
+		testRandomFaults(t, seed, size, disturbancesWithRelays)
 	})
 }
 
 const (
 	randomFaultRunners = 12
-	// randomFaultCores is the capacity of a VM that makes these runners need relays.
+	// randomFaultCores is the cores of each VM in the test with relays. They are so few that the scheduler
+	// needs relays for randomFaultRunners.
 	randomFaultCores = 0.04
-	// directDisturbances is the number of disturbances without relays, relayDisturbances that with them.
-	directDisturbances = 7
-	relayDisturbances  = 9
+	// The last two kinds of disturbance hit relays, so only the test with relays chooses from all kinds.
+	disturbancesWithoutRelays = 7
+	disturbancesWithRelays    = 9
 )
 
 func testRandomFaults(t *testing.T, seed uint64, size deploymentSize, disturbances int) {
--- a/daemon/internal/cellsched/overload_spread_test.go
+++ b/daemon/internal/cellsched/overload_spread_test.go
@@ -17,7 +17,8 @@
 	// spreadCallsPerRunner is how many calls a second a VM serves for each runner: three quarters
 	// of what normal load takes.
 	spreadCallsPerRunner = 4
-	// spreadCores is the capacity of a VM that makes the runners need several relays.
+	// spreadCores is the cores of each VM. They are so few that the scheduler needs several relays for
+	// spreadRunners.
 	spreadCores = 0.1
 )
 
--- a/daemon/internal/cellsched/relays.go
+++ b/daemon/internal/cellsched/relays.go
@@ -18,7 +18,7 @@
 	relayRetryDelay = 20 * time.Millisecond
 )
 
-// RelaySettings tells how a scheduler spreads its calls to runners over other VMs.
+// RelaySettings is what a scheduler needs to have other VMs make its calls to runners.
 type RelaySettings struct {
 	// OwnCores is the capacity of this VM in cores.
 	OwnCores float64
--- a/daemon/internal/relay/calls.go
+++ b/daemon/internal/relay/calls.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// err returns the error of an answer as platform.Runners would have returned it.
+// err returns nil for a call that succeeded, and otherwise the same error that a direct call through
+// platform.Runners returns, or ErrNotPassedOn if the relay did not make the call.
 func (a *Answer) err() error {
 	switch {
 	case a.Refused != "":
--- a/daemon/internal/relay/message.go
+++ b/daemon/internal/relay/message.go
@@ -43,7 +43,8 @@
 	Pace      *Pace  `json:"pace,omitempty"`
 }
 
-// Renew renews the leases on a runner; see platform.RenewLeaseRequest.
+// Renew is a call that renews the leases of all runs on a runner. Its fields have the meaning of those
+// of platform.RenewLeaseRequest.
 type Renew struct {
 	AckedEnd   int64 `json:"acked"`
 	LeaseEndMS int64 `json:"lease_ms,omitempty"`
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -104,7 +104,8 @@
 	return p
 }
 
-// Run selects relays until the context ends, and then ends all sessions.
+// Run keeps sessions with as many relays as the runners need. It returns after the pool's context
+// has ended; calls under way then fail with ErrLost.
 func (p *Pool) Run() {
 	p.workers.Go(p.watch)
 	for p.ctx.Err() == nil {
@@ -137,8 +138,8 @@
 	}
 }
 
-// update selects the relays, begins sessions with new ones, and stops using those that are not selected
-// any more.
+// update selects the relays anew. It begins a session with each new one, retires the sessions with VMs
+// that are relays no more, and shares the runners among the relays.
 func (p *Pool) update(now time.Time) {
 	runners := p.config.Runners()
 	candidates := p.config.Candidates()
--- a/daemon/internal/relay/serversession.go
+++ b/daemon/internal/relay/serversession.go
@@ -17,7 +17,8 @@
 	// cancels holds the functions that cancel the calls under way, by number.
 	cancels map[int64]context.CancelFunc
 	answers []Answer
-	// urgent tells whether something waits for one of the answers.
+	// urgent is set if one of the answers belongs to a call that the scheduler waits for. The next
+	// reply then follows the last one after the shorter of the two gather times.
 	urgent bool
 	// turn numbers the batches. Only the newest one waits for answers.
 	turn int64
--- a/daemon/internal/relay/session.go
+++ b/daemon/internal/relay/session.go
@@ -35,7 +35,8 @@
 
 	mu     sync.Mutex
 	queued []*pendingCall
-	// urgent tells whether something waits for one of the queued calls.
+	// urgent is set if a queued call is one that the scheduler waits for. The next batch then
+	// follows the last one after the shorter of the two gather times.
 	urgent bool
 	// sent holds the calls without an answer, by number.
 	sent      map[int64]*pendingCall
--- a/sched/cell/nameorder.go
+++ b/sched/cell/nameorder.go
@@ -20,7 +20,7 @@
 	levels [freeLevels + 2][]*runner
 }
 
-// reset makes the next use build the order again.
+// reset discards the order. The next call to the advisor builds it again.
 func (o *nameOrder) reset() { o.built = false }
 
 func (o *nameOrder) build(runners []*runner, largest model.Resources) {
--- a/sched/relays/vm.go
+++ b/sched/relays/vm.go
@@ -1,9 +1,10 @@
 // Package relays decides which entry VMs relay the scheduler's calls to the runners, and which of
 // them relays the calls to a runner.
 //
-// In a large cell the calls with all runners take more processor time than one VM has, while the
-// other VMs are idle. With relays, the scheduler's VM exchanges one stream of batches with each
-// of a few VMs. Relays decide nothing and hold no state that has to survive them.
+// In a large cell, calling every runner takes more processor time than the scheduler's VM has, while
+// other VMs are idle. The scheduler then sends batches of calls to a few other VMs, the relays, which
+// make the calls and send back the answers. Relays decide nothing and hold nothing that the cell
+// needs after their loss.
 package relays
 
 // VM is an entry VM that can relay calls.
