Explain the batches of relays and the advice wait in plain words

Cause: a second reading as a newcomer found more comments that need the design to be understood, among them the clock of a batch and the factor that keeps relays. Change: comments only.

--- a/daemon/internal/cellsched/admit.go
+++ b/daemon/internal/cellsched/admit.go
@@ -13,7 +13,7 @@
 	// maxLoadAge is how long a reading of the scheduler's load is valid. The load arrives with
 	// the answer to a heartbeat call, one each helloInterval, of which a few may fail.
 	maxLoadAge = 3 * time.Second
-	// maxPendingAge is how old a reading of the load may be from which pending jobs are told.
+	// maxPendingAge is how old a load report may be to answer questions for pending jobs from it.
 	maxPendingAge = 1500 * time.Millisecond
 	// jobMemoryShare is the share of a VM's memory that the jobs known to the scheduler may
 	// take. The rest is for connections, copies of records that are being written to the
--- a/daemon/internal/cellsched/advice.go
+++ b/daemon/internal/cellsched/advice.go
@@ -41,7 +41,7 @@
 	if term == nil {
 		return AdviceRequest{}, false
 	}
-	// A VM that waited for the scheduler of a term that is over would get no call of the next one.
+	// The wait ends with the term, so that the VM can ask the next scheduler.
 	defer context.AfterFunc(term, cancel)()
 	id, call, ok := s.adviceQueue.waitForCall(ctx, vm)
 	for ok && !s.stillNeeded(&call) {
--- a/daemon/internal/cellsched/decideloop.go
+++ b/daemon/internal/cellsched/decideloop.go
@@ -61,7 +61,7 @@
 	}
 	now := time.Now()
 	if s.relays != nil {
-		// An order waits for a batch, and its answer for another one.
+		// With relays, an order waits until the next batch is sent, and its answer until the next reply.
 		s.orders.setBatching(2 * s.relays.Gather())
 	}
 	maxStarts, paused := s.orders.maxStarts(), s.runnersOutdated(now)
--- a/daemon/internal/relay/pool.go
+++ b/daemon/internal/relay/pool.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// update selects the relays anew. It begins a session with each new one, retires the sessions with VMs
+// update selects the relays again. It begins a session with each new one, retires the sessions with VMs
 // that are relays no more, and shares the runners among the relays.
 func (p *Pool) update(now time.Time) {
 	runners := p.config.Runners()
@@ -266,7 +266,7 @@
 	}
 }
 
-// complete reports whether all selected relays have replied.
+// complete reports whether each selected relay has sent its first reply.
 func (p *Pool) complete() bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/daemon/internal/relay/session.go
+++ b/daemon/internal/relay/session.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	// maxBatchesUnderWay is one that the relay holds and one that carries new calls.
+	// maxBatchesUnderWay is two: one that the relay holds until a call has ended, and one that carries
+	// new calls.
 	maxBatchesUnderWay = 2
 	// silenceLimit is how long a relay may not reply to a batch before it counts as lost. It is counted in
 	// intervals of watchInterval in which this process ran, so that a process that is short of
 	// processor time, and reads replies late, does not take its relays for lost and their calls upon itself.
 	silenceLimit  = holdLimit + 500*time.Millisecond
 	watchInterval = 50 * time.Millisecond
-	// exchangeTimeout ends a batch in any case.
+	// exchangeTimeout is the time limit of a batch, whether or not this process ran.
 	exchangeTimeout = 5 * time.Second
 	// maxBatchAge is how old a batch may be when the relay starts its calls.
 	maxBatchAge = 500 * time.Millisecond
@@ -125,8 +126,8 @@
 	}
 	b := &Batch{Session: x.id, Instance: x.instance, Gather: gather, PatientGather: patient, FencingToken: x.pool.config.FencingToken}
 	if x.instance != "" {
-		// The relay's clock reads at least this much more than in its last reply, so the batch
-		// may count as too old early, but not late.
+		// The reply took time to arrive, so the relay's clock is ahead of this estimate. The relay
+		// may therefore drop a batch a little too early, but never too late.
 		b.NotAfter = x.clock + x.pool.config.Clock() - x.clockAt + maxBatchAge
 		b.Cancelled, x.cancelled = x.cancelled, nil
 		x.addCalls(b)
--- a/sched/relays/select.go
+++ b/sched/relays/select.go
@@ -17,8 +17,8 @@
 	minRelays = 2
 	// maxRelays limits the messages that the scheduler's VM exchanges with relays.
 	maxRelays = 32
-	// keepFactor times the number of runners from which on there are relays is the number below which
-	// there are none any more, so that single runners that come and go do not change that.
+	// keepFactor lowers the number of runners at which relays in use are given up below the number at
+	// which they are introduced, so that single runners that come and go do not switch them on and off.
 	keepFactor = 0.8
 )
 
