--- a/review/standin-2/case_rack.go
+++ b/review/standin-2/case_rack.go
@@ -6,9 +6,11 @@
 )
 
 var setups = map[string]setup{
-	"rack":     {vms: 4, runners: 48},
-	"memory":   {vms: 4, runners: 48, quiet: true},
-	"takeover": {vms: 4, runners: 12},
+	"rack":     {vms: 4, runners: 48, targetMS: 1000},
+	"memory":   {vms: 4, runners: 48, quiet: true, targetMS: 1000},
+	"takeover": {vms: 4, runners: 12, targetMS: 1000},
+	"pending":  {vms: 8, runners: 6, targetMS: 600000},
+	"settings": {vms: 4, runners: 12, targetMS: 1000, advised: true},
 }
 
 const (
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -82,13 +82,19 @@
 }
 
 // configure writes the operator's configuration with one queue.
-func configure(s *store) {
+func configure(s *store, set setup) {
+	route := map[string]any{
+		"name": "jobs", "host": host, "path_prefix": prefix, "service": pool, "priority": 1, "max_attempts": 3,
+		"slack_factor": 2.0, "target_latency_ms": set.targetMS, "timeout_ms": deadline.Milliseconds(),
+	}
+	if set.advised {
+		route["recommendation"] = map[string]any{
+			"decision_ms": adviceBase.Milliseconds(), "per_worker_ms": advicePerNamed.Milliseconds(), "validity_ms": adviceValidity.Milliseconds(),
+		}
+	}
 	s.put("op/config", map[string]any{
-		"version": 3,
-		"routes": []map[string]any{{
-			"name": "jobs", "host": host, "path_prefix": prefix, "service": pool, "priority": 1, "max_attempts": 3,
-			"slack_factor": 2.0, "target_latency_ms": 1000, "timeout_ms": deadline.Milliseconds(),
-		}},
+		"version":  3,
+		"routes":   []map[string]any{route},
 		"services": []map[string]any{{"name": pool, "admission_check": false}},
 		"limits":   map[string]any{"body_bytes": 262144, "header_bytes": 16384},
 	})
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -90,15 +90,19 @@
 	record  *record
 	runners []*runner
 	steps   func(task string) *step
+	// advisor issues the tickets that starts need; nil if they need none.
+	advisor *advisor
 	changed chan struct{}
 	spans   []*span
 	open    map[*run]*span
+	// begunIDs holds the jobs that have had a run.
+	begunIDs map[string]bool
 	// quiet leaves starts and ends of runs out of the record.
 	quiet bool
 }
 
 func newFleet(s *store, r *record, steps func(task string) *step) *fleet {
-	f := &fleet{store: s, record: r, steps: steps, changed: make(chan struct{}), open: make(map[*run]*span)}
+	f := &fleet{store: s, record: r, steps: steps, changed: make(chan struct{}), open: make(map[*run]*span), begunIDs: make(map[string]bool)}
 	go func() {
 		for range time.Tick(runnerTick) {
 			f.mu.Lock()
@@ -170,6 +174,8 @@
 	sp := &span{task: task, runner: r.id, execution: execution, began: now}
 	f.spans = append(f.spans, sp)
 	f.open[x] = sp
+	id, _, _ := strings.Cut(task, ".")
+	f.begunIDs[id] = true
 	if !f.quiet {
 		f.record.logf("run %s execution %d starts on %s (%s)", task, execution, r.id, r.rack)
 	}
@@ -272,6 +278,7 @@
 	Fence     int64  `json:"fencing_token"`
 	LastSeen  int64  `json:"last_seen"`
 	WaitMS    int64  `json:"wait_ms"`
+	Ticket    string `json:"ticket"`
 }
 
 func (r *runner) answer(now time.Time) map[string]any {
@@ -329,6 +336,10 @@
 			refuse("old")
 			return
 		}
+		if f.advisor != nil && !f.advisor.valid(o.Ticket, o.Task, r.id) {
+			refuse("ticket")
+			return
+		}
 		f.begin(now, r, o.Task, o.Execution)
 		reply(w, http.StatusOK, r.answer(now))
 	case "/-/run-stop":
@@ -407,6 +418,13 @@
 	return n
 }
 
+// begunJobs returns how many jobs have had a run.
+func (f *fleet) begunJobs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.begunIDs)
+}
+
 // room is what the runners that are up hold and use, and for how many tasks of a size there is room.
 type room struct {
 	used, whole size
