--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -46,6 +46,8 @@
 	changed  chan struct{}
 	server   *http.Server
 	addr     string
+	// downUntil is until when the store is down: it answers 503, and leases pause.
+	downUntil time.Time
 }
 
 func startStore() (*store, error) {
@@ -77,6 +79,10 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
+	if s.isDown() {
+		reply(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/-/kv-key":
@@ -143,6 +149,23 @@
 	}
 }
 
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil)
+}
+
+// outage makes the store refuse all calls for a time, during which leases pause.
+func (s *store) outage(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downUntil = time.Now().Add(d)
+	for _, l := range s.leases {
+		l.until = l.until.Add(d)
+	}
+	s.signal()
+}
+
 // expire ends the leases whose time has passed.
 func (s *store) expire() {
 	s.mu.Lock()
@@ -259,6 +282,10 @@
 		}
 		changed := s.changed
 		s.mu.Unlock()
+		if s.isDown() {
+			reply(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
