--- a/review/standin-2/case_memory.go
+++ b/review/standin-2/case_memory.go
@@ -10,9 +10,9 @@
 
 const (
 	// burstJobs are sent within burstTime; fewJobs are sent in the same time without the disruption.
-	burstJobs = 285
+	burstJobs = 280
 	fewJobs   = 40
-	burstTime = 7 * time.Second
+	burstTime = 4 * time.Second
 	// repetitions is a time a minute for a day.
 	repetitions = 1440
 	// firstDue is when the first times are due, spread over a minute.
@@ -57,7 +57,7 @@
 		})
 	}
 	wg.Wait()
-	rec.sayf("%d jobs with %d times each were sent in %.1f s; answers by status: %v", jobs, repetitions, time.Since(began).Seconds(), statuses)
+	rec.sayf("%d jobs with %d times each were sent and answered in %.1f s; answers by status: %v", jobs, repetitions, time.Since(began).Seconds(), statuses)
 	// The state of one job is asked for once a second.
 	var asked, answered atomic.Int64
 	n := 0
