Reproduce: runners that restart before they are cut off run tasks twice

Users saw tasks start again after a success that had been noted, on runners that start again under their ids and are cut off soon after.

No test cut a runner off right after its restart, so the first call of a new term or fence always arrived before most late calls. The new test restarts one to three of six runners while calls to them are late, loses the leader in half of the cases, and cuts the runners off from all VMs within 0.8 s and for 5 to 26 s.

--- a/daemon/internal/cellsched/sim_faults_test.go
+++ b/daemon/internal/cellsched/sim_faults_test.go
@@ -1,6 +1,7 @@
 package cellsched
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -89,6 +90,35 @@
 	}
 }
 
+// restartAndCutRunners restarts some runners while calls to them are late, and cuts them off from all VMs soon after, with
+// a change of the leader in between in half of the cases.
+func (s *sim) restartAndCutRunners() {
+	s.fleet.SetFaults(cellrunner.Faults{LostResponseRate: 0.1, DelayRate: 0.25, RefusedStarts: simRefusedStarts()})
+	time.Sleep(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
+	first, n := s.random.IntN(simRunners), 1+s.random.IntN(3)
+	for i := range n {
+		s.crashRunner((first + i) % simRunners)
+	}
+	if s.random.IntN(2) == 0 {
+		if l := s.leader(); l != nil {
+			s.kill(l)
+		}
+	}
+	time.Sleep(time.Duration(s.random.IntN(800)) * time.Millisecond)
+	eachPair := func(change func(vm, runner string)) {
+		for i := range n {
+			for vm := range maxSimVMs {
+				change(fmt.Sprintf("vm%d", vm+1), runnerAddr((first+i)%simRunners))
+			}
+		}
+	}
+	eachPair(s.net.Cut)
+	s.fleet.SetFaults(cellrunner.Faults{RefusedStarts: simRefusedStarts()})
+	time.Sleep(time.Duration(5+s.random.IntN(22)) * time.Second)
+	eachPair(s.net.Heal)
+	time.Sleep(time.Second)
+}
+
 // removeRunner removes a runner permanently.
 func (s *sim) removeRunner(i int) {
 	s.removedRunners++
--- a/daemon/internal/cellsched/sim_random_test.go
+++ b/daemon/internal/cellsched/sim_random_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -34,6 +35,9 @@
 // restart, calls arrive late, the leader is lost, and runners are cut off.
 var restartFaults = []int{1, 5, 5, 6, 8, 8, 8, 8}
 
+// noFaults is a case of startFault that does nothing.
+var noFaults = []int{-1}
+
 // Guards against work that runs twice because a runner that started again under its id executes calls that
 // were meant for its former life: a late start runs there, and a late renewal makes it forget ends.
 func TestRandomRunnerRestarts(t *testing.T) {
@@ -44,6 +48,25 @@
 	})
 }
 
+// Guards against work that runs twice because a runner that started again under its id is cut off before the first
+// call of its new life: late calls of the former one then have seconds to arrive.
+func TestRandomRunnerRestartsBeforeCuts(t *testing.T) {
+	forSimSeeds(t, nil, simRestartSeeds, func(t *testing.T, seed uint64) {
+		s := newSim(t, seed)
+		s.faultKinds = noFaults
+		series := make(chan struct{})
+		go func() {
+			defer close(series)
+			time.Sleep(3 * time.Second)
+			for range 3 {
+				s.restartAndCutRunners()
+			}
+		}()
+		s.run()
+		<-series
+	})
+}
+
 // forSimSeeds runs a simulation for some seeds and for those from 1 to random, or only for the range that
 // SIM_SEEDS names.
 func forSimSeeds(t *testing.T, some []uint64, random int, run func(t *testing.T, seed uint64)) {
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -36,6 +36,10 @@
 	simTasksPerJob = 4
 	simStore       = "store:80"
 	simJobs        = 60
+	// maxSimVMs is more VMs than a run starts, with those that take the place of lost ones.
+	maxSimVMs = 16
+	// simSettleTime is how long after the last job and the last fault all jobs must have finished.
+	simSettleTime = 2 * time.Minute
 	// simAttempts is the queue's maximum number of attempts; the fleet checks that no task
 	// starts more often.
 	simAttempts = 3
@@ -248,7 +252,7 @@
 	for _, end := range ends {
 		end()
 	}
-	time.Sleep(60 * time.Second)
+	time.Sleep(simSettleTime)
 	// The store may be down for most of the time, but a run that accepts hardly any jobs
 	// proves nothing.
 	must.Greater(s.t, simJobs/10, len(s.accepted))
--- a/standin/cellrunner/faults.go
+++ b/standin/cellrunner/faults.go
@@ -4,8 +4,8 @@
 type Faults struct {
 	// LostResponseRate is the share of orders that are executed but not answered.
 	LostResponseRate float64
-	// DelayRate is the share of calls that are not answered and are executed 2 to 6 s later, by
-	// whichever incarnation the runner has then.
+	// DelayRate is the share of calls that are not answered and are executed minCallDelay to maxCallDelay
+	// later, by whichever incarnation the runner has then.
 	DelayRate float64
 	// RefusedStarts makes an incarnation execute late starts that one before it would have refused.
 	RefusedStarts bool
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -38,6 +38,12 @@
 // maxRunLease is the longest lease that an order can give.
 const maxRunLease = 6 * time.Second
 
+// minCallDelay and maxCallDelay bound how much later a delayed call is executed.
+const (
+	minCallDelay = 2 * time.Second
+	maxCallDelay = 12 * time.Second
+)
+
 type order struct {
 	Task           string `json:"task"`
 	Execution      int64  `json:"execution"`
@@ -80,7 +86,7 @@
 	f := r.fleet
 	f.mu.Lock()
 	loseResponse, delayOrder := f.chance(f.faults.LostResponseRate), f.chance(f.faults.DelayRate)
-	delay := 2*time.Second + time.Duration(f.random.Int64N(int64(4*time.Second)))
+	delay := minCallDelay + time.Duration(f.random.Int64N(int64(maxCallDelay-minCallDelay)))
 	f.mu.Unlock()
 	if delayOrder {
 		r.delay(delay, req.URL.Path, o)
