Tell which unanswered calls a restarted runner may still carry out, and why runs are lost

'runner restarted' now counts the starts without an answer and names the end up to which an acknowledgement got none; 'run lost' gives its reason; and 'ends removed unread' is logged, and counted, when the numbers of a new incarnation's ends begin above 1, which only an acknowledgement of a former life explains.

--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -264,17 +264,14 @@
 	}
 }
 
-// loseAllRuns treats all runs of a runner as lost, after its leases have expired or another
-// incarnation has replaced it.
-func (c *Cell) loseAllRuns(now time.Time, r *runner) { c.loseRuns(now, r, r.sortedRuns()) }
-
-// loseRuns treats some runs of a runner as lost.
-func (c *Cell) loseRuns(now time.Time, r *runner, runs []*Run) {
+// loseRuns treats some runs of a runner as lost, after their leases have expired or another runner has taken its
+// address.
+func (c *Cell) loseRuns(now time.Time, r *runner, runs []*Run, reason string) {
 	if len(runs) > 0 {
-		c.event(Event{Kind: EventRunnerLeasesLapsed, Runner: r.info.ID, Count: len(runs)})
+		c.event(Event{Kind: EventRunnerLeasesLapsed, Runner: r.info.ID, Count: len(runs), Detail: reason})
 	}
 	for _, run := range runs {
-		c.handleLostRun(now, r, run)
+		c.handleLostRun(now, r, run, reason)
 	}
 }
 
--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -163,9 +163,9 @@
 
 // handleLostRun handles a run that certainly no longer exists and whose end was not
 // reported.
-func (c *Cell) handleLostRun(now time.Time, r *runner, run *Run) {
+func (c *Cell) handleLostRun(now time.Time, r *runner, run *Run, reason string) {
 	r.removeRun(run)
-	c.event(Event{Kind: EventRunLost, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Age: runAge(now, run)})
+	c.event(Event{Kind: EventRunLost, Task: run.Task, Execution: run.Execution, Runner: r.info.ID, Detail: reason, Age: runAge(now, run)})
 	if run.group == nil {
 		return
 	}
--- a/sched/cell/events.go
+++ b/sched/cell/events.go
@@ -12,6 +12,7 @@
 	EventSilentRunnerAwaited   EventKind = "silent runner awaited"
 	EventRunnerRestarted       EventKind = "runner restarted"
 	EventReportDiscarded       EventKind = "report discarded"
+	EventEndsRemovedUnread     EventKind = "ends removed unread"
 	EventRunnerQuarantined     EventKind = "runner quarantined"
 	EventInheritedRunsKnown    EventKind = "inherited runs known"
 	EventRunAdopted            EventKind = "run adopted"
@@ -32,8 +33,21 @@
 	Detail    string
 	Count     int
 	Age       time.Duration
+	// UnansweredStarts and UnansweredAck tell, when a runner has restarted, how many start orders got no answer, and
+	// up to which end number an acknowledgement got none. The new incarnation may still carry them out.
+	UnansweredStarts int
+	UnansweredAck    int64
 }
 
+// The reasons why a run counts as lost.
+const (
+	lostUnlisted     = "not listed"
+	lostStopped      = "not listed after its stop"
+	lostByRestart    = "not listed after a restart"
+	lostLeaseLapsed  = "lease lapsed"
+	lostWithInstance = "another runner at the address"
+)
+
 func (c *Cell) event(e Event) { c.events = append(c.events, e) }
 
 // TakeEvents returns the events since the last call.
--- a/sched/cell/fence.go
+++ b/sched/cell/fence.go
@@ -33,16 +33,30 @@
 	if !r.fenced {
 		return
 	}
+	event := Event{Kind: EventRunnerRestarted, Runner: r.info.ID, Count: len(r.runs), Detail: noticedBy}
+	if r.sentAck > r.acknowledgedEnd {
+		event.UnansweredAck = r.sentAck
+	}
 	r.fence++
 	r.fenced, r.endsComplete = false, false
-	r.lastEndNumber, r.storedEndNumber, r.acknowledgedEnd, r.unsavedEnds = 0, 0, 0, nil
+	r.lastEndNumber, r.storedEndNumber, r.sentAck, r.acknowledgedEnd, r.unsavedEnds = 0, 0, 0, 0, nil
 	r.failuresInRow, r.quarantinedUntil = 0, time.Time{}
 	for _, run := range r.runs {
 		if run.Phase == Sending || run.Phase == OutcomeUnknown {
+			event.UnansweredStarts++
 			c.holdUnanswered(now, run)
 		}
 	}
-	c.event(Event{Kind: EventRunnerRestarted, Runner: r.info.ID, Count: len(r.runs), Detail: noticedBy})
+	c.event(event)
+}
+
+// checkEndNumber reports ends that the present incarnation of a runner has removed before this scheduler has read
+// them: their numbers are missing before that of the next end. Only of an incarnation that began in this term is
+// the first number known.
+func (c *Cell) checkEndNumber(r *runner, next *ReportedEnd) {
+	if missing := next.Number - r.lastEndNumber - 1; missing > 0 && (r.lastEndNumber > 0 || r.fence > 0) {
+		c.event(Event{Kind: EventEndsRemovedUnread, Runner: r.info.ID, Count: int(missing)})
+	}
 }
 
 // RecordRestart records that the answer to an order showed that the runner had restarted before. The
--- a/sched/cell/fence_test.go
+++ b/sched/cell/fence_test.go
@@ -159,3 +159,31 @@
 	must.Len(t, 1, paces)
 	must.Eq(t, fullPacePercent, paces[0].Percent)
 }
+
+// Guards against ends that are removed unnoticed: a late acknowledgement reaches a later incarnation of the runner.
+func TestEndsRemovedUnreadAreReported(t *testing.T) {
+	w := newTestCell(t, 1)
+	w.cell.SetQueues([]Queue{plainQueue()})
+	w.addJob("0000000000000001", smallStep(1))
+	run := w.stepUntilStart(time.Second)[0].Run
+	w.endRun(run, EndDone)
+	w.writeStates()
+	must.Eq(t, 1, w.cell.EndToAcknowledge("r0"))
+	w.cell.TakeEvents()
+	w.report("r0", Report{Incarnation: 2})
+	w.report("r0", fenced(1, Report{Incarnation: 2, Ended: []ReportedEnd{{Number: 3, Task: run.Task, Execution: run.Execution, Kind: EndDone}}}))
+	var restarted, removed *Event
+	for _, e := range w.cell.TakeEvents() {
+		switch e.Kind {
+		case EventRunnerRestarted:
+			restarted = &e
+		case EventEndsRemovedUnread:
+			removed = &e
+		default:
+		}
+	}
+	must.NotNil(t, restarted)
+	must.Eq(t, 1, restarted.UnansweredAck)
+	must.NotNil(t, removed)
+	must.Eq(t, 2, removed.Count)
+}
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -92,6 +92,7 @@
 	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
 	for i := range rep.Ended {
 		if e := &rep.Ended[i]; e.Number > r.lastEndNumber {
+			c.checkEndNumber(r, e)
 			r.lastEndNumber = e.Number
 			c.handleEnd(now, r, e)
 		}
@@ -189,7 +190,7 @@
 	switch {
 	case run.Fence < r.fence:
 		// The run ended with an incarnation before, and the present one refuses its start order.
-		c.handleLostRun(now, r, run)
+		c.handleLostRun(now, r, run, lostByRestart)
 	case run.Phase == OutcomeUnknown && run.stopSentAt.IsZero() && run.outcomeUnknownSince.Before(sentAt):
 		// A stop order keeps the runner from executing a start order that arrives late.
 		c.orderStop(now, run)
@@ -197,9 +198,9 @@
 			c.stopGang(now, run.group)
 		}
 	case !run.stopAckedAt.IsZero() && run.stopAckedAt.Before(sentAt):
-		c.handleLostRun(now, r, run)
+		c.handleLostRun(now, r, run, lostStopped)
 	case run.Phase == Active && run.confirmedAt.Before(sentAt):
-		c.handleLostRun(now, r, run)
+		c.handleLostRun(now, r, run, lostUnlisted)
 	}
 }
 
@@ -251,7 +252,7 @@
 	}
 	c.noteRestart(now, r, restartByAddress)
 	r.suspect, r.reported, r.endsComplete = true, false, false
-	c.loseAllRuns(now, r)
+	c.loseRuns(now, r, r.sortedRuns(), lostWithInstance)
 	r.leasesExpireAt = now
 }
 
--- a/sched/cell/report_test.go
+++ b/sched/cell/report_test.go
@@ -86,7 +86,7 @@
 	// The slice that a caller holds does not change while runs are removed, for example
 	// when all leases expire.
 	before := r.sortedRuns()
-	w.cell.loseAllRuns(w.now, r)
+	w.cell.loseRuns(w.now, r, r.sortedRuns(), lostLeaseLapsed)
 	must.Len(t, 3, before)
 	must.SliceEmpty(t, indexes())
 }
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -55,8 +55,9 @@
 	unsavedEnds []unsavedEnd
 	// storedEndNumber is the highest end number that the runner may forget.
 	storedEndNumber int64
-	// acknowledgedEnd is the highest end number of which the runner has answered the acknowledgement.
-	acknowledgedEnd int64
+	// sentAck is the highest end number that was acknowledged to the runner, and acknowledgedEnd the highest one
+	// of which it has answered that.
+	sentAck, acknowledgedEnd int64
 	// suspect excludes the runner from new starts until its next report.
 	suspect bool
 	// quarantinedUntil excludes the runner from new starts until then.
--- a/sched/cell/silentrunner.go
+++ b/sched/cell/silentrunner.go
@@ -45,7 +45,7 @@
 			lost = append(lost, run)
 		}
 	}
-	c.loseRuns(now, r, lost)
+	c.loseRuns(now, r, lost, lostLeaseLapsed)
 }
 
 // holdUnanswered records that a call now may have started a run, or renewed its lease, without an answer.
