Keep acknowledgements of ends and starts to one runner apart while either is on its way

Callers saw work run twice: a task started again after a success that had been noted, on a runner that had restarted and was cut off soon after.

Cause: a new incarnation refuses no call before the scheduler's first one. It executed a start that had got no answer, and then an acknowledgement that was meant for its predecessor removed the end unread. The runner listed neither run nor end, so the task counted as lost. A cut keeps the first call away for seconds, in which both arrive. The class: conclusions from what a list lacks while calls that change the list are on their way.

Ends are now acknowledged by a call of their own that does not wait, and only while no start to the runner may arrive: each has been answered by the known incarnation, or listed, or is 13 s old. Starts wait while an acknowledgement is under way. After one without an answer, calls carry the next token, so an incarnation that has executed a later start refuses it. A start whose answer does not tell the incarnation (a runner that was up for less than the last renewal took) counts as on its way until the next report. Starts with a ticket are left out, since a ticket is valid for one incarnation. While starts get no answers a runner lists its ends again; nothing starts there once it lists 250.

Evidence: 'runner restarted' shows unanswered starts and an unanswered acknowledgement in failing runs. The test changed its form: its series ran beside the submissions and raced with them in the fixture.

--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -105,7 +105,7 @@
 // sendStart sends a start order and records its outcome.
 func (s *Scheduler) sendStart(st cell.StartOrder, bytes int) {
 	run := st.Run
-	l, leaseEnd, staleReason := s.prepareStart(st)
+	l, offset, leaseEnd, staleReason := s.prepareStart(st)
 	if staleReason == "" && (l == nil || s.ctx.Err() != nil || !s.mayAct()) {
 		staleReason = "gone"
 	}
@@ -118,7 +118,7 @@
 	sent := time.Now()
 	var clock platform.RunnerClock
 	var overdue atomic.Bool
-	token := s.fencingToken(run.Fence)
+	token := s.fencingToken(offset)
 	err := s.callRunner(bytes, func() {
 		overdue.Store(true)
 		s.loadCounts.startsLate.Add(1)
@@ -135,6 +135,9 @@
 	switch outcome {
 	case cell.StartOK:
 		l.detectRestart(sent, clock)
+		if !l.identifies(time.Now(), clock) {
+			s.exclusive(func() { s.cell.RecordUnidentifiedAnswer(time.Now(), run) })
+		}
 	case cell.StartRefused:
 		s.refusedByFence(err, run.Runner, token)
 	default:
@@ -170,27 +173,55 @@
 // errOverdue is logged for an order whose answer is late; it may still arrive.
 var errOverdue = errors.New("no answer in time")
 
-// prepareStart returns the loop of the order's runner, or nil if the runner was removed, and the
-// end of the lease that the order grants. If the order must no longer be sent, staleReason is
-// the reason and no lease is granted.
-func (s *Scheduler) prepareStart(st cell.StartOrder) (l *runnerLoop, leaseEnd time.Duration, staleReason string) {
+// prepareStart returns the loop of the order's runner, or nil if the runner was removed, the offset of the order's
+// token, and the end of the lease that the order grants. If the order must no longer be sent, staleReason is
+// the reason and no lease is granted. It waits while ends of the runner are being acknowledged.
+func (s *Scheduler) prepareStart(st cell.StartOrder) (l *runnerLoop, offset int64, leaseEnd time.Duration, staleReason string) {
+	for {
+		var blocked <-chan struct{}
+		l, offset, leaseEnd, staleReason, blocked = s.tryPrepareStart(st)
+		if blocked == nil {
+			return l, offset, leaseEnd, staleReason
+		}
+		select {
+		case <-blocked:
+		case <-s.ctx.Done():
+			return l, 0, 0, cell.StaleLate
+		}
+	}
+}
+
+// tryPrepareStart does the work of prepareStart. If the order has to wait, blocked is closed when it may be tried again.
+func (s *Scheduler) tryPrepareStart(st cell.StartOrder) (l *runnerLoop, offset int64, leaseEnd time.Duration, staleReason string, blocked <-chan struct{}) {
 	s.mu.Lock()
 	defer s.unlock()
 	l = s.runnerLoops[st.Run.Runner]
 	now := time.Now()
-	if staleReason = s.cell.StaleStartReason(now, st); staleReason != "" || l == nil {
-		return l, 0, staleReason
+	if l == nil {
+		return nil, 0, 0, s.cell.StaleStartReason(now, st), nil
 	}
 	if s.runnersOutdated(now) {
-		return l, 0, cell.StaleLate
+		return l, 0, 0, cell.StaleLate, nil
+	}
+	offset, staleReason, wait := s.cell.PrepareStart(now, st)
+	if staleReason != "" {
+		return l, 0, 0, staleReason, nil
 	}
-	return l, s.grantLease(l), ""
+	if wait {
+		return l, 0, 0, "", l.callEnded
+	}
+	return l, offset, s.grantLease(l), "", nil
 }
 
 // recordStart records and logs what is known of a start order. After an outcome that is unknown,
 // because the answer is late, it may be called again with the outcome of the late answer.
 func (s *Scheduler) recordStart(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
-	s.exclusive(func() { s.cell.RecordStartOutcome(time.Now(), run, outcome, reason) })
+	s.exclusive(func() {
+		s.cell.RecordStartOutcome(time.Now(), run, outcome, reason)
+		if l := s.runnerLoops[run.Runner]; l != nil {
+			l.noteCallEnded()
+		}
+	})
 	if outcome == cell.StartOK {
 		s.log.Info("[sched] run started", zap.Stringer("task", run.Task), zap.Int64("execution", run.Execution), zap.String("runner", run.Runner))
 		return
--- a/daemon/internal/cellsched/orders_test.go
+++ b/daemon/internal/cellsched/orders_test.go
@@ -159,15 +159,15 @@
 func TestRenewalAfterUnknownOutcomeDoesNotWait(t *testing.T) {
 	o := newOrderTest(t, 0)
 	l := o.s.runnerLoops["r0"]
-	l.setClock(time.Now(), platform.RunnerClock{Reading: time.Minute})
-	waiting, _, _ := l.nextRenewal()
+	l.setClock(time.Now(), time.Now(), platform.RunnerClock{Reading: time.Minute})
+	waiting, _ := l.nextRenewal(true)
 	must.Positive(t, waiting.Wait)
 	l.renewNow()
-	waiting, _, _ = l.nextRenewal()
+	waiting, _ = l.nextRenewal(true)
 	must.Positive(t, waiting.Wait, must.Sprint("an answer that is only late"))
 	l.reportNow()
-	atOnce, _, _ := l.nextRenewal()
+	atOnce, _ := l.nextRenewal(true)
 	must.Eq(t, 0, atOnce.Wait)
-	waiting, _, _ = l.nextRenewal()
+	waiting, _ = l.nextRenewal(true)
 	must.Positive(t, waiting.Wait)
 }
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -35,6 +35,12 @@
 	// maxStoredEndsWait bounds the pause between renewals while some reported ends of runs are
 	// not stored yet.
 	maxStoredEndsWait = 500 * time.Millisecond
+	// maxStartsWait bounds the wait of an acknowledgement for the answers to starts that are under way.
+	maxStartsWait = orderTimeout
+	// barredRenewalInterval is the least interval between the renewals on a runner whose listed ends cannot be
+	// acknowledged for now: it answers them without waiting. barredRenewalsPerSecond bounds them over all runners.
+	barredRenewalInterval   = 250 * time.Millisecond
+	barredRenewalsPerSecond = 1000
 )
 
 // runnerLoop communicates with one runner: it renews the leases of the runner's runs and
@@ -44,14 +50,17 @@
 	id string
 	// draining is the last known value of the runner's entry; the scheduler's lock guards it.
 	draining bool
+	// callEnded is closed and replaced when a start or an acknowledgement has ended; the scheduler's lock guards it.
+	callEnded chan struct{}
 
 	mu   sync.Mutex
 	addr string
-	// clock is the last reading of the runner's clock, which arrived at clockReadAt.
-	clock       time.Duration
-	clockReadAt time.Time
-	// cancelRenewal cancels the renewal in progress.
+	// clock is the last reading of the runner's clock, which arrived at clockReadAt in the answer to a call of clockCalledAt.
+	clock                      time.Duration
+	clockCalledAt, clockReadAt time.Time
+	// cancelRenewal cancels the renewal in progress. acknowledging tells that it acknowledges ends, and so ends soon.
 	cancelRenewal context.CancelFunc
+	acknowledging bool
 	// failing tells whether the last renewal failed. Only the goroutine of run uses it.
 	failing bool
 	// wake ends a wait between two renewals.
@@ -61,7 +70,7 @@
 }
 
 func newRunnerLoop(s *Scheduler, info cell.RunnerInfo) *runnerLoop {
-	return &runnerLoop{s: s, id: info.ID, addr: info.Address, draining: info.Draining, wake: make(chan struct{}, 1)}
+	return &runnerLoop{s: s, id: info.ID, addr: info.Address, draining: info.Draining, wake: make(chan struct{}, 1), callEnded: make(chan struct{})}
 }
 
 func (l *runnerLoop) setAddr(addr string) {
@@ -96,16 +105,24 @@
 	return end
 }
 
-func (l *runnerLoop) setClock(at time.Time, c platform.RunnerClock) {
+func (l *runnerLoop) setClock(calledAt, readAt time.Time, c platform.RunnerClock) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.clock, l.clockReadAt = c.Reading, at
+	l.clock, l.clockCalledAt, l.clockReadAt = c.Reading, calledAt, readAt
 }
 
 // clockSlack allows for a runner clock that is up to 2% slow over the longest time between two
 // readings.
 const clockSlack = 100 * time.Millisecond
 
+// identifies reports whether the clock reading in an answer that arrives now shows that it comes from the incarnation whose
+// clock was read last: one that began after that call was sent cannot have run for so long.
+func (l *runnerLoop) identifies(now time.Time, c platform.RunnerClock) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.clockCalledAt.IsZero() && c.Reading > now.Sub(l.clockCalledAt)
+}
+
 // detectRestart detects from the clock reading in the answer to a call whether the runner has
 // restarted, because the clock of a restarted runner begins at 0. Answers can arrive out of order:
 // the reading was taken after the call was sent, and so is at most that much older than the last
@@ -143,49 +160,76 @@
 	}
 	s.cell.RemoveRunner(l.id)
 	delete(s.runnerLoops, l.id)
+	l.noteCallEnded()
 	signal(s.rosterChanged)
 	s.log.Info("[sched] runner removed", zap.String("runner", l.id))
 	return true
 }
 
+// renewal is the next call that renews the leases of a runner.
+type renewal struct {
+	platform.RenewLeaseRequest
+	// token is the offset of the call's fencing token within the term.
+	token int64
+	// allStored tells that all ends which the runner has reported are stored, and barred that they cannot be
+	// acknowledged for now.
+	allStored, barred bool
+}
+
 // renewLease renews the leases of the runner's runs, and applies the report in its answer.
 func (l *runnerLoop) renewLease() {
 	s := l.s
-	sent := time.Now()
-	request, fence, allAcked := l.nextRenewal()
+	next, startEnded := l.nextRenewal(true)
+	for deadline := time.Now().Add(maxStartsWait); startEnded != nil; {
+		l.waitFor(startEnded, time.Until(deadline))
+		next, startEnded = l.nextRenewal(time.Now().Before(deadline))
+	}
 	if !s.mayAct() {
 		// The term expired because the VM was suspended or waited long for the lock.
+		if next.AckedEnd > 0 {
+			s.exclusive(func() { l.endAcknowledgement(true) })
+		}
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, request.Wait+renewalReplySlack)
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(s.ctx, next.Wait+renewalReplySlack)
 	l.mu.Lock()
-	l.cancelRenewal = cancel
+	l.cancelRenewal, l.acknowledging = cancel, next.AckedEnd > 0
 	l.mu.Unlock()
-	report, clock, err := s.runners.RenewLease(ctx, l.address(), request)
+	report, clock, err := s.runners.RenewLease(ctx, l.address(), next.RenewLeaseRequest)
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	cancel()
+	l.mu.Lock()
+	l.acknowledging = false
+	l.mu.Unlock()
 	if err != nil {
+		if next.AckedEnd > 0 {
+			s.exclusive(func() { l.endAcknowledgement(certainlyNotExecuted(err)) })
+		}
 		if !cancelled {
-			l.renewalFailed(err, request.FencingToken)
+			l.renewalFailed(err, next.FencingToken)
 		}
 		return
 	}
 	now := time.Now()
-	report.Fence, report.AckedEnd = fence, request.AckedEnd
-	l.setClock(now, clock)
+	report.Fence, report.AckedEnd = next.token, next.AckedEnd
+	l.setClock(sent, now, clock)
 	if l.failing {
 		l.failing = false
 		s.log.Info("[sched] renewing the leases of a runner works again", zap.String("runner", l.id))
 	}
 	var endsStored chan struct{}
-	dirty, needsDecision := false, false
+	allStored, dirty, needsDecision := next.allStored, false, false
 	s.exclusive(func() {
 		if !s.cell.HasReported(l.id) {
 			// The roster lists a runner from its first report on.
 			signal(s.rosterChanged)
 		}
 		needsDecision = s.cell.HandleReport(now, sent, l.id, report)
-		if _, allAcked = s.cell.StoredEnds(l.id); !allAcked {
+		if next.AckedEnd > 0 {
+			l.endAcknowledgement(true)
+		}
+		if _, allStored = s.cell.StoredEnds(l.id); !allStored {
 			endsStored = s.endWaiters.subscribe(l.id)
 		}
 		dirty = s.cell.HasDirty()
@@ -196,46 +240,92 @@
 	if dirty {
 		signal(s.statesDirty)
 	}
-	if !allAcked {
+	if !allStored {
 		l.waitForStoredEnds(endsStored)
+	} else if next.barred {
+		l.pause(time.Until(sent.Add(s.barredRenewalInterval())))
 	}
 }
 
-// nextRenewal returns the next request to renew the leases, the fence that it carries, and whether all ends that
-// the runner has reported are stored.
-func (l *runnerLoop) nextRenewal() (request platform.RenewLeaseRequest, fence int64, allAcked bool) {
+// nextRenewal returns the next renewal. If it is to acknowledge ends and starts are under way, it returns a channel
+// instead that is closed when one of them has ended; with waitForStarts unset, the renewal acknowledges nothing then.
+func (l *runnerLoop) nextRenewal(waitForStarts bool) (next renewal, startEnded <-chan struct{}) {
 	s := l.s
 	s.mu.Lock()
 	defer s.unlock()
-	_, allAcked = s.cell.StoredEnds(l.id)
-	fence, confirmed := s.cell.Fence(l.id)
-	request.FencingToken = s.fencingToken(fence)
+	_, next.allStored = s.cell.StoredEnds(l.id)
+	var confirmed bool
+	next.token, confirmed = s.cell.Token(l.id)
+	next.FencingToken = s.fencingToken(next.token)
 	if l.failing || !confirmed {
 		// A runner that does not answer gets no new lease, so its current one lapses. One that has restarted must
 		// answer with its fence first: its clock and the numbers of its ends have begun anew.
-		return request, fence, false
+		s.cell.CancelAcknowledgement(l.id)
+		l.noteCallEnded()
+		next.allStored = false
+		return next, nil
+	}
+	var state cell.AckState
+	switch state, next.AckedEnd = s.cell.BeginAcknowledgement(time.Now(), l.id); {
+	case state == cell.AckAfterStarts && waitForStarts:
+		return next, l.callEnded
+	case state == cell.AckAfterStarts, state == cell.AckBarred:
+		s.cell.CancelAcknowledgement(l.id)
+		l.noteCallEnded()
+		next.barred = true
+	default:
 	}
-	request.LeaseEnd = s.grantLease(l)
-	request.AckedEnd = s.cell.EndToAcknowledge(l.id)
-	if !l.reportDue.Swap(false) && allAcked && request.LeaseEnd > 0 {
+	next.LeaseEnd = s.grantLease(l)
+	reportDue := l.reportDue.Swap(false)
+	if !reportDue && next.AckedEnd == 0 && next.allStored && next.LeaseEnd > 0 {
 		longest := renewalWait
-		if request.Idle = !s.cell.HasRuns(l.id); request.Idle {
+		if next.Idle = !s.cell.HasRuns(l.id); next.Idle {
 			longest = idleRenewalWait
 		}
-		request.Wait = min(longest, s.leaseDuration/minRenewalsPerLease)
+		next.Wait = min(longest, s.leaseDuration/minRenewalsPerLease)
 	}
-	return request, fence, allAcked
+	return next, nil
+}
+
+// noteCallEnded wakes the calls to the runner that wait for others to end. The caller holds s.mu.
+func (l *runnerLoop) noteCallEnded() {
+	close(l.callEnded)
+	l.callEnded = make(chan struct{})
+}
+
+// endAcknowledgement records the end of a call that acknowledges ends. The caller holds s.mu.
+func (l *runnerLoop) endAcknowledgement(answered bool) {
+	l.s.cell.EndAcknowledgement(l.id, answered)
+	l.noteCallEnded()
+}
+
+// certainlyNotExecuted reports whether a call that failed was not executed and never will be.
+func certainlyNotExecuted(err error) bool {
+	var refused *platform.RefusedError
+	return errors.As(err, &refused) || errors.Is(err, platform.ErrNotSent) || errors.Is(err, relay.ErrNotPassedOn)
+}
+
+// barredRenewalInterval returns the interval between renewals on a runner whose ends cannot be acknowledged.
+func (s *Scheduler) barredRenewalInterval() time.Duration {
+	runners := s.listedRunners.Load()
+	return max(barredRenewalInterval, time.Duration(runners)*time.Second/barredRenewalsPerSecond)
 }
 
 // waitForStoredEnds waits until every end that the runner reported is stored, at most
 // maxStoredEndsWait: until then it would repeat these ends in each report. It returns early if a report is
 // needed all the same.
-func (l *runnerLoop) waitForStoredEnds(stored <-chan struct{}) {
-	t := time.NewTimer(maxStoredEndsWait)
+func (l *runnerLoop) waitForStoredEnds(stored <-chan struct{}) { l.waitFor(stored, maxStoredEndsWait) }
+
+// pause waits for some time, or until a report is needed.
+func (l *runnerLoop) pause(d time.Duration) { l.waitFor(nil, d) }
+
+// waitFor waits until the channel is closed, a report is needed, or some time has passed.
+func (l *runnerLoop) waitFor(closed <-chan struct{}, limit time.Duration) {
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-l.s.ctx.Done():
-	case <-stored:
+	case <-closed:
 	case <-l.wake:
 	case <-t.C:
 	}
@@ -280,11 +370,15 @@
 	l.renewNow()
 }
 
-// renewNow cancels the renewal in progress, so that the loop starts the next one at once.
+// renewNow cancels the renewal in progress, so that the loop starts the next one at once. One that acknowledges ends
+// is not cancelled, since it would be without an answer; it does not wait, and the next one will not either.
 func (l *runnerLoop) renewNow() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cancelRenewal != nil {
+	switch {
+	case l.acknowledging:
+		l.reportDue.Store(true)
+	case l.cancelRenewal != nil:
 		l.cancelRenewal()
 	}
 }
--- a/daemon/internal/cellsched/runnerloop_test.go
+++ b/daemon/internal/cellsched/runnerloop_test.go
@@ -52,7 +52,7 @@
 	s.cell.HandleReport(reportedAt, reportedAt, "r0", cell.Report{Incarnation: 1})
 	l := newRunnerLoop(s, info)
 	startedAt := time.Now()
-	l.setClock(startedAt, platform.RunnerClock{Reading: clockReading})
+	l.setClock(startedAt, startedAt, platform.RunnerClock{Reading: clockReading})
 	s.mu.Lock()
 	done := make(chan struct{})
 	go func() {
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -30,6 +30,9 @@
 	leaseLimit = 6 * time.Second
 	// leaseMargin is how far leases stay below the longest lease that runners grant.
 	leaseMargin = 200 * time.Millisecond
+	// lateCallLimit is how long after it was sent a call without an answer may still be carried out: runners are up to
+	// 12 s late, and a relay may hold a call for half a second.
+	lateCallLimit = 13 * time.Second
 	// executionsPerTerm is the size of each term's range of execution numbers; the ranges do
 	// not overlap.
 	executionsPerTerm = 1 << 20
@@ -157,6 +160,7 @@
 			// An earlier scheduler may still grant leases for StoreOutageTolerance. The added
 			// second is more than the cell's margin for slow runner clocks and network delay.
 			InheritedRunTimeout: election.StoreOutageTolerance + lease + time.Second,
+			LateCallLimit:       lateCallLimit,
 			FirstExecution:      (term.Number-1)*executionsPerTerm + 1,
 			RemoteFactor:        set.RemoteFactor,
 		}),
--- a/daemon/internal/cellsched/sim_faults_test.go
+++ b/daemon/internal/cellsched/sim_faults_test.go
@@ -69,6 +69,8 @@
 				s.store.Put(platform.RunnerPrefix+s.runners[i].ID, entry)
 			}
 		}
+	case restartBeforeCutFault:
+		s.restartAndCutRunners()
 	case 10:
 		for _, vm := range s.liveVMs() {
 			s.kill(vm)
@@ -90,8 +92,8 @@
 	}
 }
 
-// restartAndCutRunners restarts some runners while calls to them are late, and cuts them off from all VMs soon after, with
-// a change of the leader in between in half of the cases.
+// restartAndCutRunners restarts some runners while calls to them are late, and cuts them off from all VMs soon after and
+// for a while, with a change of the leader in between in half of the cases.
 func (s *sim) restartAndCutRunners() {
 	s.fleet.SetFaults(cellrunner.Faults{LostResponseRate: 0.1, DelayRate: 0.25, RefusedStarts: simRefusedStarts()})
 	time.Sleep(time.Duration(500+s.random.IntN(1500)) * time.Millisecond)
@@ -114,9 +116,7 @@
 	}
 	eachPair(s.net.Cut)
 	s.fleet.SetFaults(cellrunner.Faults{RefusedStarts: simRefusedStarts()})
-	time.Sleep(time.Duration(5+s.random.IntN(22)) * time.Second)
-	eachPair(s.net.Heal)
-	time.Sleep(time.Second)
+	time.AfterFunc(time.Duration(5+s.random.IntN(22))*time.Second, func() { eachPair(s.net.Heal) })
 }
 
 // removeRunner removes a runner permanently.
--- a/daemon/internal/cellsched/sim_random_test.go
+++ b/daemon/internal/cellsched/sim_random_test.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -35,8 +34,8 @@
 // restart, calls arrive late, the leader is lost, and runners are cut off.
 var restartFaults = []int{1, 5, 5, 6, 8, 8, 8, 8}
 
-// noFaults is a case of startFault that does nothing.
-var noFaults = []int{-1}
+// restartBeforeCutFault is the case of startFault in which runners restart and are cut off soon after.
+const restartBeforeCutFault = 13
 
 // Guards against work that runs twice because a runner that started again under its id executes calls that
 // were meant for its former life: a late start runs there, and a late renewal makes it forget ends.
@@ -53,17 +52,8 @@
 func TestRandomRunnerRestartsBeforeCuts(t *testing.T) {
 	forSimSeeds(t, nil, simRestartSeeds, func(t *testing.T, seed uint64) {
 		s := newSim(t, seed)
-		s.faultKinds = noFaults
-		series := make(chan struct{})
-		go func() {
-			defer close(series)
-			time.Sleep(3 * time.Second)
-			for range 3 {
-				s.restartAndCutRunners()
-			}
-		}()
+		s.faultKinds = []int{restartBeforeCutFault}
 		s.run()
-		<-series
 	})
 }
 
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -37,7 +37,7 @@
 	simStore       = "store:80"
 	simJobs        = 60
 	// maxSimVMs is more VMs than a run starts, with those that take the place of lost ones.
-	maxSimVMs = 16
+	maxSimVMs = 32
 	// simSettleTime is how long after the last job and the last fault all jobs must have finished.
 	simSettleTime = 2 * time.Minute
 	// simAttempts is the queue's maximum number of attempts; the fleet checks that no task
--- a/daemon/internal/cellsched/stalerecords_test.go
+++ b/daemon/internal/cellsched/stalerecords_test.go
@@ -41,12 +41,12 @@
 	interrupted := false
 	l.cancelRenewal = func() { interrupted = true }
 	// The runner answered the order at 999 ms and the lease renewal at 1000 ms of its clock.
-	l.setClock(time.Now(), platform.RunnerClock{Reading: time.Second})
+	l.setClock(time.Now(), time.Now(), platform.RunnerClock{Reading: time.Second})
 	now := time.Now()
 	l.detectRestart(now, platform.RunnerClock{Reading: time.Second - time.Millisecond})
 	// The answer to an order that was sent 900 ms before the renewal was answered.
 	l.detectRestart(now.Add(-900*time.Millisecond), platform.RunnerClock{Reading: 120 * time.Millisecond})
-	_, confirmed := s.cell.Fence("r0")
+	_, confirmed := s.cell.Token("r0")
 	must.True(t, confirmed)
 	must.False(t, interrupted)
 }
@@ -56,12 +56,12 @@
 func TestEarlyRestartIsDetected(t *testing.T) {
 	s := newIdleScheduler(t)
 	l := newReportedRunner(s)
-	l.setClock(time.Now(), platform.RunnerClock{Reading: 400 * time.Millisecond})
+	l.setClock(time.Now(), time.Now(), platform.RunnerClock{Reading: 400 * time.Millisecond})
 	l.detectRestart(time.Now(), platform.RunnerClock{Reading: 10 * time.Millisecond})
-	fence, confirmed := s.cell.Fence("r0")
+	fence, confirmed := s.cell.Token("r0")
 	must.Eq(t, 1, fence)
 	must.False(t, confirmed)
-	request, _, _ := l.nextRenewal()
+	request, _ := l.nextRenewal(true)
 	must.Eq(t, s.term.Number+1, request.FencingToken)
 	must.Eq(t, 0, request.AckedEnd)
 }
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -18,6 +18,8 @@
 	// InheritedRunTimeout bounds how long, counted from the takeover, a runner that cannot
 	// be reached may still execute runs that an earlier scheduler started.
 	InheritedRunTimeout time.Duration
+	// LateCallLimit is how long after it was sent a call without an answer may still be carried out.
+	LateCallLimit time.Duration
 	// FirstExecution is greater than every execution number that earlier schedulers used.
 	FirstExecution int64
 	// RemoteFactor is the slowdown of tasks that run outside the rack of their data or
@@ -44,8 +46,10 @@
 	unrouted map[string][]*unroutedQueue
 	jobs     map[string]*Job
 	runners  map[string]*runner
-	// removedFences holds the fences of removed runners that had restarted; they may come back under their ids.
-	removedFences map[string]int64
+	// removedTokens holds the tokens of removed runners; they may come back under their ids.
+	removedTokens map[string]int64
+	// unsettled holds the start orders that runners may still carry out, by task.
+	unsettled map[TaskRef][]*unsettledStart
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
 	sortedRunners []*runner
 	// newlyStartable holds the groups that became startable since the last decision.
@@ -118,7 +122,7 @@
 		queues:   make(map[string]*Queue),
 		unrouted: make(map[string][]*unroutedQueue),
 		jobs:     make(map[string]*Job),
-		runners:  make(map[string]*runner), removedFences: make(map[string]int64),
+		runners:  make(map[string]*runner), removedTokens: make(map[string]int64), unsettled: make(map[TaskRef][]*unsettledStart),
 		starts: startRate{byPriority: make(map[int]*movingRate)},
 		dirty:  make(map[string]*Job), approvalShares: make(map[string]float64),
 	}
@@ -156,7 +160,8 @@
 func (c *Cell) SetRunner(now time.Time, info RunnerInfo) (restarted bool) {
 	r := c.runners[info.ID]
 	if r == nil {
-		r = &runner{runs: make(map[runKey]*Run), lastReportAt: now, fence: c.removedFences[info.ID]}
+		r = &runner{runs: make(map[runKey]*Run), lastReportAt: now, token: c.removedTokens[info.ID]}
+		r.fence = r.token
 		// An earlier scheduler may have started runs there.
 		r.leasesExpireAt = c.takeoverAt.Add(c.cfg.InheritedRunTimeout)
 		c.runners[info.ID] = r
@@ -215,10 +220,10 @@
 }
 
 // CanRemoveRunner reports whether the runner can be removed: it has no entry, and no run
-// can exist there.
+// can exist there, even if it starts again.
 func (c *Cell) CanRemoveRunner(now time.Time, id string) bool {
 	r := c.runners[id]
-	return r == nil || (!r.listed && len(r.runs) == 0 && now.After(r.leasesExpireAt))
+	return r == nil || (!r.listed && len(r.runs) == 0 && len(r.unsettled) == 0 && now.After(r.leasesExpireAt))
 }
 
 // RemoveRunner removes a runner for which CanRemoveRunner holds.
@@ -228,8 +233,8 @@
 		return
 	}
 	delete(c.runners, id)
-	if r.fence > 0 {
-		c.removedFences[id] = r.fence
+	if r.token > 0 {
+		c.removedTokens[id] = r.token
 	}
 	c.runnersChanged()
 	c.storedRosterStale = c.storedRosterStale || r.inStoredRoster
@@ -255,6 +260,7 @@
 	}
 	c.nextScan = now.Add(scanInterval)
 	for _, r := range c.sortedRunners {
+		c.expireUnsettledStarts(now, r)
 		c.giveUpSilentRunner(now, r)
 		c.retryStops(now, r)
 		c.stopStalledRuns(now, r)
--- a/sched/cell/events.go
+++ b/sched/cell/events.go
@@ -13,6 +13,7 @@
 	EventRunnerRestarted       EventKind = "runner restarted"
 	EventReportDiscarded       EventKind = "report discarded"
 	EventEndsRemovedUnread     EventKind = "ends removed unread"
+	EventAckUnanswered         EventKind = "acknowledgement without an answer"
 	EventRunnerQuarantined     EventKind = "runner quarantined"
 	EventInheritedRunsKnown    EventKind = "inherited runs known"
 	EventRunAdopted            EventKind = "run adopted"
--- a/sched/cell/fence.go
+++ b/sched/cell/fence.go
@@ -9,14 +9,20 @@
 // is concluded from the new incarnation's lists, and nothing starts there, before it has answered a call with its
 // fence; from then on it refuses the earlier calls.
 
-// Fence returns the fence that calls to a runner carry, and whether its present incarnation has answered a call
-// with that fence. It never goes back while the cell exists.
-func (c *Cell) Fence(id string) (fence int64, confirmed bool) {
+// Token returns the token that calls to a runner carry, and whether its present incarnation has answered a call
+// with its fence. The token never goes back while the cell exists.
+func (c *Cell) Token(id string) (token int64, confirmed bool) {
 	r := c.runners[id]
 	if r == nil {
-		return c.removedFences[id], false
+		return c.removedTokens[id], false
 	}
-	return r.fence, r.fenced
+	return r.token, r.fenced
+}
+
+// RestartedSince reports whether a restart of a runner was noticed since a call with the given token was sent.
+func (c *Cell) RestartedSince(id string, token int64) bool {
+	r := c.runners[id]
+	return r == nil || token < r.fence
 }
 
 // The ways in which a restart of a runner is noticed.
@@ -37,7 +43,8 @@
 	if r.sentAck > r.acknowledgedEnd {
 		event.UnansweredAck = r.sentAck
 	}
-	r.fence++
+	r.token++
+	r.fence = r.token
 	r.fenced, r.endsComplete = false, false
 	r.lastEndNumber, r.storedEndNumber, r.sentAck, r.acknowledgedEnd, r.unsavedEnds = 0, 0, 0, 0, nil
 	r.failuresInRow, r.quarantinedUntil = 0, time.Time{}
--- a/sched/cell/fence_test.go
+++ b/sched/cell/fence_test.go
@@ -88,7 +88,7 @@
 			w.addJob("0000000000000001", smallStep(1))
 			// Further signs of the same restart need no other fence.
 			w.cell.RecordRestart(w.now, "r0")
-			fence, confirmed := w.cell.Fence("r0")
+			fence, confirmed := w.cell.Token("r0")
 			must.Eq(t, 1, fence)
 			must.False(t, confirmed)
 			w.cell.HandleReport(w.now, w.now, "r0", Report{Incarnation: 2})
@@ -109,11 +109,11 @@
 	w.report("r0", Report{Incarnation: 2})
 	w.cell.UnlistRunner("r0")
 	w.cell.RemoveRunner("r0")
-	fence, confirmed := w.cell.Fence("r0")
+	fence, confirmed := w.cell.Token("r0")
 	must.Eq(t, 1, fence)
 	must.False(t, confirmed)
 	w.cell.SetRunner(w.now, info)
-	fence, _ = w.cell.Fence("r0")
+	fence, _ = w.cell.Token("r0")
 	must.Eq(t, 1, fence)
 }
 
@@ -168,7 +168,8 @@
 	run := w.stepUntilStart(time.Second)[0].Run
 	w.endRun(run, EndDone)
 	w.writeStates()
-	must.Eq(t, 1, w.cell.EndToAcknowledge("r0"))
+	state, _ := w.cell.BeginAcknowledgement(w.now, "r0")
+	must.Eq(t, AckReady, state)
 	w.cell.TakeEvents()
 	w.report("r0", Report{Incarnation: 2})
 	w.report("r0", fenced(1, Report{Incarnation: 2, Ended: []ReportedEnd{{Number: 3, Task: run.Task, Execution: run.Execution, Kind: EndDone}}}))
--- /dev/null
+++ b/sched/cell/latecalls.go
@@ -0,0 +1,189 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// A call without an answer may be carried out seconds later, by whichever incarnation the runner has then. A new
+// incarnation refuses neither a start nor an acknowledgement before the scheduler's first call to it. If it
+// executes both, the end of the run is gone before anybody has read it, and the task runs again. So a start and an
+// acknowledgement are never both on their way to one runner:
+//
+//   - Ends are acknowledged only while no start is on its way: each has been answered or listed, or is so old that
+//     it cannot arrive any more.
+//   - No start is sent while an acknowledgement waits for its answer. If none came, later starts carry a higher
+//     token, so that an incarnation which has executed one of them refuses the acknowledgement.
+//
+// This does not hold for starts with a ticket, which is valid for one incarnation only.
+
+// unsettledStart is a start order that a runner may still carry out.
+type unsettledStart struct {
+	runner string
+	key    runKey
+	sentAt time.Time
+	// underWay tells that the answer is still awaited.
+	underWay bool
+	// acceptedAt is when the runner accepted the run in an answer that does not tell its incarnation; zero otherwise.
+	acceptedAt time.Time
+}
+
+// PrepareStart is called right before a start order is sent. It returns the token that the order carries. If the order
+// must not be sent, it returns the reason; if it has to wait until an acknowledgement to the runner is answered, it
+// returns blocked. After an order that is sent, RecordStartOutcome must follow.
+func (c *Cell) PrepareStart(now time.Time, st StartOrder) (token int64, staleReason string, blocked bool) {
+	if reason := c.StaleStartReason(now, st); reason != "" {
+		return 0, reason, false
+	}
+	r := c.runners[st.Run.Runner]
+	boundToIncarnation := st.Ticket != ""
+	if !boundToIncarnation && (r.ackUnderWay || r.ackWaiting) {
+		return 0, "", true
+	}
+	st.Run.Fence = r.token
+	if boundToIncarnation {
+		return r.token, "", false
+	}
+	u := &unsettledStart{runner: r.info.ID, key: runKey{st.Run.Task, st.Run.Execution}, sentAt: now, underWay: true}
+	r.unsettled = append(r.unsettled, u)
+	c.unsettled[u.key.task] = append(c.unsettled[u.key.task], u)
+	return r.token, "", false
+}
+
+// RecordUnidentifiedAnswer records that the answer to a start order does not tell which incarnation of the runner has
+// accepted it. The next report does.
+func (c *Cell) RecordUnidentifiedAnswer(now time.Time, run *Run) {
+	if u := c.unsettledStartOf(run); u != nil {
+		u.acceptedAt = now
+	}
+}
+
+// recordAnswer updates what is known of a start order that may still be carried out.
+func (c *Cell) recordAnswer(run *Run, outcome StartOutcome) {
+	u := c.unsettledStartOf(run)
+	if u == nil {
+		return
+	}
+	u.underWay = false
+	if outcome == StartRefused || (outcome == StartOK && u.acceptedAt.IsZero()) {
+		c.settle(u)
+	}
+}
+
+func (c *Cell) unsettledStartOf(run *Run) *unsettledStart {
+	for _, u := range c.unsettled[run.Task] {
+		if u.runner == run.Runner && u.key.execution == run.Execution {
+			return u
+		}
+	}
+	return nil
+}
+
+// settle forgets a start order that cannot be carried out any more.
+func (c *Cell) settle(u *unsettledStart) {
+	same := func(other *unsettledStart) bool { return other == u }
+	if r := c.runners[u.runner]; r != nil {
+		r.unsettled = slices.DeleteFunc(r.unsettled, same)
+	}
+	left := slices.DeleteFunc(c.unsettled[u.key.task], same)
+	if len(left) == 0 {
+		delete(c.unsettled, u.key.task)
+		return
+	}
+	c.unsettled[u.key.task] = left
+}
+
+// settleListedStarts settles the start orders that a report of the present incarnation shows to have been executed.
+func (c *Cell) settleListedStarts(sentAt time.Time, r *runner, rep *Report) {
+	if len(r.unsettled) == 0 {
+		return
+	}
+	listed := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
+	for i := range rep.Running {
+		listed[runKey{rep.Running[i].Task, rep.Running[i].Execution}] = true
+	}
+	for i := range rep.Ended {
+		listed[runKey{rep.Ended[i].Task, rep.Ended[i].Execution}] = true
+	}
+	for _, u := range slices.Clone(r.unsettled) {
+		accepted := !u.acceptedAt.IsZero() && u.acceptedAt.Before(sentAt)
+		if accepted || listed[u.key] {
+			c.settle(u)
+		}
+	}
+}
+
+// mayArrive reports whether a runner may still carry out a start order.
+func (c *Cell) mayArrive(now time.Time, u *unsettledStart) bool {
+	return u.underWay || now.Before(u.sentAt.Add(c.cfg.LateCallLimit))
+}
+
+// expireUnsettledStarts forgets the start orders of a runner that are too old to be carried out.
+func (c *Cell) expireUnsettledStarts(now time.Time, r *runner) {
+	for _, u := range slices.Clone(r.unsettled) {
+		if !c.mayArrive(now, u) {
+			c.settle(u)
+		}
+	}
+}
+
+// AckState tells whether the ends of a runner can be acknowledged.
+type AckState int
+
+// The states of the acknowledgement of ends.
+const (
+	// AckNothing means that there is no end to acknowledge.
+	AckNothing AckState = iota
+	// AckReady means that the acknowledgement is to be sent now.
+	AckReady
+	// AckAfterStarts means that starts are under way, which have to be answered first. No further ones are sent.
+	AckAfterStarts
+	// AckBarred means that a start may still be carried out late.
+	AckBarred
+)
+
+// BeginAcknowledgement returns whether ends of a runner can be acknowledged now, and with AckReady the number of the
+// last of them; EndAcknowledgement must follow. A caller that does not wait for starts that are under way calls
+// CancelAcknowledgement.
+func (c *Cell) BeginAcknowledgement(now time.Time, id string) (AckState, int64) {
+	number := c.EndToAcknowledge(id)
+	if number == 0 {
+		return AckNothing, 0
+	}
+	r := c.runners[id]
+	r.ackWaiting = false
+	underWay := false
+	for _, u := range r.unsettled {
+		if !u.underWay && c.mayArrive(now, u) {
+			return AckBarred, 0
+		}
+		underWay = underWay || u.underWay
+	}
+	if underWay {
+		r.ackWaiting = true
+		return AckAfterStarts, 0
+	}
+	r.ackUnderWay, r.sentAck = true, number
+	return AckReady, number
+}
+
+// CancelAcknowledgement allows starts again after AckAfterStarts.
+func (c *Cell) CancelAcknowledgement(id string) {
+	if r := c.runners[id]; r != nil {
+		r.ackWaiting = false
+	}
+}
+
+// EndAcknowledgement records whether an acknowledgement has been answered, or was certainly not sent. If it may still be
+// on its way, the next calls to the runner carry a higher token.
+func (c *Cell) EndAcknowledgement(id string, answered bool) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.ackUnderWay = false
+	if !answered {
+		r.token++
+		c.event(Event{Kind: EventAckUnanswered, Runner: id, UnansweredAck: r.sentAck, UnansweredStarts: len(r.unsettled)})
+	}
+}
--- /dev/null
+++ b/sched/cell/latecalls_test.go
@@ -0,0 +1,180 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// lateCallCell returns a cell whose calls may be carried out 10 s late.
+func lateCallCell(t *testing.T, runners int) *testCell {
+	w := newTestCell(t, runners)
+	w.cell.cfg.LateCallLimit, w.cell.cfg.MaxLease = 10*time.Second, 6*time.Second
+	w.cell.SetQueues([]Queue{plainQueue()})
+	return w
+}
+
+// send prepares the start orders that a job's tasks get, and returns them.
+func (w *testCell) send(id string, tasks int) []StartOrder {
+	w.addJob(id, smallStep(tasks))
+	starts := w.decideUntilStart(time.Second)
+	must.Len(w.t, tasks, starts)
+	for _, st := range starts {
+		_, reason, blocked := w.cell.PrepareStart(w.now, st)
+		must.Eq(w.t, "", reason)
+		must.False(w.t, blocked)
+	}
+	return starts
+}
+
+// endedRun lets a run of a job of its own end, and stores that.
+func (w *testCell) endedRun(id string) {
+	run := w.send(id, 1)[0].Run
+	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
+	w.endRun(run, EndDone)
+	w.writeStates()
+}
+
+func (w *testCell) ackState(id string) AckState {
+	state, _ := w.cell.BeginAcknowledgement(w.now, id)
+	return state
+}
+
+// Guards against a task that runs again after its success: a new incarnation of its runner executes a start that got no
+// answer, and an acknowledgement that was meant for its predecessor removes the end.
+func TestEndsAreNotAcknowledgedWhileAStartMayArrive(t *testing.T) {
+	for name, c := range map[string]struct {
+		settle func(w *testCell, run *Run)
+		want   AckState
+	}{
+		"unanswered": {func(w *testCell, run *Run) {}, AckBarred},
+		"not listed": {func(w *testCell, run *Run) { w.report("r0", Report{Incarnation: 1}) }, AckBarred},
+		"listed": {func(w *testCell, run *Run) {
+			w.report("r0", Report{Incarnation: 1, Running: []ReportedRun{{Task: run.Task, Execution: run.Execution}}})
+		}, AckReady},
+		"ended":            {func(w *testCell, run *Run) { w.endRun(run, EndStopped) }, AckReady},
+		"answered late":    {func(w *testCell, run *Run) { w.cell.RecordStartOutcome(w.now, run, StartOK, "") }, AckReady},
+		"refused late":     {func(w *testCell, run *Run) { w.cell.RecordStartOutcome(w.now, run, StartRefused, "old") }, AckReady},
+		"stopped":          {func(w *testCell, run *Run) { w.cell.orderStop(w.now, run); w.cell.RecordStopAck(w.now, run) }, AckBarred},
+		"shortly too late": {func(w *testCell, run *Run) { w.now = w.now.Add(10*time.Second - time.Millisecond) }, AckBarred},
+		"too late":         {func(w *testCell, run *Run) { w.now = w.now.Add(10 * time.Second) }, AckReady},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := lateCallCell(t, 1)
+			w.endedRun("0000000000000001")
+			run := w.send("0000000000000002", 1)[0].Run
+			must.Eq(t, AckAfterStarts, w.ackState("r0"))
+			w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+			c.settle(w, run)
+			must.Eq(t, c.want, w.ackState("r0"))
+		})
+	}
+}
+
+// Guards against the same when the restart is not noticed in the answer to the start, because the incarnation before was
+// young as well.
+func TestStartOfUnknownIncarnationIsSettledByTheNextReport(t *testing.T) {
+	w := lateCallCell(t, 1)
+	w.endedRun("0000000000000001")
+	run := w.send("0000000000000002", 1)[0].Run
+	asked := w.now
+	w.now = w.now.Add(10 * time.Millisecond)
+	w.cell.RecordUnidentifiedAnswer(w.now, run)
+	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
+	must.Eq(t, AckBarred, w.ackState("r0"))
+	rep := Report{Incarnation: 1}
+	w.cell.HandleReport(w.now, asked, "r0", rep)
+	must.Eq(t, AckBarred, w.ackState("r0"), must.Sprint("the report was asked for before the answer"))
+	w.cell.HandleReport(w.now, w.now.Add(time.Millisecond), "r0", rep)
+	must.Eq(t, AckReady, w.ackState("r0"))
+}
+
+// Guards against the same with an acknowledgement that is sent first: no start follows before it is answered, and after
+// one without an answer a start carries a token with which a new incarnation refuses the acknowledgement.
+func TestStartsDoNotMeetAnEarlierAcknowledgement(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			w := lateCallCell(t, 1)
+			w.endedRun("0000000000000001")
+			w.addJob("0000000000000002", smallStep(1))
+			st := w.decideUntilStart(time.Second)[0]
+			before, _ := w.cell.Token("r0")
+			must.Eq(t, AckReady, w.ackState("r0"))
+			_, reason, blocked := w.cell.PrepareStart(w.now, st)
+			must.Eq(t, "", reason)
+			must.True(t, blocked)
+			w.cell.EndAcknowledgement("r0", answered)
+			token, reason, blocked := w.cell.PrepareStart(w.now, st)
+			must.Eq(t, "", reason)
+			must.False(t, blocked)
+			must.Eq(t, answered, token == before)
+			must.GreaterEq(t, before, token)
+			must.False(t, w.cell.RestartedSince("r0", before))
+		})
+	}
+}
+
+// Guards against ends that are never acknowledged because starts follow each other without a pause.
+func TestAcknowledgementHoldsBackFurtherStarts(t *testing.T) {
+	w := lateCallCell(t, 1)
+	w.endedRun("0000000000000001")
+	run := w.send("0000000000000002", 1)[0].Run
+	w.addJob("0000000000000003", smallStep(1))
+	next := w.decideUntilStart(time.Second)[0]
+	must.Eq(t, AckAfterStarts, w.ackState("r0"))
+	_, _, blocked := w.cell.PrepareStart(w.now, next)
+	must.True(t, blocked)
+	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
+	must.Eq(t, AckReady, w.ackState("r0"))
+	w.cell.EndAcknowledgement("r0", true)
+	_, _, blocked = w.cell.PrepareStart(w.now, next)
+	must.False(t, blocked)
+}
+
+// Guards against ends that nobody sees because the list of unacknowledged ends is full: nothing starts on a runner that
+// lists many, until the starts without an answer are too old to arrive.
+func TestNothingStartsWhileManyEndsAreListed(t *testing.T) {
+	w := lateCallCell(t, 1)
+	rep := Report{Incarnation: 1}
+	for n := range maxListedEnds {
+		rep.Ended = append(rep.Ended, ReportedEnd{Number: int64(n + 1), Task: TaskRef{Job: "00000000000000ff"}, Execution: 1, Kind: EndDone})
+	}
+	w.report("r0", rep)
+	w.addJob("0000000000000001", smallStep(1))
+	must.SliceEmpty(t, w.decideUntilStart(time.Second))
+	rep.Ended = rep.Ended[1:]
+	w.report("r0", rep)
+	must.Len(t, 1, w.decideUntilStart(time.Second))
+}
+
+// Guards against acknowledgements that wait for starts which cannot reach a later incarnation: their tickets are valid
+// for one.
+func TestStartsWithTicketsBarNoAcknowledgement(t *testing.T) {
+	w := lateCallCell(t, 1)
+	w.endedRun("0000000000000001")
+	w.cell.SetQueues([]Queue{advisedQueue()})
+	w.addJob("0000000000000002", smallStep(1))
+	st := w.decideUntilStart(time.Second)[0]
+	must.NotEq(t, "", st.Ticket)
+	_, _, blocked := w.cell.PrepareStart(w.now, st)
+	must.False(t, blocked)
+	must.Eq(t, AckReady, w.ackState("r0"))
+}
+
+// Guards against a runner that is forgotten with its token, or with a start that its next incarnation may execute.
+func TestRunnerIsKeptWhileAStartMayArrive(t *testing.T) {
+	w := lateCallCell(t, 1)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	w.cell.UnlistRunner("r0")
+	w.cell.MarkReplaced(w.now, "r0")
+	w.now = w.now.Add(time.Second)
+	must.False(t, w.cell.CanRemoveRunner(w.now, "r0"))
+	for range 40 {
+		w.now = w.now.Add(time.Second)
+		w.cell.Tick(w.now)
+	}
+	must.True(t, w.cell.CanRemoveRunner(w.now, "r0"))
+	must.MapEmpty(t, w.cell.unsettled)
+}
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -65,6 +65,7 @@
 // RecordStartOutcome records the outcome of a start order; for StartRefused, reason tells why
 // the order was not sent or the runner refused it.
 func (c *Cell) RecordStartOutcome(now time.Time, run *Run, outcome StartOutcome, reason string) {
+	c.recordAnswer(run, outcome)
 	r := c.runners[run.Runner]
 	if r == nil || r.runs[runKey{run.Task, run.Execution}] != run {
 		return
@@ -128,7 +129,7 @@
 	if !ok {
 		return staleTicket
 	}
-	if ticket != st.Ticket || r.incarnation != run.Incarnation || r.fence != run.Fence || !r.usable(now) {
+	if ticket != st.Ticket || r.incarnation != run.Incarnation || run.Fence < r.fence || !r.usable(now) {
 		return StaleLate
 	}
 	return ""
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -233,7 +233,7 @@
 	}
 	t.lastExecution = execution
 	run := &Run{
-		Task: g.taskRef(index), Execution: execution, Runner: r.info.ID, Incarnation: r.incarnation, Fence: r.fence,
+		Task: g.taskRef(index), Execution: execution, Runner: r.info.ID, Incarnation: r.incarnation, Fence: r.token,
 		Phase: Sending, Started: now, group: g, claimed: g.claim(), pacePercent: fullPacePercent,
 	}
 	r.addRun(run)
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -54,6 +54,10 @@
 // so the absence of a run from the report then does not prove that the run left no end.
 const maxEndsPerReport = 500
 
+// maxListedEnds is the number of listed ends from which on nothing starts on a runner: its ends cannot be acknowledged
+// while starts get no answers, and the list must not become full.
+const maxListedEnds = maxEndsPerReport / 2
+
 // HandleReport updates the cell from a runner's report; sentAt is when the report was
 // requested. It reports whether a decision may have something to do because of it. Most reports of
 // a large cell only show that runs go on.
@@ -81,6 +85,7 @@
 		return
 	}
 	r.fenced, r.suspect, r.incarnation = true, false, rep.Incarnation
+	c.settleListedStarts(sentAt, r, &rep)
 	r.acknowledgedEnd = max(r.acknowledgedEnd, rep.AckedEnd)
 	if !r.reported {
 		// From now on the runner refuses orders of earlier schedulers, so no run there has
@@ -88,7 +93,7 @@
 		r.leasesExpireAt = now.Add(c.cfg.Lease + leaseMargin(c.cfg.Lease))
 		c.runnersChanged()
 	}
-	r.reported = true
+	r.reported, r.listedEnds = true, len(rep.Ended)
 	sort.Slice(rep.Ended, func(i, k int) bool { return rep.Ended[i].Number < rep.Ended[k].Number })
 	for i := range rep.Ended {
 		if e := &rep.Ended[i]; e.Number > r.lastEndNumber {
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -43,7 +43,7 @@
 	Execution   int64
 	Runner      string
 	Incarnation int64
-	// Fence is the runner's fence when the run was ordered or last listed; the start order carries it.
+	// Fence is the token of the start order, or the runner's fence when the run was last listed after a restart.
 	Fence   int64
 	Phase   RunPhase
 	Started time.Time
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -35,10 +35,15 @@
 	// incarnation.
 	reported    bool
 	incarnation int64
-	// fence numbers the incarnations that this scheduler has noticed, and fenced tells whether the present
-	// one has answered a call with it; see fence.go.
-	fence  int64
-	fenced bool
+	// token is what calls to the runner carry now. fence is the token with which the present incarnation was noticed,
+	// and fenced tells whether that has answered a call with it or a higher one; see fence.go.
+	token, fence int64
+	fenced       bool
+	// unsettled holds the start orders that the runner may still carry out; see latecalls.go.
+	unsettled []*unsettledStart
+	// ackUnderWay tells that an acknowledgement of ends waits for its answer, and ackWaiting that one waits for the
+	// answers to starts. Either holds back further starts.
+	ackUnderWay, ackWaiting bool
 	// endsComplete tells whether a report of the present incarnation to this scheduler listed all ends
 	// that were not acknowledged: a runner lists only maxEndsPerReport at a time.
 	endsComplete bool
@@ -49,6 +54,8 @@
 	sortedCache []*Run
 	// endOrderCache holds the result of byExpectedEnd; nil if it has to be rebuilt.
 	endOrderCache []*Run
+	// listedEnds is the number of ends in the last report, at most maxEndsPerReport.
+	listedEnds int
 	// lastEndNumber is the number of the last reported end that was handled.
 	lastEndNumber int64
 	// unsavedEnds holds the handled ends that may not be stored yet, in order.
@@ -123,7 +130,8 @@
 
 // usable reports whether new tasks may start on the runner.
 func (r *runner) usable(now time.Time) bool {
-	return r.listed && r.inStoredRoster && r.reported && r.fenced && r.entryIsCurrent() && !r.suspect && !r.info.Draining && !now.Before(r.quarantinedUntil)
+	return r.listed && r.inStoredRoster && r.reported && r.fenced && r.entryIsCurrent() && !r.suspect && !r.info.Draining && !now.Before(r.quarantinedUntil) &&
+		r.listedEnds < maxListedEnds
 }
 
 // entryIsCurrent reports whether the known entry is that of the incarnation which reported last. A runner
--- a/sched/cell/saved.go
+++ b/sched/cell/saved.go
@@ -163,11 +163,9 @@
 // acknowledgement. A call that acknowledges nothing does no harm if the next incarnation executes it.
 func (c *Cell) EndToAcknowledge(id string) int64 {
 	number, _ := c.StoredEnds(id)
-	r := c.runners[id]
-	if r == nil || number <= r.acknowledgedEnd {
+	if r := c.runners[id]; r == nil || number <= r.acknowledgedEnd {
 		return 0
 	}
-	r.sentAck = number
 	return number
 }
 
--- a/sched/cell/testcell_test.go
+++ b/sched/cell/testcell_test.go
@@ -44,9 +44,9 @@
 // report answers the scheduler's call to a runner, and at once the next one if that carries another fence.
 func (w *testCell) report(id string, rep Report) {
 	for range 2 {
-		rep.Fence, _ = w.cell.Fence(id)
+		rep.Fence, _ = w.cell.Token(id)
 		w.cell.HandleReport(w.now, w.now, id, rep)
-		if _, confirmed := w.cell.Fence(id); confirmed {
+		if _, confirmed := w.cell.Token(id); confirmed {
 			return
 		}
 	}
