Start a task nowhere else while an unanswered start of it may still be carried out

A task could run on two runners: its start got no answer and was stopped, or given up with a silent runner, the task was started elsewhere, and a new incarnation of the first runner, which knows of no stop, executed the start.

Cause: a stop, and the absence from a list, bind one incarnation. The scheduler took them for the end of a start that the next incarnation may execute.

Until the start has been listed, or can't arrive any more, the task starts only on the same runner, with a higher execution. There a late start is refused; if the runner restarts, the later run ends with it. A runner that isn't heard may run a late start for one more lease. Bound members of a gang keep their runners and the others are placed around them. 'jobs why' says so (earlier_start). Waiting for every unanswered start would hold back all of them; on the same runner they go on at once.

A new scheduler does not know which starts its predecessor left unanswered; these are left. The tests of latecalls_test.go fail if no task is bound.

--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -182,7 +182,7 @@
 	}
 	chosen := g.reservedRunners
 	if len(chosen) == 0 {
-		chosen = c.planGang(now, g, func(*runner) bool { return true })
+		chosen = c.planGang(now, g, c.boundMembers(g), func(*runner) bool { return true })
 	}
 	call := g.queue.Advice.CallTime(g.runnersPerCall(len(slices.Compact(slices.Clone(chosen)))))
 	if len(g.reservedRunners) > 0 && g.reservationFreeAfter(now) > call {
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -204,6 +204,7 @@
 func (c *Cell) RenewLease(now time.Time, id string) {
 	if r := c.runners[id]; r != nil {
 		r.extendLease(now, c.cfg.Lease)
+		r.leaseGrantedAt = now
 		for _, run := range r.runs {
 			if run.Phase == OutcomeUnknown {
 				c.holdUnanswered(now, run)
--- a/sched/cell/explain.go
+++ b/sched/cell/explain.go
@@ -34,6 +34,7 @@
 	reasonAdvice     = "advice"
 	reasonNoRunner   = "no_runner_fits"
 	reasonNoCapacity = "no_capacity"
+	reasonBound      = "earlier_start"
 	// reasonEarlierAttempt and reasonPaused are only those of gangs.
 	reasonEarlierAttempt = "earlier_attempt"
 	reasonPaused         = "paused"
@@ -107,6 +108,10 @@
 	case g.queue.Advice != nil && len(g.advice.permitted) == 0:
 		return say(reasonAdvice, "the advisor approved none of the %d runners that were named.", len(g.advice.asked))
 	}
+	if n, runner := c.boundTasks(g); n > 0 && (g.spec.Gang || n == g.waitingTasks) {
+		return say(reasonBound, "an earlier start of %d of %d tasks got no answer and may still be carried out, so for now they start nowhere else than there (%s).",
+			n, len(g.tasks), runner)
+	}
 	if g.spec.Gang {
 		why := c.explainGang(now, wall, g)
 		why.Rejected = rejected
--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -14,9 +14,13 @@
 		// Runs of an earlier attempt have not ended yet.
 		return false
 	}
-	plan := c.reservedPlan(now, g)
+	bound := c.boundMembers(g)
+	var plan []*runner
+	if bound == nil {
+		plan = c.reservedPlan(now, g)
+	}
 	if plan == nil {
-		plan = c.planGang(now, g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
+		plan = c.planGang(now, g, bound, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
 	}
 	if plan == nil {
 		return false
@@ -42,13 +46,31 @@
 	return g.reservedRunners
 }
 
+// boundMembers returns the runners of the gang members that may start on one runner only, by the index of the task; nil if
+// there are none.
+func (c *Cell) boundMembers(g *group) map[int]string {
+	if len(c.unsettled) == 0 {
+		return nil
+	}
+	var bound map[int]string
+	for i := range g.tasks {
+		if id := c.boundRunner(g.taskRef(i)); id != "" {
+			if bound == nil {
+				bound = make(map[int]string)
+			}
+			bound[i] = id
+		}
+	}
+	return bound
+}
+
 // planGang returns a runner for each task, or nil if the gang does not fit. It uses runners on which
 // a member failed only if the gang does not fit on the others.
-func (c *Cell) planGang(now time.Time, g *group, permitted func(*runner) bool) []*runner {
+func (c *Cell) planGang(now time.Time, g *group, bound map[int]string, permitted func(*runner) bool) []*runner {
 	candidates := c.eligible(now, g, permitted)
 	oneRack := c.fitsOneRack(g)
-	if len(g.failedOn) == 0 {
-		return g.planOn(candidates, oneRack)
+	if len(g.failedOn) == 0 || bound != nil {
+		return g.planOn(candidates, bound, oneRack)
 	}
 	others := make([]*runner, 0, len(candidates))
 	for _, r := range candidates {
@@ -56,10 +78,10 @@
 			others = append(others, r)
 		}
 	}
-	if plan := g.planOn(others, oneRack); plan != nil {
+	if plan := g.planOn(others, nil, oneRack); plan != nil {
 		return plan
 	}
-	return g.planOn(candidates, oneRack)
+	return g.planOn(candidates, nil, oneRack)
 }
 
 // fitsOneRack reports whether a gang is to be placed within one rack: it is slow if it spans racks, and a
@@ -97,9 +119,9 @@
 }
 
 // planOn plans a gang on the given runners, if oneRack is set within one rack; see planGang.
-func (g *group) planOn(candidates []*runner, oneRack bool) []*runner {
+func (g *group) planOn(candidates []*runner, bound map[int]string, oneRack bool) []*runner {
 	if !oneRack {
-		return g.packGang(candidates)
+		return g.packGang(candidates, bound)
 	}
 	racks := make(map[string][]*runner)
 	var names []string
@@ -110,7 +132,7 @@
 		racks[r.info.Rack] = append(racks[r.info.Rack], r)
 	}
 	for _, name := range names {
-		if plan := g.packGang(racks[name]); plan != nil {
+		if plan := g.packGang(racks[name], bound); plan != nil {
 			return plan
 		}
 	}
@@ -121,22 +143,38 @@
 func byAvailableCPU(a, b *runner) int { return cmp.Compare(b.available.MilliCPU, a.available.MilliCPU) }
 
 // packGang assigns the tasks of the gang to runners, those with the least available CPU
-// first.
-func (g *group) packGang(candidates []*runner) []*runner {
+// first. Bound members are assigned to their runners.
+func (g *group) packGang(candidates []*runner, bound map[int]string) []*runner {
 	slices.SortStableFunc(candidates, func(a, b *runner) int { return byAvailableCPU(b, a) })
-	plan := make([]*runner, 0, len(g.tasks))
+	plan, boundOn := make([]*runner, len(g.tasks)), make(map[string]int)
+	for _, id := range bound {
+		boundOn[id]++
+	}
+	next, assigned := 0, 0
 	for _, r := range candidates {
-		left, n := r.available, 0
-		for len(plan) < len(g.tasks) && g.claim().Fits(left) {
-			if g.spec.MaxPerRunner > 0 && n >= g.spec.MaxPerRunner {
+		places := g.places(r.available)
+		if places < boundOn[r.info.ID] {
+			return nil
+		}
+		for i, id := range bound {
+			if id == r.info.ID {
+				plan[i] = r
+				assigned++
+			}
+		}
+		for places -= boundOn[r.info.ID]; places > 0; places-- {
+			for next < len(plan) && bound[next] != "" {
+				next++
+			}
+			if next == len(plan) {
 				break
 			}
-			plan = append(plan, r)
-			left = left.Sub(g.claim())
-			n++
+			plan[next] = r
+			assigned++
+			next++
 		}
 	}
-	if len(plan) < len(g.tasks) {
+	if assigned < len(plan) {
 		return nil
 	}
 	return plan
--- a/sched/cell/latecalls.go
+++ b/sched/cell/latecalls.go
@@ -15,7 +15,10 @@
 //   - No start is sent while an acknowledgement waits for its answer. If none came, later starts carry a higher
 //     token, so that an incarnation which has executed one of them refuses the acknowledgement.
 //
-// This does not hold for starts with a ticket, which is valid for one incarnation only.
+// A task whose start is on its way to a runner starts nowhere else meanwhile: a new incarnation executes the start even
+// if its predecessor was made to refuse it.
+//
+// None of this holds for starts with a ticket, which is valid for one incarnation only.
 
 // unsettledStart is a start order that a runner may still carry out.
 type unsettledStart struct {
@@ -118,15 +121,50 @@
 	return u.underWay || now.Before(u.sentAt.Add(c.cfg.LateCallLimit))
 }
 
+// mayRun reports whether a start order may still be carried out, or its run may exist on a runner that is not heard.
+// Renewals that arrive late prolong its lease.
+func (c *Cell) mayRun(now time.Time, r *runner, u *unsettledStart) bool {
+	if c.mayArrive(now, u) {
+		return true
+	}
+	lastArrival := u.sentAt
+	if r.fenced && r.lastReportSentAt.After(lastArrival.Add(c.cfg.LateCallLimit)) {
+		return false
+	}
+	if r.leaseGrantedAt.After(lastArrival) {
+		lastArrival = r.leaseGrantedAt
+	}
+	return now.Before(lastArrival.Add(c.cfg.LateCallLimit + c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease)))
+}
+
 // expireUnsettledStarts forgets the start orders of a runner that are too old to be carried out.
 func (c *Cell) expireUnsettledStarts(now time.Time, r *runner) {
 	for _, u := range slices.Clone(r.unsettled) {
-		if !c.mayArrive(now, u) {
+		if !c.mayRun(now, r, u) {
 			c.settle(u)
 		}
 	}
 }
 
+// boundRunner returns the only runner on which a task may start now, because an earlier start of it may still be
+// carried out there; "" if it may start on any.
+func (c *Cell) boundRunner(task TaskRef) string {
+	if started := c.unsettled[task]; len(started) > 0 {
+		return started[0].runner
+	}
+	return ""
+}
+
+// boundTasks returns how many waiting tasks of a group may start on one runner only, and one of these runners.
+func (c *Cell) boundTasks(g *group) (n int, runner string) {
+	for _, i := range g.waitingIndexes() {
+		if id := c.boundRunner(g.taskRef(i)); id != "" {
+			n, runner = n+1, id
+		}
+	}
+	return n, runner
+}
+
 // AckState tells whether the ends of a runner can be acknowledged.
 type AckState int
 
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -178,3 +178,110 @@
 	must.True(t, w.cell.CanRemoveRunner(w.now, "r0"))
 	must.MapEmpty(t, w.cell.unsettled)
 }
+
+// loseUnanswered makes a sent start count as lost: it got no answer, is not listed, and its stop is acknowledged.
+func (w *testCell) loseUnanswered(run *Run) {
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	w.now = w.now.Add(time.Millisecond)
+	w.report(run.Runner, Report{Incarnation: 1})
+	w.cell.RecordStopAck(w.now, run)
+	w.now = w.now.Add(time.Millisecond)
+	w.cell.HandleReport(w.now, w.now, run.Runner, fenced(w.fence(run.Runner), Report{Incarnation: 1}))
+	must.MapEmpty(w.t, w.cell.runners[run.Runner].runs)
+}
+
+func (w *testCell) fence(id string) int64 {
+	token, _ := w.cell.Token(id)
+	return token
+}
+
+// drain makes a runner announce that it drains, or that it is ready again.
+func (w *testCell) drain(id string, draining bool) {
+	info := w.cell.runners[id].info
+	info.Draining = draining
+	w.cell.SetRunner(w.now, info)
+}
+
+// Guards against a task that runs on two runners: its start got no answer and was stopped, it was started elsewhere, and a
+// new incarnation of the first runner, which knows of no stop, executes the start.
+func TestTaskWhoseStartMayArriveStartsNowhereElse(t *testing.T) {
+	w := lateCallCell(t, 2)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.loseUnanswered(run)
+	w.drain(run.Runner, true)
+	must.SliceEmpty(t, w.decideUntilStart(2*time.Second))
+	view, _ := w.cell.JobView(w.now, w.now, "0000000000000001")
+	must.Eq(t, reasonBound, view.Why.Reason)
+	w.drain(run.Runner, false)
+	again := w.decideUntilStart(time.Second)
+	must.Len(t, 1, again)
+	must.Eq(t, run.Runner, again[0].Run.Runner)
+	must.Greater(t, run.Execution, again[0].Run.Execution)
+}
+
+// Guards against a task that waits for a start which cannot arrive any more.
+func TestTaskStartsElsewhereOnceItsStartCannotArrive(t *testing.T) {
+	const limit = 10 * time.Second
+	for name, c := range map[string]struct {
+		// heard tells that the runner reports after the limit.
+		heard bool
+		want  time.Duration
+	}{
+		"its runner is heard":  {true, limit},
+		"its runner is silent": {false, limit + 6*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := lateCallCell(t, 2)
+			begin := w.now
+			run := w.send("0000000000000001", 1)[0].Run
+			w.loseUnanswered(run)
+			w.drain(run.Runner, true)
+			var again []StartOrder
+			for again == nil {
+				must.Less(t, time.Minute, w.now.Sub(begin))
+				again = w.decideUntilStart(200 * time.Millisecond)
+				if c.heard {
+					w.report(run.Runner, Report{Incarnation: 1})
+				}
+			}
+			must.NotEq(t, run.Runner, again[0].Run.Runner)
+			must.Between(t, c.want, w.now.Sub(begin), c.want+1500*time.Millisecond)
+		})
+	}
+}
+
+// Guards against the same for a member of a gang, and against a gang that never starts because the other members take
+// the place of that member.
+func TestGangMemberWhoseStartMayArriveKeepsItsRunner(t *testing.T) {
+	w := lateCallCell(t, 3)
+	w.addJob("0000000000000001", gangFillingRunners(2))
+	starts := w.decideUntilStart(time.Second)
+	must.Len(t, 2, starts)
+	for _, st := range starts {
+		_, _, blocked := w.cell.PrepareStart(w.now, st)
+		must.False(t, blocked)
+	}
+	late, other := starts[1].Run, starts[0].Run
+	w.cell.RecordStartOutcome(w.now, other, StartOK, "")
+	w.loseUnanswered(late)
+	w.endRun(other, EndStopped)
+	w.drain(late.Runner, true)
+	must.SliceEmpty(t, w.decideUntilStart(2*time.Second))
+	w.drain(late.Runner, false)
+	again := w.decideUntilStart(3 * time.Second)
+	must.Len(t, 2, again)
+	must.Eq(t, late.Runner, again[late.Task.Index].Run.Runner)
+	must.NotEq(t, late.Runner, again[other.Task.Index].Run.Runner)
+}
+
+// Guards against a task with two starts that may arrive, of which only one is remembered.
+func TestEachStartThatMayArriveBindsItsTask(t *testing.T) {
+	w := lateCallCell(t, 2)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.loseUnanswered(run)
+	second := w.decideUntilStart(time.Second)[0]
+	w.cell.PrepareStart(w.now, second)
+	w.cell.RecordStartOutcome(w.now, second.Run, StartRefused, "room")
+	must.Eq(t, run.Runner, w.cell.boundRunner(run.Task))
+	must.Eq(t, AckNothing, w.ackState(run.Runner))
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"rhubarbstall.example/sched/model"
@@ -175,6 +176,12 @@
 			c.startsHeldBack = true
 			return
 		}
+		if bound := c.boundRunner(g.taskRef(index)); bound != "" {
+			if r := c.bestFit(g, only(candidates, bound)); r != nil {
+				c.orderStart(now, g, index, r, d)
+			}
+			continue
+		}
 		r := c.bestFit(g, candidates)
 		if r == nil {
 			return
@@ -183,6 +190,15 @@
 	}
 }
 
+// only returns the runner with the given id, if it is among the candidates.
+func only(candidates []*runner, id string) []*runner {
+	i := slices.IndexFunc(candidates, func(r *runner) bool { return r.info.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return candidates[i : i+1]
+}
+
 func (c *Cell) bestFit(g *group, candidates []*runner) *runner {
 	var best *runner
 	bestLeft := int64(1 << 62)
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -85,6 +85,7 @@
 		return
 	}
 	r.fenced, r.suspect, r.incarnation = true, false, rep.Incarnation
+	r.lastReportSentAt = sentAt
 	c.settleListedStarts(sentAt, r, &rep)
 	r.acknowledgedEnd = max(r.acknowledgedEnd, rep.AckedEnd)
 	if !r.reported {
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -72,7 +72,11 @@
 	failuresInRow    int
 	// leasesExpireAt is when the leases of all runs that were started there have expired.
 	leasesExpireAt time.Time
+	// leaseGrantedAt is when the last call that renews leases was sent.
+	leaseGrantedAt time.Time
 	lastReportAt   time.Time
+	// lastReportSentAt is when the last report of the present incarnation was asked for.
+	lastReportSentAt time.Time
 	// endsAwaited tells whether the leases have expired and the ends of the runs are awaited.
 	endsAwaited bool
 	// available is the free capacity less the reservations of gangs, in the decision in
