Tell the next scheduler which starts got no answer

After a change of the scheduler a task could run twice: a start of the former one had got no answer, the new one knew nothing of it, and a runner that restarted executed it while the task ran elsewhere, or after its success had been acknowledged.

Cause: which calls may still be carried out was known to one process only, and a new token fences an incarnation only once it has been called.

The unanswered starts are kept in a record of the store (cell/starts), written when they change, at most every 100 ms and 100 kB/s, under the term's guard. A new scheduler reads it before it calls any runner, binds these tasks to their runners and acknowledges no ends there until the starts are listed or too old. A term that ends in order also records the starts that are under way. Those that were sent in the last moments before a process is killed are not recorded: recording each start before it is sent would cost every start a write.

Weighed: no acknowledgement for 15.5 s after each takeover.

--- a/daemon/internal/cellsched/decideloop.go
+++ b/daemon/internal/cellsched/decideloop.go
@@ -79,6 +79,9 @@
 		s.recordDecision(begin, &d)
 		events = s.cell.TakeEvents()
 		dirty = s.cell.HasDirty()
+		if s.cell.UnsettledVersion() != s.startsVersion {
+			signal(s.startsUnanswered)
+		}
 	})
 	if s.broken.Load() {
 		return
--- a/daemon/internal/cellsched/encoding_test.go
+++ b/daemon/internal/cellsched/encoding_test.go
@@ -13,6 +13,7 @@
 func TestStoredRecordsOfEarlierReleasesAreRead(t *testing.T) {
 	encodingtest.RoundTrip[cell.SavedJob](t, "saved_job.json")
 	encodingtest.RoundTrip[[]cell.RunnerInfo](t, "runners.json")
+	encodingtest.RoundTrip[[]recordedStart](t, "starts.json")
 	encodingtest.RoundTrip[JobHeader](t, "job_header.json")
 	encodingtest.RoundTripOlder[JobHeader](t, "job_header_1.json")
 
@@ -29,7 +30,7 @@
 	written, err := EncodeJob(JobHeader{Queue: head.Queue, Pool: head.Pool, AcceptedMS: 1764850000123}, body)
 	must.NoError(t, err)
 	must.Eq(t, string(stored), string(written))
-	must.Eq(t, []string{"work/job/x", "work/cancel/x", "state/x", "cell/runners"}, []string{JobKey("x"), CancelKey("x"), StateKey("x"), rosterKey})
+	must.Eq(t, []string{"work/job/x", "work/cancel/x", "state/x", "cell/runners", "cell/starts"}, []string{JobKey("x"), CancelKey("x"), StateKey("x"), rosterKey, startsKey})
 }
 
 // Guards against a renamed field or method, which would break calls between VMs of two releases
--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -81,7 +81,7 @@
 	// The runners come last: if a runner reported the end of a run before its job is known,
 	// the end would be acknowledged without being stored.
 	runnerAt, ok := s.listRunners()
-	if !ok || !s.loadRoster() {
+	if !ok || !s.loadUnsettledStarts() || !s.loadRoster() {
 		return 0, false
 	}
 	s.spawn(func() { s.watchRunners(runnerAt) })
--- a/daemon/internal/cellsched/persist.go
+++ b/daemon/internal/cellsched/persist.go
@@ -148,8 +148,11 @@
 			s.stepDown()
 			return true
 		}
-		if item.Key == rosterKey {
+		switch item.Key {
+		case rosterKey:
 			s.rosterRevision = item.Revision
+		case startsKey:
+			s.startsRevision = item.Revision
 		}
 		if id, ok := strings.CutPrefix(item.Key, statePrefix); ok {
 			s.revisions[id] = item.Revision
@@ -163,6 +166,7 @@
 func (s *Scheduler) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
 	defer cancel()
+	s.storeUnsettledStarts(ctx)
 	for s.persist(ctx) && ctx.Err() == nil {
 		wait.For(ctx, time.Millisecond)
 	}
--- a/daemon/internal/cellsched/records.go
+++ b/daemon/internal/cellsched/records.go
@@ -20,6 +20,8 @@
 	// rosterKey holds the roster of runners that may have runs. It is needed because the
 	// runners' own entries expire while the store is unavailable.
 	rosterKey = "cell/runners"
+	// startsKey holds the starts without an answer, which runners may still carry out in the term of the next scheduler.
+	startsKey = "cell/starts"
 )
 
 // JobKey is the key of an accepted job.
--- a/daemon/internal/cellsched/roster.go
+++ b/daemon/internal/cellsched/roster.go
@@ -20,22 +20,34 @@
 // loadRoster starts the loops of the runners that are in the stored roster but have no entry
 // of their own in the store.
 func (s *Scheduler) loadRoster() bool {
+	item, found, ok := s.readRecord(rosterKey)
+	switch {
+	case !ok:
+		return false
+	case found:
+		s.applyRoster(item)
+	default:
+		// No scheduler has started anything yet.
+		s.exclusive(func() { s.cell.SetInheritedRoster(nil) })
+	}
+	return true
+}
+
+// readRecord reads a record, and repeats that until the store answers; ok is false if the term ends before.
+func (s *Scheduler) readRecord(key string) (item platform.Item, found, ok bool) {
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, storeCallTimeout)
-		item, err := s.store.Get(ctx, rosterKey)
+		item, err := s.store.Get(ctx, key)
 		cancel()
 		switch {
 		case err == nil:
-			s.applyRoster(item)
-			return true
+			return item, true, true
 		case platform.StatusOf(err) == http.StatusNotFound:
-			// No scheduler has started anything yet.
-			s.exclusive(func() { s.cell.SetInheritedRoster(nil) })
-			return true
+			return platform.Item{}, false, true
 		}
-		s.log.Warn("[sched] reading the runner roster failed; retrying", zap.Error(err))
+		s.log.Warn("[sched] reading a record failed; retrying", zap.String("key", key), zap.Error(err))
 		if !wait.For(s.ctx, retryDelay) {
-			return false
+			return platform.Item{}, false, false
 		}
 	}
 }
--- /dev/null
+++ b/daemon/internal/cellsched/startsrecord.go
@@ -0,0 +1,116 @@
+package cellsched
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbstall.example/daemon/internal/wait"
+	"rhubarbstall.example/platform"
+	"rhubarbstall.example/sched/cell"
+)
+
+const (
+	// startsRecordInterval is the least pause between two writes of the record of unanswered starts. It batches those
+	// that get no answer at the same time.
+	startsRecordInterval = 100 * time.Millisecond
+	// startsRecordBytesPerSecond bounds the bandwidth of these writes: each holds the whole record.
+	startsRecordBytesPerSecond = 100_000
+	// maxRecordedStarts bounds the record to the size of one value in the store.
+	maxRecordedStarts = 10_000
+)
+
+// recordedStart is a start order in the record of those that runners may still carry out.
+type recordedStart struct {
+	Task      string `json:"task"`
+	Execution int64  `json:"execution"`
+	Runner    string `json:"runner"`
+}
+
+// loadUnsettledStarts tells the cell which starts of earlier schedulers may still be carried out.
+func (s *Scheduler) loadUnsettledStarts() bool {
+	item, found, ok := s.readRecord(startsKey)
+	if !ok || !found {
+		return ok
+	}
+	var rows []recordedStart
+	if err := json.Unmarshal(item.Value, &rows); err != nil {
+		s.log.Error("[sched] decoding the record of unanswered starts failed; they are not known", zap.Error(err))
+	}
+	starts := make([]cell.UnsettledStart, 0, len(rows))
+	for _, row := range rows {
+		task, err := cell.ParseTaskRef(row.Task)
+		if err != nil {
+			s.log.Error("[sched] malformed row in the record of unanswered starts", zap.Error(err))
+			continue
+		}
+		starts = append(starts, cell.UnsettledStart{Task: task, Execution: row.Execution, Runner: row.Runner})
+	}
+	s.exclusive(func() {
+		s.startsRevision = item.Revision
+		s.cell.AdoptUnsettledStarts(time.Now(), starts)
+	})
+	if len(starts) > 0 {
+		s.log.Info("[sched] starts of an earlier scheduler may still be carried out", zap.Int("starts", len(starts)))
+	}
+	return true
+}
+
+// startsRecordLoop keeps the stored record equal to the set of unanswered starts.
+func (s *Scheduler) startsRecordLoop() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.startsUnanswered:
+		}
+		bytes := s.storeUnsettledStarts(s.ctx)
+		wait.For(s.ctx, max(startsRecordInterval, time.Duration(bytes)*time.Second/startsRecordBytesPerSecond))
+	}
+}
+
+// storeUnsettledStarts stores the starts that runners may still carry out, unless the record is current. It returns the
+// size of the record.
+func (s *Scheduler) storeUnsettledStarts(ctx context.Context) int {
+	var rows []recordedStart
+	var version int
+	var revision int64
+	current := false
+	s.exclusive(func() {
+		version, revision = s.cell.UnsettledVersion(), s.startsRevision
+		if current = version == s.startsVersion; current {
+			return
+		}
+		for _, u := range s.cell.UnsettledStarts(maxRecordedStarts) {
+			rows = append(rows, recordedStart{u.Task.String(), u.Execution, u.Runner})
+		}
+	})
+	if current || s.broken.Load() {
+		return 0
+	}
+	value, err := json.Marshal(rows)
+	if err != nil {
+		s.log.Error("[sched] encoding the record of unanswered starts failed", zap.Error(err))
+		return 0
+	}
+	callCtx, cancel := context.WithTimeout(ctx, s.settings.storeTimeout())
+	defer cancel()
+	stored, err := s.store.Commit(callCtx, platform.Txn{
+		Expected: []platform.Condition{s.term.Guard, {Key: startsKey, Revision: revision}},
+		Write:    []platform.Write{{Key: startsKey, Value: value}},
+	})
+	s.mu.Lock()
+	defer s.unlock()
+	if err != nil {
+		s.handleWriteError(ctx, err)
+		signal(s.startsUnanswered)
+		return len(value)
+	}
+	s.startsRevision, s.startsVersion = stored, version
+	if s.cell.UnsettledVersion() != version {
+		signal(s.startsUnanswered)
+	}
+	return len(value)
+}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -50,6 +50,8 @@
 	removedTokens map[string]int64
 	// unsettled holds the start orders that runners may still carry out, by task.
 	unsettled map[TaskRef][]*unsettledStart
+	// unsettledVersion changes with the unanswered ones of them.
+	unsettledVersion int
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
 	sortedRunners []*runner
 	// newlyStartable holds the groups that became startable since the last decision.
@@ -161,7 +163,7 @@
 	r := c.runners[info.ID]
 	if r == nil {
 		r = &runner{runs: make(map[runKey]*Run), lastReportAt: now, token: c.removedTokens[info.ID]}
-		r.fence = r.token
+		r.fence, r.unsettled = r.token, c.unsettledOn(info.ID)
 		// An earlier scheduler may have started runs there.
 		r.leasesExpireAt = c.takeoverAt.Add(c.cfg.InheritedRunTimeout)
 		c.runners[info.ID] = r
@@ -260,8 +262,8 @@
 		return
 	}
 	c.nextScan = now.Add(scanInterval)
+	c.expireUnsettledStarts(now)
 	for _, r := range c.sortedRunners {
-		c.expireUnsettledStarts(now, r)
 		c.giveUpSilentRunner(now, r)
 		c.retryStops(now, r)
 		c.stopStalledRuns(now, r)
--- a/sched/cell/latecalls.go
+++ b/sched/cell/latecalls.go
@@ -47,9 +47,7 @@
 	if boundToIncarnation {
 		return r.token, "", false
 	}
-	u := &unsettledStart{runner: r.info.ID, key: runKey{st.Run.Task, st.Run.Execution}, sentAt: now, underWay: true}
-	r.unsettled = append(r.unsettled, u)
-	c.unsettled[u.key.task] = append(c.unsettled[u.key.task], u)
+	c.addUnsettled(&unsettledStart{runner: r.info.ID, key: runKey{st.Run.Task, st.Run.Execution}, sentAt: now, underWay: true})
 	return r.token, "", false
 }
 
@@ -67,7 +65,10 @@
 	if u == nil {
 		return
 	}
-	u.underWay = false
+	if u.underWay {
+		u.underWay = false
+		c.unsettledVersion++
+	}
 	if outcome == StartRefused || (outcome == StartOK && u.acceptedAt.IsZero()) {
 		c.settle(u)
 	}
@@ -84,6 +85,9 @@
 
 // settle forgets a start order that cannot be carried out any more.
 func (c *Cell) settle(u *unsettledStart) {
+	if !u.underWay {
+		c.unsettledVersion++
+	}
 	same := func(other *unsettledStart) bool { return other == u }
 	if r := c.runners[u.runner]; r != nil {
 		r.unsettled = slices.DeleteFunc(r.unsettled, same)
@@ -127,23 +131,86 @@
 	if c.mayArrive(now, u) {
 		return true
 	}
-	lastArrival := u.sentAt
-	if r.fenced && r.lastReportSentAt.After(lastArrival.Add(c.cfg.LateCallLimit)) {
-		return false
+	lastCall := u.sentAt
+	if r != nil {
+		if r.fenced && r.lastReportSentAt.After(u.sentAt.Add(c.cfg.LateCallLimit)) {
+			return false
+		}
+		if r.leaseGrantedAt.After(lastCall) {
+			lastCall = r.leaseGrantedAt
+		}
 	}
-	if r.leaseGrantedAt.After(lastArrival) {
-		lastArrival = r.leaseGrantedAt
+	return now.Before(lastCall.Add(c.cfg.LateCallLimit + c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease)))
+}
+
+// expireUnsettledStarts forgets the start orders that are too old to be carried out.
+func (c *Cell) expireUnsettledStarts(now time.Time) {
+	for _, started := range c.unsettled {
+		for _, u := range slices.Clone(started) {
+			if !c.mayRun(now, c.runners[u.runner], u) {
+				c.settle(u)
+			}
+		}
 	}
-	return now.Before(lastArrival.Add(c.cfg.LateCallLimit + c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease)))
 }
 
-// expireUnsettledStarts forgets the start orders of a runner that are too old to be carried out.
-func (c *Cell) expireUnsettledStarts(now time.Time, r *runner) {
-	for _, u := range slices.Clone(r.unsettled) {
-		if !c.mayRun(now, r, u) {
-			c.settle(u)
+// UnsettledStart is a start order that a runner may still carry out, in the record for the next scheduler.
+type UnsettledStart struct {
+	Task      TaskRef
+	Execution int64
+	Runner    string
+}
+
+// UnsettledVersion changes with the set of start orders that got no answer and may still be carried out.
+func (c *Cell) UnsettledVersion() int { return c.unsettledVersion }
+
+// UnsettledStarts returns start orders that may still be carried out, at most limit, those without an answer first.
+func (c *Cell) UnsettledStarts(limit int) []UnsettledStart {
+	var unanswered, underWay []UnsettledStart
+	for _, started := range c.unsettled {
+		for _, u := range started {
+			x := UnsettledStart{Task: u.key.task, Execution: u.key.execution, Runner: u.runner}
+			if u.underWay {
+				underWay = append(underWay, x)
+			} else {
+				unanswered = append(unanswered, x)
+			}
+		}
+	}
+	all := append(unanswered, underWay...)
+	return all[:min(limit, len(all))]
+}
+
+// AdoptUnsettledStarts adds the start orders of earlier schedulers that may still be carried out. How long ago they were
+// sent is not known.
+func (c *Cell) AdoptUnsettledStarts(now time.Time, starts []UnsettledStart) {
+	if len(starts) == 0 {
+		return
+	}
+	for _, x := range starts {
+		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now})
+	}
+	c.unsettledVersion++
+}
+
+func (c *Cell) addUnsettled(u *unsettledStart) {
+	c.unsettled[u.key.task] = append(c.unsettled[u.key.task], u)
+	if r := c.runners[u.runner]; r != nil {
+		r.unsettled = append(r.unsettled, u)
+	}
+}
+
+// unsettledOn returns the start orders that a runner may still carry out.
+func (c *Cell) unsettledOn(runner string) []*unsettledStart {
+	var out []*unsettledStart
+	for _, started := range c.unsettled {
+		for _, u := range started {
+			if u.runner == runner {
+				out = append(out, u)
+			}
 		}
 	}
+	return out
 }
 
 // boundRunner returns the only runner on which a task may start now, because an earlier start of it may still be
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -285,3 +285,37 @@
 	must.Eq(t, run.Runner, w.cell.boundRunner(run.Task))
 	must.Eq(t, AckNothing, w.ackState(run.Runner))
 }
+
+// Guards against a task that runs on two runners after a change of the scheduler: the new one does not know that a start of
+// it got no answer.
+func TestNextSchedulerKnowsUnansweredStarts(t *testing.T) {
+	w := lateCallCell(t, 2)
+	run := w.send("0000000000000001", 1)[0].Run
+	version := w.cell.UnsettledVersion()
+	must.Len(t, 1, w.cell.UnsettledStarts(10), must.Sprint("a start under way is part of the record"))
+	w.loseUnanswered(run)
+	must.NotEq(t, version, w.cell.UnsettledVersion())
+	starts := w.cell.UnsettledStarts(10)
+	must.Eq(t, []UnsettledStart{{Task: run.Task, Execution: run.Execution, Runner: run.Runner}}, starts)
+
+	next := lateCallCell(t, 0)
+	next.cell.AdoptUnsettledStarts(next.now, starts)
+	next.addRunners(0, 2)
+	next.endedRunOn(run.Runner)
+	must.Eq(t, AckBarred, next.ackState(run.Runner))
+	next.addJob("0000000000000001", smallStep(1))
+	next.drain(run.Runner, true)
+	must.SliceEmpty(t, next.decideUntilStart(2*time.Second))
+	next.drain(run.Runner, false)
+	again := next.decideUntilStart(time.Second)
+	must.Len(t, 1, again)
+	must.Eq(t, run.Runner, again[0].Run.Runner)
+	next.now = next.now.Add(time.Minute)
+	next.cell.Tick(next.now)
+	must.SliceEmpty(t, next.cell.UnsettledStarts(10))
+}
+
+// endedRunOn reports the stored end of a run that the cell does not know.
+func (w *testCell) endedRunOn(runner string) {
+	w.report(runner, Report{Incarnation: 1, Ended: []ReportedEnd{{Number: 1, Task: TaskRef{Job: "00000000000000ff"}, Execution: 1, Kind: EndDone}}})
+}
