Repeat an unanswered start with its execution instead of stopping it

A task could run twice on one runner: a start got no answer and was stopped, the next execution got none either, and a new incarnation, which knew of no stop, executed first the one and then, as a higher execution, the other.

Cause: each try had an execution of its own, which a runner takes for new work. Two orders of the same execution are one run there, whatever arrives late and in whatever order.

A start without an answer that its runner does not list is now sent there again with the same execution, and its run keeps its capacity meanwhile. While a refused repetition has an earlier order on its way, the run is kept too. A restarted runner and the next scheduler get the same execution again, unless it was stopped or has ended there. Once no order can arrive any more the run is stopped as before. Gangs keep their new execution for each try: a member alone never ends as done.

--- a/daemon/internal/cellsched/acknowledge_test.go
+++ b/daemon/internal/cellsched/acknowledge_test.go
@@ -56,15 +56,15 @@
 	o := newOrderTest(t, 0)
 	o.endFirstRun(t)
 	l := o.s.runnerLoops["r0"]
-	_, _, blocked := o.s.cell.PrepareStart(time.Now(), o.starts[1])
-	must.False(t, blocked)
+	prepared := o.s.cell.PrepareStart(time.Now(), o.starts[1])
+	must.Positive(t, prepared.Attempt)
 	_, startEnded := l.nextRenewal(true)
 	must.NotNil(t, startEnded)
 	next, startEnded := l.nextRenewal(false)
 	must.Nil(t, startEnded)
 	must.Eq(t, 0, next.AckedEnd)
 	must.Positive(t, next.LeaseEnd)
-	o.s.recordStart(o.starts[1].Run, cell.StartOK, "", nil)
+	o.s.recordStart(o.starts[1].Run, prepared.Attempt, cell.StartOK, "", nil)
 	next, _ = l.nextRenewal(true)
 	must.Eq(t, 1, next.AckedEnd)
 }
--- a/daemon/internal/cellsched/orders.go
+++ b/daemon/internal/cellsched/orders.go
@@ -105,12 +105,13 @@
 // sendStart sends a start order and records its outcome.
 func (s *Scheduler) sendStart(st cell.StartOrder, bytes int) {
 	run := st.Run
-	l, offset, leaseEnd, staleReason := s.prepareStart(st)
+	l, prepared, leaseEnd := s.prepareStart(st)
+	staleReason := prepared.StaleReason
 	if staleReason == "" && (l == nil || s.ctx.Err() != nil || !s.mayAct()) {
 		staleReason = "gone"
 	}
 	if staleReason != "" {
-		s.recordStart(run, cell.StartRefused, staleReason, nil)
+		s.recordStart(run, prepared.Attempt, cell.StartRefused, staleReason, nil)
 		s.countStartOutcome(run, cell.StartRefused, staleReason)
 		s.finishOrder(bytes, false, 0)
 		return
@@ -118,11 +119,11 @@
 	sent := time.Now()
 	var clock platform.RunnerClock
 	var overdue atomic.Bool
-	token := s.fencingToken(offset)
+	token := s.fencingToken(prepared.Token)
 	err := s.callRunner(bytes, func() {
 		overdue.Store(true)
 		s.loadCounts.startsLate.Add(1)
-		s.recordStart(run, cell.StartUnknown, "", errOverdue)
+		s.recordStart(run, prepared.Attempt, cell.StartUnknown, "", errOverdue)
 		l.renewNow()
 	}, func(ctx context.Context) (err error) {
 		clock, err = s.runners.Start(ctx, l.address(), platform.StartOrder{
@@ -136,7 +137,7 @@
 	case cell.StartOK:
 		l.detectRestart(sent, clock)
 		if !l.identifies(time.Now(), clock) {
-			s.exclusive(func() { s.cell.RecordUnidentifiedAnswer(time.Now(), run) })
+			s.exclusive(func() { s.cell.RecordUnidentifiedAnswer(time.Now(), run, prepared.Attempt) })
 		}
 	case cell.StartRefused:
 		s.refusedByFence(err, run.Runner, token)
@@ -146,7 +147,7 @@
 	if outcome == cell.StartUnknown && overdue.Load() {
 		return
 	}
-	s.recordStart(run, outcome, reason, err)
+	s.recordStart(run, prepared.Attempt, outcome, reason, err)
 	if outcome == cell.StartUnknown {
 		l.reportNow()
 	}
@@ -173,51 +174,49 @@
 // errOverdue is logged for an order whose answer is late; it may still arrive.
 var errOverdue = errors.New("no answer in time")
 
-// prepareStart returns the loop of the order's runner, or nil if the runner was removed, the offset of the order's
-// token, and the end of the lease that the order grants. If the order must no longer be sent, staleReason is
-// the reason and no lease is granted. It waits while ends of the runner are being acknowledged.
-func (s *Scheduler) prepareStart(st cell.StartOrder) (l *runnerLoop, offset int64, leaseEnd time.Duration, staleReason string) {
+// prepareStart returns the loop of the order's runner, or nil if the runner was removed, the prepared order, and the end of
+// the lease that it grants; a stale order grants none. It waits while ends of the runner are being acknowledged.
+func (s *Scheduler) prepareStart(st cell.StartOrder) (*runnerLoop, cell.PreparedStart, time.Duration) {
 	for {
-		var blocked <-chan struct{}
-		l, offset, leaseEnd, staleReason, blocked = s.tryPrepareStart(st)
-		if blocked == nil {
-			return l, offset, leaseEnd, staleReason
+		l, prepared, leaseEnd, ackEnded := s.tryPrepareStart(st)
+		if !prepared.Blocked {
+			return l, prepared, leaseEnd
 		}
 		select {
-		case <-blocked:
+		case <-ackEnded:
 		case <-s.ctx.Done():
-			return l, 0, 0, cell.StaleLate
+			return l, cell.PreparedStart{StaleReason: cell.StaleLate}, 0
 		}
 	}
 }
 
-// tryPrepareStart does the work of prepareStart. If the order has to wait, blocked is closed when it may be tried again.
-func (s *Scheduler) tryPrepareStart(st cell.StartOrder) (l *runnerLoop, offset int64, leaseEnd time.Duration, staleReason string, blocked <-chan struct{}) {
+// tryPrepareStart does the work of prepareStart. If the order has to wait, ackEnded is closed when it may be tried again.
+func (s *Scheduler) tryPrepareStart(st cell.StartOrder) (l *runnerLoop, prepared cell.PreparedStart, leaseEnd time.Duration, ackEnded <-chan struct{}) {
 	s.mu.Lock()
 	defer s.unlock()
 	l = s.runnerLoops[st.Run.Runner]
 	now := time.Now()
 	if l == nil {
-		return nil, 0, 0, s.cell.StaleStartReason(now, st), nil
+		return nil, cell.PreparedStart{StaleReason: s.cell.StaleStartReason(now, st)}, 0, nil
 	}
 	if s.runnersOutdated(now) {
-		return l, 0, 0, cell.StaleLate, nil
+		return l, cell.PreparedStart{StaleReason: cell.StaleLate}, 0, nil
 	}
-	offset, staleReason, wait := s.cell.PrepareStart(now, st)
-	if staleReason != "" {
-		return l, 0, 0, staleReason, nil
-	}
-	if wait {
-		return l, 0, 0, "", l.callEnded
+	prepared = s.cell.PrepareStart(now, st)
+	switch {
+	case prepared.Blocked:
+		return l, prepared, 0, l.callEnded
+	case prepared.StaleReason != "":
+		return l, prepared, 0, nil
 	}
-	return l, offset, s.grantLease(l), "", nil
+	return l, prepared, s.grantLease(l), nil
 }
 
 // recordStart records and logs what is known of a start order. After an outcome that is unknown,
 // because the answer is late, it may be called again with the outcome of the late answer.
-func (s *Scheduler) recordStart(run *cell.Run, outcome cell.StartOutcome, reason string, err error) {
+func (s *Scheduler) recordStart(run *cell.Run, attempt int, outcome cell.StartOutcome, reason string, err error) {
 	s.exclusive(func() {
-		s.cell.RecordStartOutcome(time.Now(), run, outcome, reason)
+		s.cell.RecordAttempt(time.Now(), run, attempt, outcome, reason)
 		if l := s.runnerLoops[run.Runner]; l != nil {
 			l.noteCallEnded()
 		}
--- a/daemon/internal/cellsched/startsrecord.go
+++ b/daemon/internal/cellsched/startsrecord.go
@@ -27,6 +27,7 @@
 	Task      string `json:"task"`
 	Execution int64  `json:"execution"`
 	Runner    string `json:"runner"`
+	Closed    bool   `json:"closed,omitempty"`
 }
 
 // loadUnsettledStarts tells the cell which starts of earlier schedulers may still be carried out.
@@ -46,7 +47,7 @@
 			s.log.Error("[sched] malformed row in the record of unanswered starts", zap.Error(err))
 			continue
 		}
-		starts = append(starts, cell.UnsettledStart{Task: task, Execution: row.Execution, Runner: row.Runner})
+		starts = append(starts, cell.UnsettledStart{Task: task, Execution: row.Execution, Runner: row.Runner, Closed: row.Closed})
 	}
 	s.exclusive(func() {
 		s.startsRevision = item.Revision
@@ -84,7 +85,7 @@
 			return
 		}
 		for _, u := range s.cell.UnsettledStarts(maxRecordedStarts) {
-			rows = append(rows, recordedStart{u.Task.String(), u.Execution, u.Runner})
+			rows = append(rows, recordedStart{u.Task.String(), u.Execution, u.Runner, u.Closed})
 		}
 	})
 	if current || s.broken.Load() {
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -50,6 +50,9 @@
 	removedTokens map[string]int64
 	// unsettled holds the start orders that runners may still carry out, by task.
 	unsettled map[TaskRef][]*unsettledStart
+	// attempts counts the start orders that were sent, and repeats holds the runs whose orders are to be sent again.
+	attempts int
+	repeats  []*Run
 	// unsettledVersion changes with the unanswered ones of them.
 	unsettledVersion int
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
--- a/sched/cell/ends.go
+++ b/sched/cell/ends.go
@@ -8,6 +8,7 @@
 // handleEnd handles the reported end of a run.
 func (c *Cell) handleEnd(now time.Time, r *runner, e *ReportedEnd) {
 	run := r.runs[runKey{e.Task, e.Execution}]
+	c.closeExecution(r.info.ID, runKey{e.Task, e.Execution})
 	j := c.jobs[e.Task.Job]
 	var g *group
 	if j != nil {
--- a/sched/cell/latecalls.go
+++ b/sched/cell/latecalls.go
@@ -18,50 +18,75 @@
 // A task whose start is on its way to a runner starts nowhere else meanwhile: a new incarnation executes the start even
 // if its predecessor was made to refuse it.
 //
+// Such a start is repeated with the same execution: however many of the orders an incarnation gets, it executes one.
+//
 // None of this holds for starts with a ticket, which is valid for one incarnation only.
 
 // unsettledStart is a start order that a runner may still carry out.
 type unsettledStart struct {
 	runner string
 	key    runKey
-	sentAt time.Time
+	// attempt identifies the order among those of the same execution.
+	attempt int
+	sentAt  time.Time
 	// underWay tells that the answer is still awaited.
 	underWay bool
+	// repeated tells that there are several orders of the execution, so that a listed run does not show which of them
+	// was carried out.
+	repeated bool
+	// closed tells that the execution was stopped or has ended, so that a repeated order would be refused.
+	closed bool
 	// acceptedAt is when the runner accepted the run in an answer that does not tell its incarnation; zero otherwise.
 	acceptedAt time.Time
 }
 
-// PrepareStart is called right before a start order is sent. It returns the token that the order carries. If the order
-// must not be sent, it returns the reason; if it has to wait until an acknowledgement to the runner is answered, it
-// returns blocked. After an order that is sent, RecordStartOutcome must follow.
-func (c *Cell) PrepareStart(now time.Time, st StartOrder) (token int64, staleReason string, blocked bool) {
+// PreparedStart is a start order that is about to be sent.
+type PreparedStart struct {
+	// Token is the token that the order carries.
+	Token int64
+	// Attempt identifies the order among those of the same execution; 0 if it must not be sent.
+	Attempt int
+	// StaleReason tells why the order must not be sent; empty if it may be.
+	StaleReason string
+	// Blocked tells that the order has to wait until an acknowledgement to the runner is answered.
+	Blocked bool
+}
+
+// PrepareStart is called right before a start order is sent. After an order that is sent, RecordStartOutcome must follow.
+func (c *Cell) PrepareStart(now time.Time, st StartOrder) PreparedStart {
 	if reason := c.StaleStartReason(now, st); reason != "" {
-		return 0, reason, false
+		return PreparedStart{StaleReason: reason}
 	}
-	r := c.runners[st.Run.Runner]
+	r, run := c.runners[st.Run.Runner], st.Run
 	boundToIncarnation := st.Ticket != ""
 	if !boundToIncarnation && (r.ackUnderWay || r.ackWaiting) {
-		return 0, "", true
+		return PreparedStart{Blocked: true}
 	}
-	st.Run.Fence = r.token
-	if boundToIncarnation {
-		return r.token, "", false
+	c.attempts++
+	run.Fence, run.attempt = r.token, c.attempts
+	if !boundToIncarnation {
+		u := &unsettledStart{runner: r.info.ID, key: runKey{run.Task, run.Execution}, attempt: run.attempt, sentAt: now, underWay: true}
+		for _, other := range c.unsettled[run.Task] {
+			if other.key == u.key && other.runner == u.runner {
+				other.repeated, u.repeated = true, true
+			}
+		}
+		c.addUnsettled(u)
 	}
-	c.addUnsettled(&unsettledStart{runner: r.info.ID, key: runKey{st.Run.Task, st.Run.Execution}, sentAt: now, underWay: true})
-	return r.token, "", false
+	return PreparedStart{Token: r.token, Attempt: run.attempt}
 }
 
 // RecordUnidentifiedAnswer records that the answer to a start order does not tell which incarnation of the runner has
 // accepted it. The next report does.
-func (c *Cell) RecordUnidentifiedAnswer(now time.Time, run *Run) {
-	if u := c.unsettledStartOf(run); u != nil {
+func (c *Cell) RecordUnidentifiedAnswer(now time.Time, run *Run, attempt int) {
+	if u := c.unsettledAttempt(run, attempt); u != nil {
 		u.acceptedAt = now
 	}
 }
 
 // recordAnswer updates what is known of a start order that may still be carried out.
-func (c *Cell) recordAnswer(run *Run, outcome StartOutcome) {
-	u := c.unsettledStartOf(run)
+func (c *Cell) recordAnswer(run *Run, attempt int, outcome StartOutcome) {
+	u := c.unsettledAttempt(run, attempt)
 	if u == nil {
 		return
 	}
@@ -74,15 +99,79 @@
 	}
 }
 
-func (c *Cell) unsettledStartOf(run *Run) *unsettledStart {
+func (c *Cell) unsettledAttempt(run *Run, attempt int) *unsettledStart {
 	for _, u := range c.unsettled[run.Task] {
-		if u.runner == run.Runner && u.key.execution == run.Execution {
+		if u.attempt == attempt && u.runner == run.Runner {
 			return u
 		}
 	}
 	return nil
 }
 
+// mayStartLater reports whether an order to start a run may still be carried out.
+func (c *Cell) mayStartLater(run *Run) bool {
+	for _, u := range c.unsettled[run.Task] {
+		if u.runner == run.Runner && u.key.execution == run.Execution {
+			return true
+		}
+	}
+	return false
+}
+
+// closeExecution records that an execution was stopped on a runner or has ended there.
+func (c *Cell) closeExecution(runner string, key runKey) {
+	for _, u := range c.unsettled[key.task] {
+		if u.runner == runner && u.key == key && !u.closed {
+			u.closed = true
+			c.unsettledVersion++
+		}
+	}
+}
+
+// executionToRepeat returns the execution with which a task starts again because an order with it may still be carried
+// out; 0 if it takes the next one.
+func (c *Cell) executionToRepeat(task TaskRef) int64 {
+	var execution int64
+	for _, u := range c.unsettled[task] {
+		if u.closed || (execution != 0 && u.key.execution != execution) {
+			return 0
+		}
+		execution = u.key.execution
+	}
+	return execution
+}
+
+// resolveUnlistedStart handles a run whose start got no answer and that its runner does not list. Once the order is
+// repeated, the run exists or its runner refuses it.
+func (c *Cell) resolveUnlistedStart(now time.Time, r *runner, run *Run) {
+	g := run.group
+	needed := g != nil && !run.orphan && !run.unneeded() && !g.tasks[run.Task.Index].done
+	if needed && !g.spec.Gang && !run.refusedAsOld && c.mayStartLater(run) {
+		if r.usable(now) {
+			run.Phase = Sending
+			c.repeats = append(c.repeats, run)
+		}
+		return
+	}
+	// A stop order keeps the runner from executing a start order that arrives late.
+	c.orderStop(now, run)
+	if g != nil && g.spec.Gang && !run.orphan {
+		c.stopGang(now, g)
+	}
+}
+
+// takeRepeats returns the orders to repeat since the last call.
+func (c *Cell) takeRepeats() []StartOrder {
+	var starts []StartOrder
+	for _, run := range c.repeats {
+		if g := run.group; run.Phase == Sending && run.task() != nil {
+			starts = append(starts, StartOrder{Run: run, Payload: g.job.Spec.Payload, Checkpoint: run.task().checkpoint})
+		}
+	}
+	c.repeats = nil
+	return starts
+}
+
 // settle forgets a start order that cannot be carried out any more.
 func (c *Cell) settle(u *unsettledStart) {
 	if !u.underWay {
@@ -114,7 +203,7 @@
 	}
 	for _, u := range slices.Clone(r.unsettled) {
 		accepted := !u.acceptedAt.IsZero() && u.acceptedAt.Before(sentAt)
-		if accepted || listed[u.key] {
+		if accepted || (listed[u.key] && !u.repeated) {
 			c.settle(u)
 		}
 	}
@@ -159,6 +248,8 @@
 	Task      TaskRef
 	Execution int64
 	Runner    string
+	// Closed tells that the execution was stopped or has ended on the runner.
+	Closed bool
 }
 
 // UnsettledVersion changes with the set of start orders that got no answer and may still be carried out.
@@ -169,7 +260,7 @@
 	var unanswered, underWay []UnsettledStart
 	for _, started := range c.unsettled {
 		for _, u := range started {
-			x := UnsettledStart{Task: u.key.task, Execution: u.key.execution, Runner: u.runner}
+			x := UnsettledStart{Task: u.key.task, Execution: u.key.execution, Runner: u.runner, Closed: u.closed}
 			if u.underWay {
 				underWay = append(underWay, x)
 			} else {
@@ -188,7 +279,8 @@
 		return
 	}
 	for _, x := range starts {
-		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now})
+		// The record may stand for several orders.
+		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now, repeated: true, closed: x.Closed})
 	}
 	c.unsettledVersion++
 }
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -21,9 +21,7 @@
 	starts := w.decideUntilStart(time.Second)
 	must.Len(w.t, tasks, starts)
 	for _, st := range starts {
-		_, reason, blocked := w.cell.PrepareStart(w.now, st)
-		must.Eq(w.t, "", reason)
-		must.False(w.t, blocked)
+		must.Positive(w.t, w.cell.PrepareStart(w.now, st).Attempt)
 	}
 	return starts
 }
@@ -80,7 +78,7 @@
 	run := w.send("0000000000000002", 1)[0].Run
 	asked := w.now
 	w.now = w.now.Add(10 * time.Millisecond)
-	w.cell.RecordUnidentifiedAnswer(w.now, run)
+	w.cell.RecordUnidentifiedAnswer(w.now, run, run.attempt)
 	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
 	must.Eq(t, AckBarred, w.ackState("r0"))
 	rep := Report{Incarnation: 1}
@@ -101,15 +99,12 @@
 			st := w.decideUntilStart(time.Second)[0]
 			before, _ := w.cell.Token("r0")
 			must.Eq(t, AckReady, w.ackState("r0"))
-			_, reason, blocked := w.cell.PrepareStart(w.now, st)
-			must.Eq(t, "", reason)
-			must.True(t, blocked)
+			must.True(t, w.cell.PrepareStart(w.now, st).Blocked)
 			w.cell.EndAcknowledgement("r0", answered)
-			token, reason, blocked := w.cell.PrepareStart(w.now, st)
-			must.Eq(t, "", reason)
-			must.False(t, blocked)
-			must.Eq(t, answered, token == before)
-			must.GreaterEq(t, before, token)
+			prepared := w.cell.PrepareStart(w.now, st)
+			must.Positive(t, prepared.Attempt)
+			must.Eq(t, answered, prepared.Token == before)
+			must.GreaterEq(t, before, prepared.Token)
 			must.False(t, w.cell.RestartedSince("r0", before))
 		})
 	}
@@ -123,13 +118,11 @@
 	w.addJob("0000000000000003", smallStep(1))
 	next := w.decideUntilStart(time.Second)[0]
 	must.Eq(t, AckAfterStarts, w.ackState("r0"))
-	_, _, blocked := w.cell.PrepareStart(w.now, next)
-	must.True(t, blocked)
+	must.True(t, w.cell.PrepareStart(w.now, next).Blocked)
 	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
 	must.Eq(t, AckReady, w.ackState("r0"))
 	w.cell.EndAcknowledgement("r0", true)
-	_, _, blocked = w.cell.PrepareStart(w.now, next)
-	must.False(t, blocked)
+	must.Positive(t, w.cell.PrepareStart(w.now, next).Attempt)
 }
 
 // Guards against ends that nobody sees because the list of unacknowledged ends is full: nothing starts on a runner that
@@ -157,8 +150,7 @@
 	w.addJob("0000000000000002", smallStep(1))
 	st := w.decideUntilStart(time.Second)[0]
 	must.NotEq(t, "", st.Ticket)
-	_, _, blocked := w.cell.PrepareStart(w.now, st)
-	must.False(t, blocked)
+	must.Positive(t, w.cell.PrepareStart(w.now, st).Attempt)
 	must.Eq(t, AckReady, w.ackState("r0"))
 }
 
@@ -179,20 +171,13 @@
 	must.MapEmpty(t, w.cell.unsettled)
 }
 
-// loseUnanswered makes a sent start count as lost: it got no answer, is not listed, and its stop is acknowledged.
-func (w *testCell) loseUnanswered(run *Run) {
-	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
-	w.now = w.now.Add(time.Millisecond)
-	w.report(run.Runner, Report{Incarnation: 1})
-	w.cell.RecordStopAck(w.now, run)
+// restart makes a runner report, with and without its new fence, that it has restarted and lists nothing.
+func (w *testCell) restart(id string, incarnation int64) {
 	w.now = w.now.Add(time.Millisecond)
-	w.cell.HandleReport(w.now, w.now, run.Runner, fenced(w.fence(run.Runner), Report{Incarnation: 1}))
-	must.MapEmpty(w.t, w.cell.runners[run.Runner].runs)
-}
-
-func (w *testCell) fence(id string) int64 {
-	token, _ := w.cell.Token(id)
-	return token
+	w.report(id, Report{Incarnation: incarnation})
+	info := w.cell.runners[id].info
+	info.Incarnation = incarnation
+	w.cell.SetRunner(w.now, info)
 }
 
 // drain makes a runner announce that it drains, or that it is ready again.
@@ -202,12 +187,70 @@
 	w.cell.SetRunner(w.now, info)
 }
 
-// Guards against a task that runs on two runners: its start got no answer and was stopped, it was started elsewhere, and a
-// new incarnation of the first runner, which knows of no stop, executes the start.
+// unlisted makes a sent start unanswered and unlisted.
+func (w *testCell) unlisted(run *Run) {
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	w.now = w.now.Add(time.Millisecond)
+	w.report(run.Runner, Report{Incarnation: w.cell.runners[run.Runner].incarnation})
+}
+
+// Guards against two late starts of one task with different executions, both of which a new incarnation executes.
+func TestUnansweredStartIsRepeatedWithItsExecution(t *testing.T) {
+	w := lateCallCell(t, 2)
+	run := w.send("0000000000000001", 1)[0].Run
+	execution := run.Execution
+	w.unlisted(run)
+	again := w.decideUntilStart(time.Second)
+	must.Len(t, 1, again)
+	must.SliceEmpty(t, w.cell.TakeStops())
+	must.Eq(t, run, again[0].Run)
+	must.Eq(t, execution, again[0].Run.Execution)
+	first := run.attempt
+	must.Positive(t, w.cell.PrepareStart(w.now, again[0]).Attempt)
+	w.cell.RecordStartOutcome(w.now, run, StartOK, "")
+	must.Eq(t, Active, run.Phase)
+	must.NotNil(t, w.cell.unsettledAttempt(run, first), must.Sprint("the first order may still arrive"))
+	// A listed run does not show which of the orders was executed.
+	w.report(run.Runner, Report{Incarnation: 1, Running: []ReportedRun{{Task: run.Task, Execution: execution}}})
+	w.endRun(run, EndDone)
+	w.writeStates()
+	must.Eq(t, AckBarred, w.ackState(run.Runner))
+}
+
+// Guards against a runner over its capacity, and against a task that starts elsewhere: the repeated order was refused, and
+// the first one arrives.
+func TestRunWhoseRepeatedStartIsRefusedKeepsItsCapacity(t *testing.T) {
+	for _, reason := range []string{"room", StaleLate, refusedOld} {
+		t.Run(reason, func(t *testing.T) {
+			w := lateCallCell(t, 2)
+			run := w.send("0000000000000001", 1)[0].Run
+			w.unlisted(run)
+			again := w.decideUntilStart(time.Second)
+			attempt := 0
+			if reason != StaleLate {
+				attempt = w.cell.PrepareStart(w.now, again[0]).Attempt
+			}
+			w.cell.RecordAttempt(w.now, run, attempt, StartRefused, reason)
+			must.Eq(t, run, w.cell.runners[run.Runner].runs[runKey{run.Task, run.Execution}])
+			must.Eq(t, run.Runner, w.cell.boundRunner(run.Task))
+			w.now = w.now.Add(time.Millisecond)
+			w.report(run.Runner, Report{Incarnation: 1})
+			d := w.cell.Decide(w.now, w.now)
+			// An execution that its runner refuses for good is stopped, and the next one follows.
+			must.Eq(t, reason == refusedOld, len(d.Stops) == 1)
+			must.Eq(t, reason != refusedOld, len(d.Starts) == 1)
+		})
+	}
+}
+
+// Guards against a task that runs on two runners: its start got no answer, its runner restarted, it was started elsewhere,
+// and the next incarnation of the first runner executes the start.
 func TestTaskWhoseStartMayArriveStartsNowhereElse(t *testing.T) {
 	w := lateCallCell(t, 2)
 	run := w.send("0000000000000001", 1)[0].Run
-	w.loseUnanswered(run)
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	w.restart(run.Runner, 2)
+	must.MapEmpty(t, w.cell.runners[run.Runner].runs)
 	w.drain(run.Runner, true)
 	must.SliceEmpty(t, w.decideUntilStart(2*time.Second))
 	view, _ := w.cell.JobView(w.now, w.now, "0000000000000001")
@@ -216,7 +259,7 @@
 	again := w.decideUntilStart(time.Second)
 	must.Len(t, 1, again)
 	must.Eq(t, run.Runner, again[0].Run.Runner)
-	must.Greater(t, run.Execution, again[0].Run.Execution)
+	must.Eq(t, run.Execution, again[0].Run.Execution)
 }
 
 // Guards against a task that waits for a start which cannot arrive any more.
@@ -234,14 +277,15 @@
 			w := lateCallCell(t, 2)
 			begin := w.now
 			run := w.send("0000000000000001", 1)[0].Run
-			w.loseUnanswered(run)
+			w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+			w.restart(run.Runner, 2)
 			w.drain(run.Runner, true)
 			var again []StartOrder
 			for again == nil {
 				must.Less(t, time.Minute, w.now.Sub(begin))
 				again = w.decideUntilStart(200 * time.Millisecond)
 				if c.heard {
-					w.report(run.Runner, Report{Incarnation: 1})
+					w.report(run.Runner, Report{Incarnation: 2})
 				}
 			}
 			must.NotEq(t, run.Runner, again[0].Run.Runner)
@@ -250,6 +294,31 @@
 	}
 }
 
+// Guards against a run that holds capacity for good: its runner drains, and its start is never repeated.
+func TestUnlistedRunIsStoppedOnceItsStartCannotArrive(t *testing.T) {
+	w := lateCallCell(t, 2)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.drain(run.Runner, true)
+	w.unlisted(run)
+	must.SliceEmpty(t, w.cell.Decide(w.now, w.now).Starts)
+	must.SliceEmpty(t, w.cell.TakeStops())
+	w.now = w.now.Add(10 * time.Second)
+	w.report(run.Runner, Report{Incarnation: 1})
+	w.cell.Tick(w.now)
+	w.report(run.Runner, Report{Incarnation: 1})
+	must.Len(t, 1, w.cell.TakeStops())
+}
+
+// loseGangMember makes a sent start of a gang member count as lost: it got no answer, is not listed, and its stop is
+// acknowledged.
+func (w *testCell) loseGangMember(run *Run) {
+	w.unlisted(run)
+	w.cell.RecordStopAck(w.now, run)
+	w.now = w.now.Add(time.Millisecond)
+	w.report(run.Runner, Report{Incarnation: 1})
+	must.MapEmpty(w.t, w.cell.runners[run.Runner].runs)
+}
+
 // Guards against the same for a member of a gang, and against a gang that never starts because the other members take
 // the place of that member.
 func TestGangMemberWhoseStartMayArriveKeepsItsRunner(t *testing.T) {
@@ -258,12 +327,11 @@
 	starts := w.decideUntilStart(time.Second)
 	must.Len(t, 2, starts)
 	for _, st := range starts {
-		_, _, blocked := w.cell.PrepareStart(w.now, st)
-		must.False(t, blocked)
+		must.Positive(t, w.cell.PrepareStart(w.now, st).Attempt)
 	}
 	late, other := starts[1].Run, starts[0].Run
 	w.cell.RecordStartOutcome(w.now, other, StartOK, "")
-	w.loseUnanswered(late)
+	w.loseGangMember(late)
 	w.endRun(other, EndStopped)
 	w.drain(late.Runner, true)
 	must.SliceEmpty(t, w.decideUntilStart(2*time.Second))
@@ -274,18 +342,6 @@
 	must.NotEq(t, late.Runner, again[other.Task.Index].Run.Runner)
 }
 
-// Guards against a task with two starts that may arrive, of which only one is remembered.
-func TestEachStartThatMayArriveBindsItsTask(t *testing.T) {
-	w := lateCallCell(t, 2)
-	run := w.send("0000000000000001", 1)[0].Run
-	w.loseUnanswered(run)
-	second := w.decideUntilStart(time.Second)[0]
-	w.cell.PrepareStart(w.now, second)
-	w.cell.RecordStartOutcome(w.now, second.Run, StartRefused, "room")
-	must.Eq(t, run.Runner, w.cell.boundRunner(run.Task))
-	must.Eq(t, AckNothing, w.ackState(run.Runner))
-}
-
 // Guards against a task that runs on two runners after a change of the scheduler: the new one does not know that a start of
 // it got no answer.
 func TestNextSchedulerKnowsUnansweredStarts(t *testing.T) {
@@ -293,7 +349,7 @@
 	run := w.send("0000000000000001", 1)[0].Run
 	version := w.cell.UnsettledVersion()
 	must.Len(t, 1, w.cell.UnsettledStarts(10), must.Sprint("a start under way is part of the record"))
-	w.loseUnanswered(run)
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
 	must.NotEq(t, version, w.cell.UnsettledVersion())
 	starts := w.cell.UnsettledStarts(10)
 	must.Eq(t, []UnsettledStart{{Task: run.Task, Execution: run.Execution, Runner: run.Runner}}, starts)
@@ -310,6 +366,7 @@
 	again := next.decideUntilStart(time.Second)
 	must.Len(t, 1, again)
 	must.Eq(t, run.Runner, again[0].Run.Runner)
+	must.Eq(t, run.Execution, again[0].Run.Execution)
 	next.now = next.now.Add(time.Minute)
 	next.cell.Tick(next.now)
 	must.SliceEmpty(t, next.cell.UnsettledStarts(10))
@@ -319,3 +376,20 @@
 func (w *testCell) endedRunOn(runner string) {
 	w.report(runner, Report{Incarnation: 1, Ended: []ReportedEnd{{Number: 1, Task: TaskRef{Job: "00000000000000ff"}, Execution: 1, Kind: EndDone}}})
 }
+
+// Guards against a start that is refused over and over: its execution was stopped on the runner by an earlier scheduler.
+func TestNextSchedulerDoesNotRepeatAStoppedExecution(t *testing.T) {
+	w := lateCallCell(t, 1)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	w.cell.orderStop(w.now, run)
+	starts := w.cell.UnsettledStarts(10)
+	must.True(t, starts[0].Closed)
+
+	next := lateCallCell(t, 0)
+	next.cell.cfg.FirstExecution = 1000
+	next.cell.AdoptUnsettledStarts(next.now, starts)
+	next.addRunners(0, 1)
+	next.addJob("0000000000000001", smallStep(1))
+	must.Eq(t, 1000, next.decideUntilStart(time.Second)[0].Run.Execution)
+}
--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -25,6 +25,7 @@
 		return
 	}
 	run.stopSentAt = now
+	c.closeExecution(run.Runner, runKey{run.Task, run.Execution})
 	c.stops = append(c.stops, StopOrder{Run: run})
 }
 
@@ -62,10 +63,15 @@
 	StartUnknown
 )
 
-// RecordStartOutcome records the outcome of a start order; for StartRefused, reason tells why
-// the order was not sent or the runner refused it.
+// RecordStartOutcome records the outcome of the last order to start a run; see RecordAttempt.
 func (c *Cell) RecordStartOutcome(now time.Time, run *Run, outcome StartOutcome, reason string) {
-	c.recordAnswer(run, outcome)
+	c.RecordAttempt(now, run, run.attempt, outcome, reason)
+}
+
+// RecordAttempt records the outcome of a start order; for StartRefused, reason tells why
+// the order was not sent, which leaves attempt at 0, or the runner refused it.
+func (c *Cell) RecordAttempt(now time.Time, run *Run, attempt int, outcome StartOutcome, reason string) {
+	c.recordAnswer(run, attempt, outcome)
 	r := c.runners[run.Runner]
 	if r == nil || r.runs[runKey{run.Task, run.Execution}] != run {
 		return
@@ -79,6 +85,10 @@
 			c.orderStop(now, run)
 		}
 	case StartRefused:
+		if c.mayStartLater(run) {
+			c.handleRefusedRepeat(now, run, reason)
+			return
+		}
 		c.handleRefusal(now, r, run, reason)
 	case StartUnknown:
 		if run.Phase == Sending {
@@ -135,6 +145,22 @@
 	return ""
 }
 
+// handleRefusedRepeat handles the refusal of a start order while another order of the same run may still be carried out.
+// The run keeps its capacity; the next report tells whether it exists.
+func (c *Cell) handleRefusedRepeat(now time.Time, run *Run, reason string) {
+	if run.Phase != Sending {
+		return
+	}
+	run.Phase, run.outcomeUnknownSince = OutcomeUnknown, now
+	run.refusedAsOld = run.refusedAsOld || reason == refusedOld
+	if run.orphan {
+		c.orderStop(now, run)
+	}
+}
+
+// refusedOld is the reason of a runner that knows the execution, or a later one of the task, as stopped or ended.
+const refusedOld = "old"
+
 // refusedFence is the reason of a runner that has seen a higher fencing token. If it is not that of a later
 // scheduler, the order was sent before a restart of the runner was noticed.
 const refusedFence = "fence"
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -57,6 +57,9 @@
 			c.decideGroup(now, wall, g, inLookahead, &d)
 		}
 	}
+	if !c.startsPaused {
+		d.Starts = append(d.Starts, c.takeRepeats()...)
+	}
 	c.recordStarts(now, d.Starts)
 	d.Stops = c.TakeStops()
 	d.Paces, c.paces = c.paces, nil
@@ -246,8 +249,10 @@
 			g.gangExecution = max(g.gangExecution+1, c.cfg.FirstExecution)
 		}
 		execution, checkpoint = g.gangExecution, g.gangCheckpoint
+	} else if repeated := c.executionToRepeat(g.taskRef(index)); repeated != 0 {
+		execution = repeated
 	}
-	t.lastExecution = execution
+	t.lastExecution = max(t.lastExecution, execution)
 	run := &Run{
 		Task: g.taskRef(index), Execution: execution, Runner: r.info.ID, Incarnation: r.incarnation, Fence: r.token,
 		Phase: Sending, Started: now, group: g, claimed: g.claim(), pacePercent: fullPacePercent,
--- a/sched/cell/report.go
+++ b/sched/cell/report.go
@@ -198,11 +198,7 @@
 		// The run ended with an incarnation before, and the present one refuses its start order.
 		c.handleLostRun(now, r, run, lostByRestart)
 	case run.Phase == OutcomeUnknown && run.stopSentAt.IsZero() && run.outcomeUnknownSince.Before(sentAt):
-		// A stop order keeps the runner from executing a start order that arrives late.
-		c.orderStop(now, run)
-		if run.group != nil && run.group.spec.Gang && !run.orphan {
-			c.stopGang(now, run.group)
-		}
+		c.resolveUnlistedStart(now, r, run)
 	case !run.stopAckedAt.IsZero() && run.stopAckedAt.Before(sentAt):
 		c.handleLostRun(now, r, run, lostStopped)
 	case run.Phase == Active && run.confirmedAt.Before(sentAt):
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -69,6 +69,10 @@
 	// heldUntil is until when a run whose start got no answer may exist on a runner that restarted
 	// before the order arrived; see holdUnanswered.
 	heldUntil time.Time
+	// attempt identifies the last order to start the run. refusedAsOld tells that the runner refused one because it knows
+	// the execution, or a later one, as stopped or ended.
+	attempt      int
+	refusedAsOld bool
 	// outcomeUnknownSince is when the caller stopped waiting for the answer to the start
 	// order.
 	outcomeUnknownSince time.Time
