Read the unanswered starts before any runner is called

A new scheduler could acknowledge the end of a task while an order of its predecessor to start the task was still on its way, and the runner executed that after a restart.

Cause: the record was read after the runners' entries, whose loops begin at once; in the few milliseconds between, an end that the store holds already was acknowledged.

--- a/daemon/internal/cellsched/load.go
+++ b/daemon/internal/cellsched/load.go
@@ -78,10 +78,13 @@
 	// The listing returns cancel requests before the jobs that they refer to.
 	s.applyCancels(cancels)
 	s.finishLoading()
-	// The runners come last: if a runner reported the end of a run before its job is known,
-	// the end would be acknowledged without being stored.
+	if !s.loadUnsettledStarts() {
+		return 0, false
+	}
+	// The runners come last: if a runner reported the end of a run before its job is known, or while a start of it may
+	// be carried out without this scheduler knowing, the end would be acknowledged too early.
 	runnerAt, ok := s.listRunners()
-	if !ok || !s.loadUnsettledStarts() || !s.loadRoster() {
+	if !ok || !s.loadRoster() {
 		return 0, false
 	}
 	s.spawn(func() { s.watchRunners(runnerAt) })
