Let stand-ins execute late starts that an earlier incarnation would have refused

The stand-in of the runners left out every late start that a former incarnation had been made to refuse, since no scheduler could prevent what followed.

It now leaves out only starts that were under way when their scheduler was lost, within the time in which the record of unanswered starts cannot hold them; in the soak also while a fault may keep the scheduler from the store.

--- a/daemon/internal/cellsched/sim_faults_test.go
+++ b/daemon/internal/cellsched/sim_faults_test.go
@@ -79,8 +79,8 @@
 	return func() {}
 }
 
-// simRefusedStarts reports whether runners execute late starts of which an earlier incarnation was made to refuse
-// them. Work that runs twice because of them is not prevented; see KNOWN-RED.txt.
+// simRefusedStarts reports whether runners execute late starts of a lost scheduler of which an earlier incarnation was made
+// to refuse them. Work that runs twice because of them is not prevented; see KNOWN-RED.txt.
 func simRefusedStarts() bool { return os.Getenv("SIM_REFUSED_STARTS") != "" }
 
 // crashRunner restarts a runner, which loses its runs and its memory of them.
--- a/soak/play/faults.go
+++ b/soak/play/faults.go
@@ -22,6 +22,19 @@
 // lateShare is the share of calls that a fault of the store or of runners hits.
 const lateShare = 0.33
 
+// recordDelay is how long after a start was sent the store lacks it at most, if it got no answer.
+const recordDelay = 1500 * time.Millisecond
+
+// maySilenceScheduler reports whether a scheduler may be lost, or be unable to write to the store, while the fault lasts.
+func (k faultKind) maySilenceScheduler() bool {
+	switch k {
+	case cutRunner, crashRunner, drainRunner, changeRunner, lateOrders, failingRuns, oddEntry, changeRoutes, cutClients:
+		return false
+	default:
+		return true
+	}
+}
+
 // oddEntries are entries of another writer among those of the runners.
 var oddEntries = []string{
 	`{"service":"other","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":8000}}`,
@@ -184,8 +197,16 @@
 			v, r, target := w.targets(f)
 			w.logf("begins: %d %s: %s", i, f.kind, target)
 			n := w.beginSpan(f.kind, target)
+			began := time.Now()
+			unrecorded := func() {
+				if f.kind.maySilenceScheduler() {
+					w.fleet.CallerLost(time.Since(began) + recordDelay)
+				}
+			}
+			unrecorded()
 			end := w.inject(f, v, r)
 			time.Sleep(time.Until(begin.Add(f.at + f.lasts)))
+			unrecorded()
 			end()
 			w.endSpan(n)
 			w.logf("ends: %d %s: %s", i, f.kind, target)
--- a/standin/cellrunner/faults.go
+++ b/standin/cellrunner/faults.go
@@ -7,7 +7,8 @@
 	// DelayRate is the share of calls that are not answered and are executed minCallDelay to maxCallDelay
 	// later, by whichever incarnation the runner has then.
 	DelayRate float64
-	// RefusedStarts makes an incarnation execute late starts that one before it would have refused.
+	// RefusedStarts makes an incarnation execute late starts that one before it would have refused, also if they are
+	// of a scheduler that was lost while it waited for the answer.
 	RefusedStarts bool
 	// RunFailureRate is the share of runs that fail.
 	RunFailureRate float64
