Do not wait for starts once the term has ended

A VM was busy for up to half a second when its term ended while an acknowledgement waited for starts: the wait returns at once when the context has ended, and the loop around it went on to its deadline.

The loop returns. TestAcknowledgementDoesNotWaitAfterTheTerm guards it.

--- a/daemon/internal/cellsched/acknowledge_test.go
+++ b/daemon/internal/cellsched/acknowledge_test.go
@@ -69,6 +69,17 @@
 	must.Eq(t, 1, next.AckedEnd)
 }
 
+// Guards against a VM that is busy for half a second as its term ends.
+func TestAcknowledgementDoesNotWaitAfterTheTerm(t *testing.T) {
+	o := newOrderTest(t, 0)
+	o.endFirstRun(t)
+	must.Positive(t, o.s.cell.PrepareStart(time.Now(), o.starts[1]).Attempt)
+	o.s.stepDown()
+	begin := time.Now()
+	o.s.runnerLoops["r0"].renewLease()
+	must.Less(t, maxStartsWait/2, time.Since(begin))
+}
+
 // Guards against acknowledgements without an answer, which use up fencing tokens, because a report is needed at once.
 func TestAcknowledgementIsNotCancelled(t *testing.T) {
 	s := newIdleScheduler(t)
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -181,6 +181,9 @@
 	s := l.s
 	next, startEnded := l.nextRenewal(true)
 	for deadline := time.Now().Add(maxStartsWait); startEnded != nil; {
+		if s.ctx.Err() != nil {
+			return
+		}
 		l.waitFor(startEnded, time.Until(deadline))
 		next, startEnded = l.nextRenewal(time.Now().Before(deadline))
 	}
