Count a start with a ticket as on its way until the ticket expires

A task could run again after its success: a runner restarted, the advisor issued a ticket for the new incarnation before the scheduler had noticed it, and the new incarnation executed the start; an acknowledgement that was meant for its predecessor then removed the end.

Cause: starts with a ticket were left out, since a ticket is valid for one incarnation. But it need not be the one that the scheduler knows.

They now count like the others, though not longer than the ticket is valid, a second or two. Their order is not repeated, since tickets expire; they are stopped as before. TestStartsWithTicketsBarNoAcknowledgement stated the wrong assumption; TestStartWithTicketMayArriveUntilTheTicketExpires takes its place and bounds the wait as well.

--- a/sched/cell/advice.go
+++ b/sched/cell/advice.go
@@ -9,7 +9,8 @@
 type ticket struct {
 	value       string
 	incarnation int64
-	until       time.Time
+	// until is when the ticket may be used for the last time, and expiry when it has certainly expired.
+	until, expiry time.Time
 }
 
 // advice is what the advisor has answered about the runners that may run a group.
@@ -104,7 +105,7 @@
 	until := issued.Add(call.validity - ticketMargin)
 	for _, p := range approvals {
 		a.approved[p.Runner] = true
-		a.tickets[p.Runner] = ticket{value: p.Ticket, incarnation: call.incarnations[p.Runner], until: until}
+		a.tickets[p.Runner] = ticket{value: p.Ticket, incarnation: call.incarnations[p.Runner], until: until, expiry: now.Add(call.validity + leaseMargin(call.validity))}
 	}
 	if len(approvals) > 0 && until.After(a.ticketsUntil) {
 		a.ticketsUntil = until
--- a/sched/cell/latecalls.go
+++ b/sched/cell/latecalls.go
@@ -20,7 +20,8 @@
 //
 // Such a start is repeated with the same execution: however many of the orders an incarnation gets, it executes one.
 //
-// None of this holds for starts with a ticket, which is valid for one incarnation only.
+// A start with a ticket cannot arrive once the ticket has expired. The ticket may be that of an incarnation which the
+// scheduler has not noticed yet.
 
 // unsettledStart is a start order that a runner may still carry out.
 type unsettledStart struct {
@@ -28,7 +29,8 @@
 	key    runKey
 	// attempt identifies the order among those of the same execution.
 	attempt int
-	sentAt  time.Time
+	// sentAt is when the order was sent, and arrivesUntil until when it may be carried out.
+	sentAt, arrivesUntil time.Time
 	// underWay tells that the answer is still awaited.
 	underWay bool
 	// repeated tells that there are several orders of the execution, so that a listed run does not show which of them
@@ -58,24 +60,25 @@
 		return PreparedStart{StaleReason: reason}
 	}
 	r, run := c.runners[st.Run.Runner], st.Run
-	boundToIncarnation := st.Ticket != ""
-	if !boundToIncarnation && (r.ackUnderWay || r.ackWaiting) {
+	if r.ackUnderWay || r.ackWaiting {
 		return PreparedStart{Blocked: true}
 	}
 	c.attempts++
-	if !boundToIncarnation {
-		r.passLostAck()
-	}
+	r.passLostAck()
 	run.Fence, run.attempt = r.token, c.attempts
-	if !boundToIncarnation {
-		u := &unsettledStart{runner: r.info.ID, key: runKey{run.Task, run.Execution}, attempt: run.attempt, sentAt: now, underWay: true}
-		for _, other := range c.unsettled[run.Task] {
-			if other.key == u.key && other.runner == u.runner {
-				other.repeated, u.repeated = true, true
-			}
+	u := &unsettledStart{
+		runner: r.info.ID, key: runKey{run.Task, run.Execution}, attempt: run.attempt, sentAt: now,
+		arrivesUntil: now.Add(c.cfg.LateCallLimit), underWay: true,
+	}
+	if expiry := run.group.advice.tickets[r.info.ID].expiry; st.Ticket != "" && expiry.Before(u.arrivesUntil) {
+		u.arrivesUntil = expiry
+	}
+	for _, other := range c.unsettled[run.Task] {
+		if other.key == u.key && other.runner == u.runner {
+			other.repeated, u.repeated = true, true
 		}
-		c.addUnsettled(u)
 	}
+	c.addUnsettled(u)
 	return PreparedStart{Token: r.token, Attempt: run.attempt}
 }
 
@@ -145,11 +148,11 @@
 }
 
 // resolveUnlistedStart handles a run whose start got no answer and that its runner does not list. Once the order is
-// repeated, the run exists or its runner refuses it.
+// repeated, the run exists or its runner refuses it. Gangs start as a whole, and tickets expire, so these are stopped.
 func (c *Cell) resolveUnlistedStart(now time.Time, r *runner, run *Run) {
 	g := run.group
 	needed := g != nil && !run.orphan && !run.unneeded() && !g.tasks[run.Task.Index].done
-	if needed && !g.spec.Gang && !run.refusedAsOld && c.mayStartLater(run) {
+	if needed && !g.spec.Gang && g.queue.Advice == nil && !run.refusedAsOld && c.mayStartLater(run) {
 		if r.usable(now) {
 			run.Phase = Sending
 			c.repeats = append(c.repeats, run)
@@ -214,7 +217,7 @@
 
 // mayArrive reports whether a runner may still carry out a start order.
 func (c *Cell) mayArrive(now time.Time, u *unsettledStart) bool {
-	return u.underWay || now.Before(u.sentAt.Add(c.cfg.LateCallLimit))
+	return u.underWay || now.Before(u.arrivesUntil)
 }
 
 // mayRun reports whether a start order may still be carried out, or its run may exist on a runner that is not heard.
@@ -223,16 +226,16 @@
 	if c.mayArrive(now, u) {
 		return true
 	}
-	lastCall := u.sentAt
+	lastArrival := u.arrivesUntil
 	if r != nil {
-		if r.fenced && r.lastReportSentAt.After(u.sentAt.Add(c.cfg.LateCallLimit)) {
+		if r.fenced && r.lastReportSentAt.After(u.arrivesUntil) {
 			return false
 		}
-		if r.leaseGrantedAt.After(lastCall) {
-			lastCall = r.leaseGrantedAt
+		if renewal := r.leaseGrantedAt.Add(c.cfg.LateCallLimit); renewal.After(lastArrival) {
+			lastArrival = renewal
 		}
 	}
-	return now.Before(lastCall.Add(c.cfg.LateCallLimit + c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease)))
+	return now.Before(lastArrival.Add(c.cfg.MaxLease + leaseMargin(c.cfg.MaxLease)))
 }
 
 // expireUnsettledStarts forgets the start orders that are too old to be carried out.
@@ -283,7 +286,7 @@
 	}
 	for _, x := range starts {
 		// The record may stand for several orders.
-		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now, repeated: true, closed: x.Closed})
+		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now, arrivesUntil: now.Add(c.cfg.LateCallLimit), repeated: true, closed: x.Closed})
 	}
 	c.unsettledVersion++
 }
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -165,17 +165,23 @@
 	must.Len(t, 1, w.decideUntilStart(time.Second))
 }
 
-// Guards against acknowledgements that wait for starts which cannot reach a later incarnation: their tickets are valid
-// for one.
-func TestStartsWithTicketsBarNoAcknowledgement(t *testing.T) {
+// Guards against a task that runs again after its success: an incarnation that the scheduler has not noticed yet executes a
+// start with a ticket that was issued for it. Also guards against ends that wait for such a start for long.
+func TestStartWithTicketMayArriveUntilTheTicketExpires(t *testing.T) {
 	w := lateCallCell(t, 1)
 	w.endedRun("0000000000000001")
-	w.cell.SetQueues([]Queue{advisedQueue()})
+	q := advisedQueue()
+	w.cell.SetQueues([]Queue{q})
 	w.addJob("0000000000000002", smallStep(1))
 	st := w.decideUntilStart(time.Second)[0]
 	must.NotEq(t, "", st.Ticket)
 	must.Positive(t, w.cell.PrepareStart(w.now, st).Attempt)
+	must.Eq(t, AckAfterStarts, w.ackState("r0"))
+	w.cell.RecordStartOutcome(w.now, st.Run, StartUnknown, "")
+	must.Eq(t, AckBarred, w.ackState("r0"))
+	w.now = w.now.Add(q.Advice.Validity + time.Second)
 	must.Eq(t, AckReady, w.ackState("r0"))
+	must.Greater(t, q.Advice.Validity+time.Second, w.cell.cfg.LateCallLimit)
 }
 
 // Guards against a runner that is forgotten with its token, or with a start that its next incarnation may execute.
