--- a/daemon/internal/cellsched/overload_test.go
+++ b/daemon/internal/cellsched/overload_test.go
@@ -44,6 +44,7 @@
 	fleet     *cellrunner.Fleet
 	startedAt time.Time
 	servers   []*http.Server
+	runners   []*cellrunner.Runner
 	kinds     []*loadKind
 	ctx       context.Context
 	stop      context.CancelFunc
@@ -125,6 +126,7 @@
 	s.serve(loadAdvisor, advisor)
 	for i := range size.runners {
 		r := s.fleet.Add(fmt.Sprintf("r%d", i))
+		s.runners = append(s.runners, r)
 		s.serve(runnerAddr(i), r)
 		s.store.Put(platform.RunnerPrefix+r.ID, s.fleet.RunnerRecord(r, simPool, runnerAddr(i), "ready"))
 	}
@@ -234,6 +236,7 @@
 
 // kill cuts a VM off, so that nothing it sends arrives, stops it, and starts another VM.
 func (s *loadSim) kill(vm *loadVM) {
+	s.fleet.CallerLost(maxOrderTimeout + 2*startsRecordInterval)
 	s.mu.Lock()
 	vm.killed = true
 	s.vms = slices.DeleteFunc(s.vms, func(x *loadVM) bool { return x == vm })
--- a/standin/cellrunner/faults.go
+++ b/standin/cellrunner/faults.go
@@ -4,7 +4,7 @@
 type Faults struct {
 	// LostResponseRate is the share of orders that are executed but not answered.
 	LostResponseRate float64
-	// DelayRate is the share of calls that are not answered and are executed minCallDelay to maxCallDelay
+	// DelayRate is the share of calls that are not answered and are executed minCallDelay to MaxCallDelay
 	// later, by whichever incarnation the runner has then.
 	DelayRate float64
 	// RefusedStarts makes an incarnation execute late starts that one before it would have refused, also if they are
--- a/standin/cellrunner/runner.go
+++ b/standin/cellrunner/runner.go
@@ -38,10 +38,10 @@
 // maxRunLease is the longest lease that an order can give.
 const maxRunLease = 6 * time.Second
 
-// minCallDelay and maxCallDelay bound how much later a delayed call is executed.
+// minCallDelay and MaxCallDelay bound how much later a delayed call is executed.
 const (
 	minCallDelay = 2 * time.Second
-	maxCallDelay = 12 * time.Second
+	MaxCallDelay = 12 * time.Second
 )
 
 type order struct {
@@ -86,7 +86,7 @@
 	f := r.fleet
 	f.mu.Lock()
 	loseResponse, delayOrder := f.chance(f.faults.LostResponseRate), f.chance(f.faults.DelayRate)
-	delay := minCallDelay + time.Duration(f.random.Int64N(int64(maxCallDelay-minCallDelay)))
+	delay := minCallDelay + time.Duration(f.random.Int64N(int64(MaxCallDelay-minCallDelay)))
 	f.mu.Unlock()
 	if delayOrder {
 		r.delay(delay, req.URL.Path, o)
