--- a/sched/cell/orders.go
+++ b/sched/cell/orders.go
@@ -145,19 +145,6 @@
 	return ""
 }
 
-// handleRefusedRepeat handles the refusal of a start order while another order of the same run may still be carried out.
-// The run keeps its capacity; the next report tells whether it exists.
-func (c *Cell) handleRefusedRepeat(now time.Time, run *Run, reason string) {
-	if run.Phase != Sending {
-		return
-	}
-	run.Phase, run.outcomeUnknownSince = OutcomeUnknown, now
-	run.refusedAsOld = run.refusedAsOld || reason == refusedOld
-	if run.orphan {
-		c.orderStop(now, run)
-	}
-}
-
 // refusedOld is the reason of a runner that knows the execution, or a later one of the task, as stopped or ended.
 const refusedOld = "old"
 
--- /dev/null
+++ b/sched/cell/unsettledrecord.go
@@ -0,0 +1,45 @@
+package cell
+
+import "time"
+
+// UnsettledStart is a start order that a runner may still carry out, in the record for the next scheduler.
+type UnsettledStart struct {
+	Task      TaskRef
+	Execution int64
+	Runner    string
+	// Closed tells that the execution was stopped or has ended on the runner.
+	Closed bool
+}
+
+// UnsettledVersion changes with the set of start orders that got no answer and may still be carried out.
+func (c *Cell) UnsettledVersion() int { return c.unsettledVersion }
+
+// UnsettledStarts returns start orders that may still be carried out, at most limit, those without an answer first.
+func (c *Cell) UnsettledStarts(limit int) []UnsettledStart {
+	var unanswered, underWay []UnsettledStart
+	for _, started := range c.unsettled {
+		for _, u := range started {
+			x := UnsettledStart{Task: u.key.task, Execution: u.key.execution, Runner: u.runner, Closed: u.closed}
+			if u.underWay {
+				underWay = append(underWay, x)
+			} else {
+				unanswered = append(unanswered, x)
+			}
+		}
+	}
+	all := append(unanswered, underWay...)
+	return all[:min(limit, len(all))]
+}
+
+// AdoptUnsettledStarts adds the start orders of earlier schedulers that may still be carried out. How long ago they were
+// sent is not known.
+func (c *Cell) AdoptUnsettledStarts(now time.Time, starts []UnsettledStart) {
+	if len(starts) == 0 {
+		return
+	}
+	for _, x := range starts {
+		// The record may stand for several orders.
+		c.addUnsettled(&unsettledStart{runner: x.Runner, key: runKey{x.Task, x.Execution}, sentAt: now, arrivesUntil: now.Add(c.cfg.LateCallLimit), repeated: true, closed: x.Closed})
+	}
+	c.unsettledVersion++
+}
