Stop a run whose start is not repeated after all

A run could hold its capacity for good: its job was cancelled between the report that lacked it and the decision that was to send its start again. The order was dropped, and the run kept the phase in which an answer is awaited.

Found by reading. Such a run is now stopped, since its first order may still be carried out. TestCancelledRunIsNotRepeated fails before.

--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -423,3 +423,21 @@
 	next.addJob("0000000000000001", smallStep(1))
 	must.Eq(t, 1000, next.decideUntilStart(time.Second)[0].Run.Execution)
 }
+
+// Guards against a run that holds capacity for good: its job is cancelled between the report that lacks it and the decision
+// to repeat its start.
+func TestCancelledRunIsNotRepeated(t *testing.T) {
+	w := lateCallCell(t, 1)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.unlisted(run)
+	must.Eq(t, Sending, run.Phase)
+	must.True(t, w.cell.Cancel(w.now, "0000000000000001"))
+	w.writeStates()
+	d := w.cell.Decide(w.now, w.now)
+	must.SliceEmpty(t, d.Starts)
+	must.Len(t, 1, d.Stops)
+	w.cell.RecordStopAck(w.now, run)
+	w.now = w.now.Add(time.Millisecond)
+	w.report("r0", Report{Incarnation: 1})
+	must.MapEmpty(t, w.cell.runners["r0"].runs)
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if !c.startsPaused {
-		d.Starts = append(d.Starts, c.takeRepeats()...)
+		d.Starts = append(d.Starts, c.takeRepeats(now)...)
 	}
 	c.recordStarts(now, d.Starts)
 	d.Stops = c.TakeStops()
--- a/sched/cell/repeatstart.go
+++ b/sched/cell/repeatstart.go
@@ -54,12 +54,19 @@
 	}
 }
 
-// takeRepeats returns the orders to repeat since the last call.
-func (c *Cell) takeRepeats() []StartOrder {
+// takeRepeats returns the orders to repeat since the last call. A run that is not needed any more is stopped instead, since
+// its first order may still be carried out.
+func (c *Cell) takeRepeats(now time.Time) []StartOrder {
 	var starts []StartOrder
 	for _, run := range c.repeats {
-		if g := run.group; run.Phase == Sending && run.task() != nil {
-			starts = append(starts, StartOrder{Run: run, Payload: g.job.Spec.Payload, Checkpoint: run.task().checkpoint})
+		r := c.runners[run.Runner]
+		switch t := run.task(); {
+		case run.Phase != Sending || r == nil || r.runs[runKey{run.Task, run.Execution}] != run:
+		case run.orphan || run.unneeded() || t == nil:
+			run.Phase, run.outcomeUnknownSince = OutcomeUnknown, now
+			c.orderStop(now, run)
+		default:
+			starts = append(starts, StartOrder{Run: run, Payload: run.group.job.Spec.Payload, Checkpoint: t.checkpoint})
 		}
 	}
 	c.repeats = nil
