Use no failed execution again

A task could start more often than its queue allows: a new scheduler repeated an execution whose failure was stored, and as failures are counted by execution the second one did not count. It takes a record of unanswered starts that is older than the failure.

Found by reading. TestFailedExecutionIsNotRepeated fails before.

--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -441,3 +441,19 @@
 	w.report("r0", Report{Incarnation: 1})
 	must.MapEmpty(t, w.cell.runners["r0"].runs)
 }
+
+// Guards against a task that starts too often: a failed execution is used again, and its second failure is not counted.
+func TestFailedExecutionIsNotRepeated(t *testing.T) {
+	w := lateCallCell(t, 1)
+	run := w.send("0000000000000001", 1)[0].Run
+	w.cell.RecordStartOutcome(w.now, run, StartUnknown, "")
+	starts := w.cell.UnsettledStarts(10)
+
+	next := lateCallCell(t, 0)
+	next.cell.AdoptUnsettledStarts(next.now, starts)
+	next.addRunners(0, 1)
+	j := next.addJob("0000000000000001", smallStep(1))
+	j.group(0, 0).tasks[0].failedExecutions = []int64{run.Execution}
+	j.group(0, 0).tasks[0].lastExecution = run.Execution
+	must.Greater(t, run.Execution, next.decideUntilStart(5 * time.Second)[0].Run.Execution)
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -249,7 +249,7 @@
 			g.gangExecution = max(g.gangExecution+1, c.cfg.FirstExecution)
 		}
 		execution, checkpoint = g.gangExecution, g.gangCheckpoint
-	} else if repeated := c.executionToRepeat(g.taskRef(index)); repeated != 0 {
+	} else if repeated := c.executionToRepeat(g, index); repeated != 0 {
 		execution = repeated
 	}
 	t.lastExecution = max(t.lastExecution, execution)
--- a/sched/cell/repeatstart.go
+++ b/sched/cell/repeatstart.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // mayStartLater reports whether an order to start a run may still be carried out.
 func (c *Cell) mayStartLater(run *Run) bool {
@@ -22,12 +25,12 @@
 	}
 }
 
-// executionToRepeat returns the execution with which a task starts again because an order with it may still be carried
-// out; 0 if it takes the next one.
-func (c *Cell) executionToRepeat(task TaskRef) int64 {
+// executionToRepeat returns the execution with which a task of a group starts again because an order with it may still be
+// carried out; 0 if it takes the next one. Failed executions are counted by their number, so none is used again.
+func (c *Cell) executionToRepeat(g *group, index int) int64 {
 	var execution int64
-	for _, u := range c.unsettled[task] {
-		if u.closed || (execution != 0 && u.key.execution != execution) {
+	for _, u := range c.unsettled[g.taskRef(index)] {
+		if u.closed || (execution != 0 && u.key.execution != execution) || slices.Contains(g.tasks[index].failedExecutions, u.key.execution) {
 			return 0
 		}
 		execution = u.key.execution
