Spare the call for each end on a full runner, and the frequent ones on a busy VM

Cause: each acknowledgement is a call of its own, and a runner whose ends cannot be acknowledged was called four times a second, also by a VM that has no processor time left for that.

Where a runner has less free than any recent start took, the call that waits for a run to end acknowledges ends as before; a start that comes all the same does not wait, and carries the next token, so a new incarnation refuses the acknowledgement. Renewals with barred ends are 20 times as far apart as a call takes, 250 ms to 1 s.

--- a/daemon/internal/cellsched/acknowledge_test.go
+++ b/daemon/internal/cellsched/acknowledge_test.go
@@ -117,3 +117,13 @@
 	must.False(t, certainlyNotExecuted(relay.ErrLost))
 	must.False(t, certainlyNotExecuted(errors.New("connection reset")))
 }
+
+// Guards against a busy VM that spends its processor on renewals which are answered at once, and so recovers late.
+func TestRenewalsWithBarredEndsAreRarerWhenCallsTakeLong(t *testing.T) {
+	s := newIdleScheduler(t)
+	must.Eq(t, minBarredInterval, s.barredRenewalInterval(3*time.Millisecond))
+	must.Eq(t, 600*time.Millisecond, s.barredRenewalInterval(30*time.Millisecond))
+	must.Eq(t, maxBarredInterval, s.barredRenewalInterval(time.Second))
+	s.listedRunners.Store(3000)
+	must.Eq(t, 3*time.Second, s.barredRenewalInterval(3*time.Millisecond))
+}
--- a/daemon/internal/cellsched/renewal.go
+++ b/daemon/internal/cellsched/renewal.go
@@ -43,7 +43,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, next.Wait+renewalReplySlack)
 	l.mu.Lock()
-	l.cancelRenewal, l.acknowledging = cancel, next.AckedEnd > 0
+	l.cancelRenewal, l.acknowledging = cancel, next.AckedEnd > 0 && next.Wait == 0
 	l.mu.Unlock()
 	report, clock, err := s.runners.RenewLease(ctx, l.address(), next.RenewLeaseRequest)
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
@@ -92,7 +92,7 @@
 	if !allStored {
 		l.waitForStoredEnds(endsStored)
 	} else if next.barred {
-		l.pause(time.Until(sent.Add(s.barredRenewalInterval())))
+		l.pause(time.Until(sent.Add(s.barredRenewalInterval(now.Sub(sent)))))
 	}
 }
 
@@ -126,7 +126,7 @@
 	}
 	next.LeaseEnd = s.grantLease(l)
 	reportDue := l.reportDue.Swap(false)
-	if !reportDue && next.AckedEnd == 0 && next.allStored && next.LeaseEnd > 0 {
+	if !reportDue && state != cell.AckReady && next.allStored && next.LeaseEnd > 0 {
 		longest := renewalWait
 		if next.Idle = !s.cell.HasRuns(l.id); next.Idle {
 			longest = idleRenewalWait
@@ -154,8 +154,9 @@
 	return errors.As(err, &refused) || errors.Is(err, platform.ErrNotSent) || errors.Is(err, relay.ErrNotPassedOn)
 }
 
-// barredRenewalInterval returns the interval between renewals on a runner whose ends cannot be acknowledged.
-func (s *Scheduler) barredRenewalInterval() time.Duration {
-	runners := s.listedRunners.Load()
-	return max(barredRenewalInterval, time.Duration(runners)*time.Second/barredRenewalsPerSecond)
+// barredRenewalInterval returns the interval between renewals on a runner whose ends cannot be acknowledged, if one takes
+// the given time there.
+func (s *Scheduler) barredRenewalInterval(took time.Duration) time.Duration {
+	interval := min(max(minBarredInterval, barredIntervalFactor*took), maxBarredInterval)
+	return max(interval, time.Duration(s.listedRunners.Load())*time.Second/barredRenewalsPerSecond)
 }
--- a/daemon/internal/cellsched/runnerloop.go
+++ b/daemon/internal/cellsched/runnerloop.go
@@ -37,9 +37,13 @@
 	maxStoredEndsWait = 500 * time.Millisecond
 	// maxStartsWait bounds the wait of an acknowledgement for the answers to starts that are under way.
 	maxStartsWait = orderTimeout
-	// barredRenewalInterval is the least interval between the renewals on a runner whose listed ends cannot be
-	// acknowledged for now: it answers them without waiting. barredRenewalsPerSecond bounds them over all runners.
-	barredRenewalInterval   = 250 * time.Millisecond
+	// minBarredInterval and maxBarredInterval bound the interval between the renewals on a runner whose listed ends cannot
+	// be acknowledged for now: it answers them without waiting. barredIntervalFactor times the duration of a call keeps
+	// a busy VM, whose calls take long, from spending its processor on them, and barredRenewalsPerSecond bounds
+	// them over all runners.
+	minBarredInterval       = 250 * time.Millisecond
+	maxBarredInterval       = time.Second
+	barredIntervalFactor    = 20
 	barredRenewalsPerSecond = 1000
 )
 
--- a/sched/cell/acknowledge.go
+++ b/sched/cell/acknowledge.go
@@ -12,16 +12,19 @@
 const (
 	// AckNothing means that there is no end to acknowledge.
 	AckNothing AckState = iota
-	// AckReady means that the acknowledgement is to be sent now.
+	// AckReady means that the acknowledgement is to be sent now, by a call that does not wait. No start is sent before its answer.
 	AckReady
+	// AckAlong means that a call which waits for a run to end may acknowledge ends as well: the runner is full, so a start
+	// is not likely before that.
+	AckAlong
 	// AckAfterStarts means that starts are under way, which have to be answered first. No further ones are sent.
 	AckAfterStarts
 	// AckBarred means that a start may still be carried out late.
 	AckBarred
 )
 
-// BeginAcknowledgement returns whether ends of a runner can be acknowledged now, and with AckReady the number of the
-// last of them; EndAcknowledgement must follow. A caller that does not wait for starts that are under way calls
+// BeginAcknowledgement returns whether ends of a runner can be acknowledged now, and with AckReady and AckAlong the number of
+// the last of them; EndAcknowledgement must follow. A caller that does not wait for starts that are under way calls
 // CancelAcknowledgement.
 func (c *Cell) BeginAcknowledgement(now time.Time, id string) (AckState, int64) {
 	number := c.EndToAcknowledge(id)
@@ -42,15 +45,28 @@
 		return AckAfterStarts, 0
 	}
 	r.passLostAck()
-	r.ackUnderWay, r.sentAck = true, number
+	r.sentAck, r.ackToken = number, r.token
+	if c.isFull(now, r) {
+		r.ackAlong = true
+		return AckAlong, number
+	}
+	r.ackUnderWay = true
 	return AckReady, number
 }
 
+// isFull reports whether no start is likely on a runner before one of its runs ends: it has less free than any recent start
+// took. On a busy VM that spares a call for each end.
+func (c *Cell) isFull(now time.Time, r *runner) bool {
+	least, ok := c.leastClaims.least(now)
+	free := r.free()
+	return ok && len(r.runs) > 0 && (free.MilliCPU < least.MilliCPU || free.MemoryMB < least.MemoryMB)
+}
+
 // passLostAck makes further calls carry a higher token than an acknowledgement that may still be on its way.
 func (r *runner) passLostAck() {
 	if r.ackLost {
 		r.ackLost = false
-		r.token++
+		r.token = max(r.token, r.ackToken+1)
 	}
 }
 
@@ -77,7 +93,7 @@
 	if r == nil {
 		return
 	}
-	r.ackUnderWay = false
+	r.ackUnderWay, r.ackAlong = false, false
 	if !answered {
 		r.ackLost = true
 		c.event(Event{Kind: EventAckUnanswered, Runner: id, UnansweredAck: r.sentAck, UnansweredStarts: len(r.unsettled)})
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -53,6 +53,8 @@
 	// attempts counts the start orders that were sent, and repeats holds the runs whose orders are to be sent again.
 	attempts int
 	repeats  []*Run
+	// leastClaims knows the least capacity that recent starts took.
+	leastClaims leastClaims
 	// unsettledVersion changes with the unanswered ones of them.
 	unsettledVersion int
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
--- a/sched/cell/latecalls.go
+++ b/sched/cell/latecalls.go
@@ -13,7 +13,8 @@
 //   - Ends are acknowledged only while no start is on its way: each has been answered or listed, or is so old that
 //     it cannot arrive any more.
 //   - No start is sent while an acknowledgement waits for its answer. If none came, and no list shows that it was
-//     executed, later starts carry a higher token: an incarnation which has executed one of them refuses it.
+//     executed, later starts carry a higher token: an incarnation which has executed one of them refuses it. The same
+//     holds for an acknowledgement that goes along with a call which waits for long.
 //
 // A task whose start is on its way to a runner starts nowhere else meanwhile: a new incarnation executes the start even
 // if its predecessor was made to refuse it.
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"rhubarbstall.example/sched/model"
 )
 
 // lateCallCell returns a cell whose calls may be carried out 10 s late.
@@ -457,3 +459,50 @@
 	j.group(0, 0).tasks[0].lastExecution = run.Execution
 	must.Greater(t, run.Execution, next.decideUntilStart(5 * time.Second)[0].Run.Execution)
 }
+
+// Guards against a VM that recovers late from a burst because each end costs a call more, and against a start that waits for
+// as long as the call to a full runner does.
+func TestAcknowledgementGoesAlongOnAFullRunner(t *testing.T) {
+	w := lateCallCell(t, 1)
+	w.endedRun("0000000000000001")
+	w.addJob("0000000000000002", gangFillingRunners(1))
+	full := w.decideUntilStart(time.Second)[0]
+	must.Positive(t, w.cell.PrepareStart(w.now, full).Attempt)
+	w.cell.RecordStartOutcome(w.now, full.Run, StartOK, "")
+	must.Eq(t, AckAlong, w.ackState("r0"))
+	before, _ := w.cell.Token("r0")
+	w.cell.EndAcknowledgement("r0", true)
+	w.report("r0", Report{Incarnation: 1, Ended: []ReportedEnd{{Number: 2, Task: full.Run.Task, Execution: full.Run.Execution, Kind: EndDone}}})
+	w.writeStates()
+	w.addJob("0000000000000003", smallStep(1))
+	next := w.decideUntilStart(time.Second)[0]
+	// The runner became free while the call waited.
+	w.cell.runners["r0"].ackAlong, w.cell.runners["r0"].ackToken = true, before
+	prepared := w.cell.PrepareStart(w.now, next)
+	must.Eq(t, before+1, prepared.Token)
+	w.cell.EndAcknowledgement("r0", false)
+	w.cell.RecordStartOutcome(w.now, next.Run, StartOK, "")
+	w.addJob("0000000000000004", smallStep(1))
+	must.Eq(t, before+1, w.cell.PrepareStart(w.now, w.decideUntilStart(time.Second)[0]).Token, must.Sprint("one token is enough"))
+}
+
+// Guards against a runner that counts as full for good because of a start that took little long ago.
+func TestLeastClaimsForgetOldStarts(t *testing.T) {
+	var l leastClaims
+	now := time.Unix(1000, 0)
+	_, ok := l.least(now)
+	must.False(t, ok)
+	l.add(now, model.Resources{MilliCPU: 10, MemoryMB: 900})
+	l.add(now, model.Resources{MilliCPU: 90, MemoryMB: 100})
+	got, ok := l.least(now)
+	must.True(t, ok)
+	must.Eq(t, model.Resources{MilliCPU: 10, MemoryMB: 100}, got)
+	now = now.Add(leastClaimsSpan)
+	l.add(now, model.Resources{MilliCPU: 50, MemoryMB: 500})
+	got, _ = l.least(now)
+	must.Eq(t, model.Resources{MilliCPU: 10, MemoryMB: 100}, got)
+	got, _ = l.least(now.Add(leastClaimsSpan))
+	must.Eq(t, model.Resources{MilliCPU: 50, MemoryMB: 500}, got)
+	_, ok = l.least(now.Add(3 * leastClaimsSpan))
+	must.False(t, ok)
+}
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -258,6 +258,7 @@
 		Phase: Sending, Started: now, group: g, claimed: g.claim(), pacePercent: fullPacePercent,
 	}
 	r.addRun(run)
+	c.leastClaims.add(now, run.claimed)
 	r.prevFree = r.prevFree.Sub(run.claimed)
 	c.setAvailable(r, r.available.Sub(run.claimed))
 	t.liveRuns = append(t.liveRuns, run)
--- a/sched/cell/preparestart.go
+++ b/sched/cell/preparestart.go
@@ -24,6 +24,10 @@
 		return PreparedStart{Blocked: true}
 	}
 	c.attempts++
+	if r.ackAlong {
+		// The acknowledgement may still be on its way.
+		r.ackLost = true
+	}
 	r.passLostAck()
 	run.Fence, run.attempt = r.token, c.attempts
 	u := &unsettledStart{
--- a/sched/cell/runner.go
+++ b/sched/cell/runner.go
@@ -44,6 +44,10 @@
 	// ackUnderWay tells that an acknowledgement of ends waits for its answer, and ackWaiting that one waits for the
 	// answers to starts. Either holds back further starts.
 	ackUnderWay, ackWaiting bool
+	// ackAlong tells that a call which waits for a run to end acknowledges ends as well; it holds back no starts. ackToken
+	// is the token of the last acknowledgement.
+	ackAlong bool
+	ackToken int64
 	// ackLost tells that an acknowledgement got no answer and may still be on its way.
 	ackLost bool
 	// endsComplete tells whether a report of the present incarnation to this scheduler listed all ends
