--- a/sched/cell/acknowledge.go
+++ b/sched/cell/acknowledge.go
@@ -23,6 +23,10 @@
 	AckBarred
 )
 
+// alongTokenLimit is the token of a runner from which on no acknowledgement goes along with another call: a start that comes
+// meanwhile uses up a token, and the term, which has 1,024, ends with the last one.
+const alongTokenLimit = 512
+
 // BeginAcknowledgement returns whether ends of a runner can be acknowledged now, and with AckReady and AckAlong the number of
 // the last of them; EndAcknowledgement must follow. A caller that does not wait for starts that are under way calls
 // CancelAcknowledgement.
@@ -46,7 +50,7 @@
 	}
 	r.passLostAck()
 	r.sentAck, r.ackToken = number, r.token
-	if c.isFull(now, r) {
+	if c.isFull(now, r) && r.token < alongTokenLimit {
 		r.ackAlong = true
 		return AckAlong, number
 	}
--- a/sched/cell/latecalls_test.go
+++ b/sched/cell/latecalls_test.go
@@ -469,6 +469,9 @@
 	full := w.decideUntilStart(time.Second)[0]
 	must.Positive(t, w.cell.PrepareStart(w.now, full).Attempt)
 	w.cell.RecordStartOutcome(w.now, full.Run, StartOK, "")
+	w.cell.runners["r0"].token = alongTokenLimit
+	must.Eq(t, AckReady, w.ackState("r0"), must.Sprint("starts would use up the tokens of the term"))
+	w.cell.runners["r0"].token = 0
 	must.Eq(t, AckAlong, w.ackState("r0"))
 	before, _ := w.cell.Token("r0")
 	w.cell.EndAcknowledgement("r0", true)
