--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -152,7 +152,13 @@
 	r.w.mu.Unlock()
 	_ = server.Close()
 	r.w.rec.logf("runner %s crashed (rack %s)", r.id, r.rack)
+	born := r.born
 	time.AfterFunc(silentBeats*heartbeat, func() {
+		r.w.mu.Lock()
+		defer r.w.mu.Unlock()
+		if r.born != born {
+			return // It has started again.
+		}
 		r.w.store.drop("servers/" + r.id)
 		r.w.rec.logf("entry of runner %s removed", r.id)
 	})
@@ -180,6 +186,11 @@
 		return
 	}
 	if delay := r.w.lateness(r, req.URL.Path, &o); delay > 0 {
+		if delay == lost {
+			r.w.rec.logf("runner %s leaves %s %s#%d unanswered", r.id, req.URL.Path, o.Task, o.Execution)
+			<-req.Context().Done()
+			return
+		}
 		r.w.rec.logf("runner %s leaves %s %s#%d unanswered and carries it out %v later", r.id, req.URL.Path, o.Task, o.Execution, delay)
 		time.AfterFunc(delay, func() {
 			status, body := r.execute(req.URL.Path, &o)
@@ -237,6 +248,10 @@
 func (r *runner) execute(path string, o *order) (int, map[string]any) {
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
+	return r.executeLocked(path, o)
+}
+
+func (r *runner) executeLocked(path string, o *order) (int, map[string]any) {
 	if !r.up {
 		return 0, nil
 	}
@@ -315,7 +330,7 @@
 	b := r.body()
 	running, finished := [][]any{}, [][]any{}
 	for name, x := range r.runs {
-		running = append(running, []any{name, x.execution, "", x.percent(), r.w.gauge(r, x)})
+		running = append(running, []any{name, x.execution, "", x.percent(), x.step.CPU})
 	}
 	sort.Slice(running, func(i, k int) bool { return running[i][0].(string) < running[k][0].(string) })
 	for _, e := range r.ends[:min(len(r.ends), maxEnds)] {
--- a/review/standin-3/vm.go
+++ b/review/standin-3/vm.go
@@ -136,3 +136,14 @@
 	}
 	return 18000 + 500*(n%10)
 }
+
+// leader returns the VM that holds the scheduler's role by the store's record; nil if none does.
+func (w *world) leader() *vm {
+	holder := string(w.store.value("lead/holder"))
+	for _, v := range w.vms {
+		if strings.Contains(holder, `"`+v.name+`"`) {
+			return v
+		}
+	}
+	return nil
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -48,8 +48,6 @@
 	done map[string]bool
 	// late decides how much later a call is carried out; nil for never.
 	late func(r *runner, path string, o *order) time.Duration
-	// tail returns the fifth entry of a row for a task that serves; nil for none.
-	tail func(r *runner, x *run) int
 }
 
 func newWorld(rec *record, dir, daemon string) (*world, error) {
@@ -111,14 +109,6 @@
 	return w.late(r, path, o)
 }
 
-// gauge is the fifth entry of a row.
-func (w *world) gauge(r *runner, x *run) int {
-	if w.tail != nil && x.step.TargetMS > 0 {
-		return w.tail(r, x)
-	}
-	return int(x.step.CPU)
-}
-
 // stepOf returns the step of a task that a client has sent; nil if none has.
 func (w *world) stepOf(t taskName) *step {
 	j := w.jobs[t.id]
