cell: work passes reservations of gangs that cannot start soon

A gang needs all 12 workers and has to wait 30 s for a batch job. A small job after it is accepted and starts nothing until the gang has run, with 72 of 384 cores in use.

Cause: a reservation had no bound in time. A gang deducted its places from what all groups behind it may use, in each decision, however far off its start was, and counted as demand in the look-ahead for 3 s besides. Nothing stated what that may cost others. Ruled out: the advisor (the case's queues have none) and the begin mark (stored 120 ms after the acceptance).

The fix: the scheduler keeps since when a group could run but for what others keep, and lets it pass a reservation unless the gang is expected to start before the group would pass anyway, 1 s after it could have. Work that has waited for 1 s is within the look-ahead. With half of the pool in use nothing changes.

New jobs yield to a gang that nothing but passed work delays any more.

--- a/sched/cell/events.go
+++ b/sched/cell/events.go
@@ -40,6 +40,7 @@
 	EventAccountWithinWeight   EventKind = "account within its weight"
 	EventInterferenceFound     EventKind = "interference found"
 	EventInterferenceForgotten EventKind = "interference forgotten"
+	EventReservationPassed     EventKind = "reservation passed"
 )
 
 // Event is a change of state or a decision that the caller logs.
--- a/sched/cell/excess.go
+++ b/sched/cell/excess.go
@@ -75,8 +75,16 @@
 	freeMilliCPU, capacityMilliCPU int64
 	// awaitedMilliCPU is what groups that are no excess still wait for.
 	awaitedMilliCPU int64
+	// usedMilliCPU is what runs occupy of the totalMilliCPU of all runners that are heard, including those that get no new work.
+	usedMilliCPU, totalMilliCPU int64
 }
 
+// mostlyFree reports whether less than half of the pool is in use.
+func (p *poolRoom) mostlyFree() bool { return p.milliCPUUntilHalf() > 0 }
+
+// milliCPUUntilHalf returns how much more CPU has to be in use until half of the pool is.
+func (p *poolRoom) milliCPUUntilHalf() int64 { return p.totalMilliCPU/2 - p.usedMilliCPU }
+
 // poolRoom returns the room of a pool in the decision in progress. Pools are apart, since work that waits for one must not keep
 // excess from the free runners of another.
 func (c *Cell) poolRoom(pool string) *poolRoom {
@@ -90,6 +98,10 @@
 			room.freeMilliCPU += max(0, r.prevFree.MilliCPU)
 			room.capacityMilliCPU += r.info.Capacity.MilliCPU
 		}
+		if r.listed && r.reported && !r.suspect && r.info.Pool == pool {
+			room.usedMilliCPU += r.used.MilliCPU
+			room.totalMilliCPU += r.info.Capacity.MilliCPU
+		}
 	}
 	if c.poolRooms == nil {
 		c.poolRooms = make(map[string]*poolRoom)
--- a/sched/cell/explain.go
+++ b/sched/cell/explain.go
@@ -41,6 +41,7 @@
 	reasonExcess     = "account_excess"
 	reasonShare      = "account_share"
 	reasonSpeed      = "faster_runner"
+	reasonReserved   = "reserved"
 	// reasonEarlierAttempt and reasonPaused are only those of gangs.
 	reasonEarlierAttempt = "earlier_attempt"
 	reasonPaused         = "paused"
@@ -97,7 +98,7 @@
 		return model.Explanation{Reason: reason, Sentence: fmt.Sprintf(format, args...)}
 	}
 	fit, rejected := c.rejections(now, g)
-	accountWhy := c.explainAccount(g)
+	accountWhy, reservedWhy := c.explainAccount(g), c.explainReservation(now, g)
 	switch {
 	case wall.Before(g.due):
 		return say(reasonDue, "due in %s.", g.due.Sub(wall).Round(time.Second))
@@ -108,6 +109,8 @@
 		return say(reasonLimit, "%s", c.explainLimit(g))
 	case !g.begun && fit > 0 && accountWhy.Reason != "":
 		return accountWhy
+	case !g.begun && reservedWhy.Reason != "":
+		return reservedWhy
 	case !g.beginMarkStored():
 		return say(reasonMark, "the store has not confirmed yet that the step begins.")
 	case fit == 0:
@@ -132,6 +135,9 @@
 		why.Rejected = rejected
 		return why
 	}
+	if reservedWhy.Reason != "" {
+		return reservedWhy
+	}
 	if g.spec.Gang {
 		why := c.explainGang(now, wall, g)
 		why.Rejected = rejected
--- a/sched/cell/group.go
+++ b/sched/cell/group.go
@@ -57,6 +57,11 @@
 	// reservationDeducted tells whether the reservation is deducted from the available
 	// capacity of the runners.
 	reservationDeducted bool
+	// reservedFrom is when the gang is expected to start on its reserved runners. delayedByPassing tells that nothing delays
+	// it but runs that passed a reservation.
+	reservedFrom     time.Time
+	delayedByPassing bool
+	idle             idleWait
 	// replanAt is when the reservation may be moved to other runners.
 	replanAt time.Time
 	// sequence orders groups of equal rank by when they first became startable.
--- a/sched/cell/loadsim_test.go
+++ b/sched/cell/loadsim_test.go
@@ -58,10 +58,17 @@
 	trace          func(n int)
 	// speeds replaces the run times by those of runners with different speeds; nil for none.
 	speeds *speedSim
+	// runTime replaces the run times of all tasks; nil for those drawn from runTimes. The members of a gang end together.
+	runTime func(run *Run) time.Duration
+	// tick is the time between two decisions.
+	tick time.Duration
 	// busyCoreSeconds sums the cores in use over the time in which jobs arrive.
 	busyCoreSeconds float64
 }
 
+// stateWriteInterval is the time between two writes of states, each of which is stored at the next one.
+const stateWriteInterval = 60 * time.Millisecond
+
 type loadSimJob struct {
 	kind     int
 	job      *Job
@@ -86,7 +93,7 @@
 func newLoadSim(t *testing.T, runners, callers int, seed uint64) *loadSim {
 	now := time.Unix(1000, 0)
 	p := &loadSim{
-		t: t, kinds: mixedLoad(), startedAt: now, now: now, random: rand.New(rand.NewPCG(seed, 17)), runTimes: rand.New(rand.NewPCG(seed, 18)), runners: runners, callers: callers,
+		t: t, tick: 4 * time.Millisecond, kinds: mixedLoad(), startedAt: now, now: now, random: rand.New(rand.NewPCG(seed, 17)), runTimes: rand.New(rand.NewPCG(seed, 18)), runners: runners, callers: callers,
 		flood:      rand.New(rand.NewPCG(seed, 19)),
 		endNumbers: make(map[string]int64), durations: make(map[*Run]time.Duration), callCounts: make(map[string]int),
 		cell: New(now, Config{Lease: 24 * time.Hour, OrderTimeout: 500 * time.Millisecond, FirstExecution: 1}),
@@ -108,7 +115,7 @@
 
 // run simulates the load for one duration and then no new jobs for another.
 func (p *loadSim) run(load, rest time.Duration) {
-	const tick = 4 * time.Millisecond
+	tick := p.tick
 	for n := 0; p.now.Sub(p.startedAt) < load+rest; n++ {
 		p.now = p.now.Add(tick)
 		if p.now.Sub(p.startedAt) < load {
@@ -137,7 +144,7 @@
 		if p.trace != nil {
 			p.trace(n)
 		}
-		if n%15 == 0 {
+		if n%int(max(1, stateWriteInterval/tick)) == 0 {
 			p.writeStates()
 		}
 		if p.now.Sub(p.startedAt) < load {
@@ -220,6 +227,9 @@
 	}
 	p.cell.RecordStartOutcome(p.now, run, StartOK, "")
 	took := time.Duration(float64(run.group.spec.Estimate) * (0.7 + 0.6*p.runTimes.Float64()))
+	if p.runTime != nil {
+		took = p.runTime(run)
+	}
 	if run.group.spec.Gang && run.Task.Index > 0 {
 		// The members of a gang end together.
 		took = p.durations[run.group.tasks[0].liveRuns[0]]
@@ -315,11 +325,8 @@
 			continue
 		}
 		var approved []Approval
-		share := p.kindOf(b.call.group.queue.Name).approvedShare
 		for _, id := range b.call.Runners {
-			h := fnv.New32a()
-			_, _ = h.Write([]byte(b.call.Group + "/" + id))
-			if float64(h.Sum32()%1000) < share*1000 {
+			if p.approves(b.call.group, id) {
 				approved = append(approved, Approval{Runner: id, Ticket: "t"})
 			}
 		}
@@ -328,6 +335,13 @@
 	p.callsInFlight = keep
 }
 
+// approves reports whether the advisor lets a group run on a runner.
+func (p *loadSim) approves(g *group, id string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(g.adviceKey() + "/" + id))
+	return float64(h.Sum32()%1000) < p.kindOf(g.queue.Name).approvedShare*1000
+}
+
 func (p *loadSim) kindOf(queue string) *jobKind {
 	for i := range p.kinds {
 		if p.kinds[i].queue.Name == queue {
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -65,12 +65,13 @@
 				}
 				n = c.startsWithinLimit(g)
 			}
-			if c.leavesRoom(g) {
+			overdue := c.refreshIdleWait(now, wall, g) && now.Sub(g.idle.since) >= maxHeldTime
+			if !overdue && c.leavesRoom(g) {
 				// The group must not keep capacity or the advisor from others.
 				c.releaseReservation(g)
 				continue
 			}
-			inLookahead := c.withinLookahead(now, g, n, c.demandOf(g, demands))
+			inLookahead := c.withinLookahead(now, g, n, overdue, c.demandOf(g, demands))
 			c.decideGroup(now, wall, g, inLookahead, &d)
 			if inLookahead && c.openExcess > 0 {
 				c.countAwaited(now, g)
@@ -118,11 +119,15 @@
 		c.deductReservation(g)
 		return
 	}
-	if g.beginMarkStored() && g.mayHaveTickets(now) && c.anyRunnerMayFit(g.claim(), permitted) {
-		if g.spec.Gang {
-			c.placeGang(now, g, d)
-		} else {
-			c.placeTasks(now, g, d)
+	waiting := g.waitingTasks
+	c.place(now, g, waiting, d)
+	if g.waitingTasks == waiting || g.spec.LongRunning {
+		if passed := c.passableReservations(now, g); len(passed) > 0 {
+			for _, o := range passed {
+				c.returnReservation(o)
+				defer c.deductReservation(o)
+			}
+			c.placeBesideReservations(now, g, passed, d)
 		}
 	}
 	if g.waitingTasks == 0 {
@@ -134,12 +139,27 @@
 	if inLookahead || len(g.reservedRunners) > 0 {
 		c.requestAdvice(now, g, d)
 	}
+	if len(g.reservedRunners) > 0 {
+		c.updateReservedFrom(now, g)
+	}
 	c.deductReservation(g)
 	if g.beginMarkStored() && len(d.Starts) < c.maxStarts {
 		g.retryAt = now.Add(groupRetryInterval)
 	}
 }
 
+// place starts at most the given number of tasks of a group, a gang as a whole, where it may start and the available capacity
+// suffices.
+func (c *Cell) place(now time.Time, g *group, most int, d *Decisions) {
+	switch {
+	case g.waitingTasks == 0 || !g.beginMarkStored() || !g.mayHaveTickets(now) || !c.anyRunnerMayFit(g.claim(), c.permittedRunnerSet(g)):
+	case g.spec.Gang:
+		c.placeGang(now, g, d)
+	default:
+		c.placeTasks(now, g, most, d)
+	}
+}
+
 // claim returns the capacity that a task of the group occupies.
 func (g *group) claim() model.Resources { return g.spec.claim() }
 
@@ -189,9 +209,9 @@
 	failedPenaltyMilliCPU       = 1 << 44
 )
 
-// placeTasks starts waiting tasks of a group one by one, each on the runner that it leaves
+// placeTasks starts at most the given number of waiting tasks of a group one by one, each on the runner that it leaves
 // with the least CPU, so that large tasks find capacity elsewhere.
-func (c *Cell) placeTasks(now time.Time, g *group, d *Decisions) {
+func (c *Cell) placeTasks(now time.Time, g *group, most int, d *Decisions) {
 	candidates := c.eligible(now, g, func(r *runner) bool { _, ok := g.ticketFor(now, r); return ok })
 	if len(candidates) == 0 {
 		return
@@ -201,7 +221,8 @@
 	if held {
 		defer c.noteHeld(now, g)
 	}
-	for _, index := range c.waitingWithinLimit(g) {
+	waiting := c.waitingWithinLimit(g)
+	for _, index := range waiting[:min(len(waiting), most)] {
 		if len(d.Starts) >= c.maxStarts {
 			c.startsHeldBack = true
 			return
@@ -292,6 +313,7 @@
 	r.prevFree = r.prevFree.Sub(run.claimed)
 	if room := c.poolRooms[r.info.Pool]; room != nil {
 		room.freeMilliCPU -= run.claimed.MilliCPU
+		room.usedMilliCPU += run.claimed.MilliCPU
 	}
 	c.setAvailable(r, r.available.Sub(run.claimed))
 	t.liveRuns = append(t.liveRuns, run)
--- a/sched/cell/reserve.go
+++ b/sched/cell/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"sort"
 	"time"
@@ -207,16 +208,27 @@
 // available capacity.
 func (g *group) reservationFreeAfter(now time.Time) time.Duration {
 	ready := time.Duration(0)
-	for i := 0; i < len(g.reservedRunners); {
-		r, need := g.reservedRunners[i], model.Resources{}
-		for ; i < len(g.reservedRunners) && g.reservedRunners[i] == r; i++ {
-			need = need.Add(g.claim())
-		}
+	for r, need := range g.reservedNeeds() {
 		ready = max(ready, r.freeAfter(now, need))
 	}
 	return ready
 }
 
+// reservedNeeds iterates over the reserved runners of a gang and what it needs on each.
+func (g *group) reservedNeeds() iter.Seq2[*runner, model.Resources] {
+	return func(yield func(*runner, model.Resources) bool) {
+		for i := 0; i < len(g.reservedRunners); {
+			r, need := g.reservedRunners[i], model.Resources{}
+			for ; i < len(g.reservedRunners) && g.reservedRunners[i] == r; i++ {
+				need = need.Add(g.claim())
+			}
+			if !yield(r, need) {
+				return
+			}
+		}
+	}
+}
+
 // freeAfter returns the time until a runner is expected to have the needed capacity
 // available.
 func (r *runner) freeAfter(now time.Time, need model.Resources) time.Duration {
--- a/sched/cell/run.go
+++ b/sched/cell/run.go
@@ -102,6 +102,8 @@
 	adopted bool
 	// isCopy marks the second run of a task; see straggler.go.
 	isCopy bool
+	// passed marks a run that started on capacity which a gang had reserved.
+	passed bool
 	// resumed marks a run that started from a checkpoint.
 	resumed bool
 	// gangAssembled tells whether all members of the run's gang were active at the same
