cell: work passes a held account limit while less than half of it is in use

Cause: the room that a gang holds in the limit is kept from the account's other groups for 2 s at first with less than half in use, but for twice as long at each further attempt, up to 64 s. A gang that waits for a long job of its own account holds in vain each time.

TestWorkPassesAGangThatWaitsForTheLimitOfItsAccount failed before.

The fix: the wait beside free capacity is measured regardless of a hold, and a group that has waited for 1 s is not bound by one. Jobs of less than 10 s still yield to a group that has held in vain, so that a stream of small jobs does not starve it.

--- a/sched/cell/accounthold.go
+++ b/sched/cell/accounthold.go
@@ -66,6 +66,10 @@
 	switch {
 	case h.group == nil || h.group == g:
 		return false
+	case g.idle.overdue && g.job.account.belowHalf() && (h.attempts == 0 || !g.idle.yields):
+		// Nothing may wait for long beside free capacity of which the account may use more than it does. New jobs yield to a
+		// group that has held in vain.
+		return false
 	case h.attempts > 0 || h.group.before(g):
 		return true
 	}
@@ -92,6 +96,15 @@
 	return model.Resources{MilliCPU: overHalf(a.Limit.MilliCPU), MemoryMB: overHalf(a.Limit.MemoryMB), Accelerators: overHalf(a.Limit.Accelerators)}
 }
 
+// hasRoomBesideHold reports whether less than half of the limit is in use, and only a hold can keep a group from starting.
+func (a *account) hasRoomBesideHold(g *group) bool {
+	n := 1
+	if g.spec.Gang {
+		n = len(g.tasks)
+	}
+	return a.belowHalf() && a.room(g.spec.Size, model.Resources{}, n) == n
+}
+
 // mayWaitBehindSmaller reports whether smaller tasks of its account could keep a group from starting for ever.
 func (a *ClientAccount) mayWaitBehindSmaller(g *group) bool {
 	return (g.spec.Gang && len(g.tasks) > 1) || a.places(g.spec.Size, model.Resources{}, largeTaskDivisor) < largeTaskDivisor
--- a/sched/cell/idlewait.go
+++ b/sched/cell/idlewait.go
@@ -27,12 +27,15 @@
 type idleWait struct {
 	// since is zero if the group does not wait, or lacks capacity.
 	since, checkedAt time.Time
+	// overdue tells that the group has waited for maxHeldTime, and yields that its job still yields to work that others
+	// have delayed.
+	overdue, yields bool
 }
 
-// refreshIdleWait reports whether a group waits although the capacity for it exists, reserved or not: twice as much as it needs,
-// while most of the pool is free and no task of its job runs. For tasks that last, other runs do not matter: the callers are
-// without the service until they run.
-func (c *Cell) refreshIdleWait(now, wall time.Time, g *group) bool {
+// refreshIdleWait finds out whether a group waits although the capacity for it exists, reserved or not: twice as much as it
+// needs, while most of the pool is free and no task of its job runs. For tasks that last, other runs do not matter: the callers
+// are without the service until they run.
+func (c *Cell) refreshIdleWait(now, wall time.Time, g *group) {
 	w := &g.idle
 	if w.checkedAt.IsZero() || now.Sub(w.checkedAt) >= idleCheckInterval {
 		w.checkedAt = now
@@ -43,12 +46,16 @@
 			w.since = now
 		}
 	}
-	return !w.since.IsZero()
+	w.overdue = !w.since.IsZero() && now.Sub(w.since) >= maxHeldTime
+	w.yields = !g.spec.LongRunning && now.Before(g.job.Accepted.Add(maxYieldTime))
 }
 
-// couldStart reports whether nothing but capacity that others keep can hold a group back.
+// couldStart reports whether nothing but what others keep, of the capacity or of the account's limit, can hold a group back.
 func (c *Cell) couldStart(now, wall time.Time, g *group) bool {
-	if now.Before(g.pausedUntil) || wall.Before(g.due) || (g.spec.Gang && g.waitingTasks < len(g.tasks)) || c.startsWithinLimit(g) == 0 {
+	if now.Before(g.pausedUntil) || wall.Before(g.due) || (g.spec.Gang && g.waitingTasks < len(g.tasks)) {
+		return false
+	}
+	if c.startsWithinLimit(g) == 0 && !g.job.account.hasRoomBesideHold(g) {
 		return false
 	}
 	if !g.spec.LongRunning && (!c.poolRoom(g.job.Pool).mostlyFree() || g.job.hasRuns()) {
@@ -103,8 +110,8 @@
 // expected to start before the group would pass anyway.
 func (o *group) holds(now time.Time, g *group) bool {
 	until := g.idle.since.Add(maxHeldTime)
-	if yield := g.job.Accepted.Add(maxYieldTime); o.delayedByPassing && !g.spec.LongRunning && yield.After(until) {
-		until = yield
+	if o.delayedByPassing && g.idle.yields {
+		until = later(until, g.job.Accepted.Add(maxYieldTime))
 	}
 	return now.Before(until) && !o.reservedFrom.After(until)
 }
--- a/sched/cell/idlewait_test.go
+++ b/sched/cell/idlewait_test.go
@@ -122,3 +122,25 @@
 	must.Positive(t, s.jobByID(gang.ID).started)
 	must.MapEmpty(t, s.breaches)
 }
+
+// Guards against jobs of an account that start nothing for as long as the account's limit is held, time and again, for a gang
+// that waits for a batch job of the same account, though less than half of the limit is in use.
+func TestWorkPassesAGangThatWaitsForTheLimitOfItsAccount(t *testing.T) {
+	s := newIdleSim(t, 20, 1)
+	s.accounts = []string{"one"}
+	s.cell.SetClientAccounts(1, []ClientAccount{{Name: "one", Weight: 50, Limit: model.Resources{MilliCPU: 200000}}})
+	size := func(cpu int64) model.Resources { return model.Resources{MilliCPU: cpu, MemoryMB: 1000} }
+	s.add(0, "plans", 1, Step{Count: 4, Size: size(15000), Estimate: time.Minute})
+	gang := s.add(time.Second, "plans", 1, Step{Count: 12, Gang: true, Size: size(15000), Estimate: 16 * time.Second})
+	for at := 2 * time.Second; at < 22*time.Second; at += time.Second {
+		// By the second step the job has long been accepted, and does not yield any more.
+		s.add(at, "proofs", 1, Step{Count: 1, Size: size(500), Estimate: 12 * time.Second}, Step{Count: 2, Size: size(1000), Estimate: time.Second, DependsOn: []int{0}})
+	}
+	for i := range s.jobs {
+		s.jobs[i].job.ClientAccount = "one"
+	}
+	s.run(0, 100*time.Second)
+	must.MapEmpty(t, s.breaches)
+	must.Positive(t, s.jobByID(gang.ID).started)
+	must.Less(t, 75*time.Second, s.jobByID(gang.ID).started)
+}
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -141,7 +141,7 @@
 // would expire, given the demand of the groups before it. If so, it adds the tasks that may start to the
 // demand. A group that is overdue has capacity, and passes the others. A gang that may not reserve capacity yet does not count as demand, so that it does
 // not keep others from capacity that it cannot use.
-func (c *Cell) withinLookahead(now time.Time, g *group, tasks int, overdue bool, before *demand) bool {
+func (c *Cell) withinLookahead(now time.Time, g *group, tasks int, before *demand) bool {
 	horizon := groupRetryInterval
 	if a := g.queue.Advice; a != nil {
 		horizon = a.CallTime(len(g.tasks)) + min(a.Validity/2, maxLookahead)
@@ -149,7 +149,7 @@
 	// Slow runners do not count for a group that is kept from them.
 	wanted, free := c.lookaheadRunners(now, g, before)
 	fits := c.anyRunnerMayFit(g.claim(), wanted)
-	if !overdue && float64(before.allMilliCPU) > float64(free)+c.expectedFreedRate(before)*horizon.Seconds() &&
+	if !g.idle.overdue && float64(before.allMilliCPU) > float64(free)+c.expectedFreedRate(before)*horizon.Seconds() &&
 		(!fits || g.spec.Gang || before.fittingMilliCPU > free) {
 		// A group that fits now may still use capacity that is too small for those before it.
 		return false
@@ -157,7 +157,7 @@
 	if n, limited := c.startsWithin(now, horizon); limited && float64(c.lookaheadTasks) > n {
 		return false
 	}
-	if !overdue && g.spec.Gang && float64(before.gangMilliCPU) > lookaheadGangFactor*maxReservedShare*float64(before.capacityMilliCPU) {
+	if !g.idle.overdue && g.spec.Gang && float64(before.gangMilliCPU) > lookaheadGangFactor*maxReservedShare*float64(before.capacityMilliCPU) {
 		return false
 	}
 	if g.lookaheadSince.IsZero() {
--- a/sched/cell/place.go
+++ b/sched/cell/place.go
@@ -44,11 +44,11 @@
 	c.freedCPU.add(now, c.free.freedMilliCPU)
 	c.sortNewlyStartable(now, wall)
 	c.refreshUnseenUsage(now)
+	clear(c.poolRooms)
 	front, sweep := c.groupsToConsider(now, wall)
 	c.applyReservations(now)
 	demands := make(map[runnerClass]*demand)
 	c.lookaheadTasks, c.startsHeldBack = 0, false
-	clear(c.poolRooms)
 	for _, part := range [...][]*group{front, sweep} {
 		for _, g := range part {
 			if len(d.Starts) >= MaxStartsPerDecision {
@@ -57,6 +57,7 @@
 			if !g.hasWaitingTasks() {
 				continue
 			}
+			c.refreshIdleWait(now, wall, g)
 			n := g.waitingTasks
 			if g.withinLimitIn != c.decision {
 				if c.limitBlocks(now, wall, g) {
@@ -65,13 +66,12 @@
 				}
 				n = c.startsWithinLimit(g)
 			}
-			overdue := c.refreshIdleWait(now, wall, g) && now.Sub(g.idle.since) >= maxHeldTime
-			if !overdue && c.leavesRoom(g) {
+			if !g.idle.overdue && c.leavesRoom(g) {
 				// The group must not keep capacity or the advisor from others.
 				c.releaseReservation(g)
 				continue
 			}
-			inLookahead := c.withinLookahead(now, g, n, overdue, c.demandOf(g, demands))
+			inLookahead := c.withinLookahead(now, g, n, c.demandOf(g, demands))
 			c.decideGroup(now, wall, g, inLookahead, &d)
 			if inLookahead && c.openExcess > 0 {
 				c.countAwaited(now, g)
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -78,6 +78,13 @@
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // age returns how long the caller has waited for the group's occurrence.
 func (g *group) age(now, wall time.Time) time.Duration {
 	if !g.due.IsZero() {
--- a/sched/cell/sharemerge.go
+++ b/sched/cell/sharemerge.go
@@ -133,6 +133,7 @@
 		if g.limitShare > l.left {
 			l.withoutRoom++
 		}
+		c.refreshIdleWait(now, wall, g)
 		if c.limitBlocks(now, wall, g) {
 			return false
 		}
