cell: one task per runner no longer keeps a step from naming further runners

What callers would see: a step of many tasks that last, one per runner, on a queue with a recommendation starts on the runners of the first calls to the advisor, and the rest of its tasks never starts beside free runners (LOST). Found by the random test of idle waits; not reported.

Cause: the runners that have their task still have free capacity, so their tickets were renewed for ever, and while a step renews tickets it names no further runners. Each naming also waited for a second first.

TestOneTaskPerRunnerFindsRunnersThatNoCallHasNamed failed before.

The fix: renewals leave out runners on which the step has reached its number of tasks, and overdue work names more runners at once.

--- a/sched/cell/advicecalls.go
+++ b/sched/cell/advicecalls.go
@@ -131,6 +131,9 @@
 		a.fullSince = now
 	}
 	maxWait := min(maxFullWait, maxFullWaitCalls*g.queue.Advice.CallTime(len(a.asked)))
+	if g.idle.overdue {
+		maxWait = 0
+	}
 	if now.Sub(a.fullSince) < maxWait || now.Before(a.nameMoreAt) {
 		return false
 	}
@@ -160,6 +163,7 @@
 	}
 	rule := c.speedRule(now, g)
 	chosen, _ := rule.filter(c.eligible(now, g, expired))
+	chosen = g.withPlaceLeft(chosen)
 	slices.SortFunc(chosen, func(a, b *runner) int {
 		return cmp.Or(compareBools(g.hasFailedOn(a), g.hasFailedOn(b)), byCPUAfterExpected(a, b))
 	})
@@ -175,6 +179,14 @@
 	return chosen
 }
 
+// withPlaceLeft returns the runners on which the group has not reached its number of tasks per runner, in their order.
+func (g *group) withPlaceLeft(runners []*runner) []*runner {
+	if g.spec.MaxPerRunner == 0 {
+		return runners
+	}
+	return slices.DeleteFunc(runners, func(r *runner) bool { return g.countOnRunner(r) >= g.spec.MaxPerRunner })
+}
+
 // gangTicketRenewals returns the runners for which a gang needs new tickets. It looks at
 // the reserved runners once they are about to have capacity, or, without a reservation, at
 // runners that have capacity now.
--- a/sched/cell/idledraw_test.go
+++ b/sched/cell/idledraw_test.go
@@ -67,15 +67,14 @@
 		share := left * (0.3 + 0.7*s.random.Float64())
 		left -= share
 		st.Count = max(1, int(share*float64(s.runners)*32000/float64(st.Size.MilliCPU)))
-		maxPerRunner := s.random.IntN(2)
+		st.MaxPerRunner = s.random.IntN(2)
 		d := drawnJob{queue: []string{"plans", "proofs"}[s.random.IntN(2)], overrun: 1}
 		switch s.random.IntN(4) {
 		case 0:
 			d.overrun = s.between(1.5, 6)
 		case 1:
-			st.LongRunning, maxPerRunner = true, 0
+			st.LongRunning = true
 		}
-		st.MaxPerRunner = maxPerRunner
 		d.steps = []Step{st}
 		out = append(out, d)
 	}
--- a/sched/cell/idlewait_test.go
+++ b/sched/cell/idlewait_test.go
@@ -144,3 +144,16 @@
 	must.Positive(t, s.jobByID(gang.ID).started)
 	must.Less(t, 75*time.Second, s.jobByID(gang.ID).started)
 }
+
+// Guards against tasks that last and never start, though runners are free that no call to the advisor has named: one task may run
+// on each runner, and the calls asked again and again for the runners that have theirs.
+func TestOneTaskPerRunnerFindsRunnersThatNoCallHasNamed(t *testing.T) {
+	s := newIdleSim(t, 200, 1)
+	s.kinds[1].approvedShare = 0.8
+	s.kinds[1].queue.Advice = &AdvicePolicy{Base: 66 * time.Millisecond, PerRunner: 940 * time.Microsecond, Validity: 2 * time.Second}
+	s.setQueues()
+	j := s.add(0, "proofs", 1, Step{Count: 150, MaxPerRunner: 1, LongRunning: true, Size: model.Resources{MilliCPU: 4000, MemoryMB: 4000}})
+	s.run(0, 10*time.Second)
+	must.MapEmpty(t, s.breaches)
+	must.Zero(t, j.group(0, 0).waitingTasks)
+}
