cell: measure the chains of a job once, and end a step in linear time

After 20 jobs of 256 steps, half of which depend on all of the other half, on a queue with an advisor, leases of sound runners lapse, POSTs at the scheduler's VM get no answer, and a small job of another queue does not start beside an idle cell.

Cause: what depends only on a job's specification was worked out again for each group, decision and end. Ranking a group walked all steps and dependencies of its job for each step, several times; an ended step made the list of distinct dependencies of each group in quadratic time. Both under the cell's lock.

The fix: chains are measured when a job is added, and the longest is kept for the present time of a call to the advisor; an ended step looks for itself in the dependencies of the others.

--- a/sched/cell/admitwait.go
+++ b/sched/cell/admitwait.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"rhubarbstall.example/sched/model"
@@ -72,15 +73,13 @@
 	if wait <= minRejectedWait || spec.Repetitions > 0 {
 		return 0, 0
 	}
-	g := group{queue: q, job: &Job{Spec: *spec, criticalPaths: spec.criticalPaths()}}
-	chain := time.Duration(0)
-	for i := range spec.Steps {
-		if spec.Steps[i].LongRunning {
-			return 0, 0
-		}
-		chain = max(chain, g.remainingTime(i))
+	if slices.ContainsFunc(spec.Steps, func(st Step) bool { return st.LongRunning }) {
+		return 0, 0
 	}
-	affordable := max(g.expectedLatency()-chain, minRejectedWait)
+	j := &Job{Spec: *spec}
+	j.measureChains()
+	g := group{queue: q, job: j}
+	affordable := max(g.expectedLatency()-j.longestChain(q.callTimePerStep()), minRejectedWait)
 	share := (float64(wait)/float64(affordable) - rejectFirstFactor) / (rejectAllFactor - rejectFirstFactor)
 	return min(max(share, 0), 1), wait - time.Duration(rejectFirstFactor*float64(affordable))
 }
--- a/sched/cell/job.go
+++ b/sched/cell/job.go
@@ -68,6 +68,9 @@
 	// criticalPaths holds, for each step, the estimated time from its start to the end of
 	// the job.
 	criticalPaths []time.Duration
+	// chainSteps holds, for each step, the number of steps in the longest chain that begins with it; nil for a single step.
+	chainSteps []uint16
+	longest    longestChain
 	// memoryBytes is the estimated memory that the job takes.
 	memoryBytes int64
 	finishedAt  time.Time
--- a/sched/cell/jobs.go
+++ b/sched/cell/jobs.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,7 @@
 		return false
 	}
 	j.Accepted = now.Add(-j.PriorWait)
-	j.criticalPaths = j.Spec.criticalPaths()
+	j.measureChains()
 	j.state, j.savedState = Queued, Queued
 	c.jobs[j.ID] = j
 	c.updateMemory(j)
@@ -78,11 +79,9 @@
 		return
 	}
 	for _, g := range o.groups {
-		for _, dependency := range uniqueInts(g.spec.DependsOn) {
-			if dependency == step {
-				g.openDependencies--
-				c.addStartable(g)
-			}
+		if slices.Contains(g.spec.DependsOn, step) {
+			g.openDependencies--
+			c.addStartable(g)
 		}
 	}
 }
@@ -188,16 +187,14 @@
 	c.dirty[j.ID] = j
 }
 
-func uniqueInts(in []int) []int {
-	out := in[:0:0]
-	for i, v := range in {
-		dup := false
-		for _, w := range in[:i] {
-			dup = dup || v == w
-		}
-		if !dup {
-			out = append(out, v)
+// countDependencies returns how many steps a step depends on; the caller may have named one several times.
+func (j *Job) countDependencies(step int) int {
+	n, seen := 0, make([]bool, len(j.Spec.Steps))
+	for _, dependency := range j.Spec.Steps[step].DependsOn {
+		if !seen[dependency] {
+			seen[dependency] = true
+			n++
 		}
 	}
-	return out
+	return n
 }
--- a/sched/cell/occurrence.go
+++ b/sched/cell/occurrence.go
@@ -49,7 +49,7 @@
 		g := &group{job: j, queue: j.queue, occurrence: number, step: s, spec: &j.Spec.Steps[s], due: j.due(number)}
 		g.tasks = make([]task, g.spec.Count)
 		g.openTasks, g.waitingTasks = g.spec.Count, g.spec.Count
-		g.openDependencies = len(uniqueInts(g.spec.DependsOn))
+		g.openDependencies = j.countDependencies(s)
 		o.groups[s] = g
 	}
 	for i := range saved {
--- a/sched/cell/rank.go
+++ b/sched/cell/rank.go
@@ -121,37 +121,13 @@
 // expectedLatency returns the time in which the caller expects the group's occurrence to
 // end.
 func (g *group) expectedLatency() time.Duration {
-	chain := time.Duration(0)
-	for s := range g.job.criticalPaths {
-		chain = max(chain, g.remainingTime(s))
-	}
-	return g.queue.TargetLatency + time.Duration(g.queue.SlackFactor*float64(chain))
+	return g.queue.TargetLatency + time.Duration(g.queue.SlackFactor*float64(g.job.longestChain(g.queue.callTimePerStep())))
 }
 
 // remainingTime returns the estimated time from the start of a step, or from the advice
 // call before it, to the end of the job.
 func (g *group) remainingTime(step int) time.Duration {
-	if g.queue.Advice == nil {
-		return g.job.criticalPaths[step]
-	}
-	calls := g.job.Spec.longestChainSteps(step)
-	return g.job.criticalPaths[step] + time.Duration(calls)*g.queue.Advice.CallTime(assumedRunnersPerCall)
-}
-
-// longestChainSteps returns the number of steps in the longest chain that begins with a
-// step.
-func (s *Spec) longestChainSteps(step int) int {
-	if len(s.Steps) == 1 {
-		return 1
-	}
-	length := make([]int, len(s.Steps))
-	for i := len(s.Steps) - 1; i >= step; i-- {
-		length[i]++
-		for _, dependency := range s.Steps[i].DependsOn {
-			length[dependency] = max(length[dependency], length[i])
-		}
-	}
-	return length[step]
+	return g.job.chainTime(step, g.queue.callTimePerStep())
 }
 
 const (
@@ -201,16 +177,3 @@
 	c.promotionBudget -= float64(g.waitingTasks) * float64(g.claim().MilliCPU) * g.spec.Estimate.Seconds()
 	return true
 }
-
-// criticalPaths returns, for each step, the length of the critical path that begins with
-// it: the estimated time from its start to the end of the longest chain of dependent steps.
-func (s *Spec) criticalPaths() []time.Duration {
-	out := make([]time.Duration, len(s.Steps))
-	for i := len(s.Steps) - 1; i >= 0; i-- {
-		out[i] += s.Steps[i].Estimate
-		for _, dependency := range s.Steps[i].DependsOn {
-			out[dependency] = max(out[dependency], out[i])
-		}
-	}
-	return out
-}
