--- a/sched/cell/chains_test.go
+++ b/sched/cell/chains_test.go
@@ -31,11 +31,17 @@
 	return min(playLayeredJobs(t, dependencies), playLayeredJobs(t, dependencies), playLayeredJobs(t, dependencies))
 }
 
-func playLayeredJobs(t *testing.T, dependencies int) time.Duration {
+// newLayeredSim returns a cell of 48 runners whose less urgent queue has an advisor that approves all of them.
+func newLayeredSim(t *testing.T) *idleSim {
 	s := newIdleSim(t, 48, 1)
 	s.kinds[1].approvedShare = 1
 	s.kinds[1].queue.Advice = &AdvicePolicy{Base: 66 * time.Millisecond, PerRunner: 940 * time.Microsecond, Validity: 2 * time.Second}
 	s.setQueues()
+	return s
+}
+
+func playLayeredJobs(t *testing.T, dependencies int) time.Duration {
+	s := newLayeredSim(t)
 	for range 5 {
 		s.add(0, "proofs", 1, layeredJob(dependencies)...)
 	}
@@ -56,6 +62,16 @@
 	must.Less(t, 4*few, many)
 }
 
+// Guards against jobs of which nothing runs, while the advisor is asked about all the steps of other jobs first.
+func TestEachOfManyLargeJobsStarts(t *testing.T) {
+	s := newLayeredSim(t)
+	for i := range 20 {
+		s.add(time.Duration(i)*20*time.Millisecond, "proofs", 1, layeredJob(1)...)
+	}
+	s.run(0, 12*time.Second)
+	must.MapEmpty(t, s.breaches)
+}
+
 // Guards against chains that are measured for an earlier policy of the advisor.
 func TestLongestChainFollowsThePolicyOfTheQueue(t *testing.T) {
 	j := &Job{Spec: Spec{Steps: []Step{
--- a/sched/cell/loadsim_test.go
+++ b/sched/cell/loadsim_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -60,12 +61,16 @@
 	speeds *speedSim
 	// runTime replaces the run times of all tasks; nil for those drawn from runTimes. The members of a gang end together.
 	runTime func(run *Run) time.Duration
+	// dropsOldCalls drops calls to the advisor that have waited for long, as VMs do.
+	dropsOldCalls bool
 	// tick is the time between two decisions.
 	tick time.Duration
 	// busyCoreSeconds sums the cores in use over the time in which jobs arrive.
 	busyCoreSeconds float64
 }
 
+var errDroppedCall = errors.New("the call is no longer needed")
+
 // stateWriteInterval is the time between two writes of states, each of which is stored at the next one.
 const stateWriteInterval = 60 * time.Millisecond
 
@@ -302,6 +307,10 @@
 	}
 	keep := p.calls[:0]
 	for _, call := range p.calls {
+		if p.dropsOldCalls && !p.cell.AdviceStillNeeded(p.now, &call) {
+			p.cell.RecordAdvice(p.now, call, time.Time{}, nil, errDroppedCall)
+			continue
+		}
 		isLong := call.ExpectedDuration > 150*time.Millisecond
 		if len(p.callsInFlight) >= p.callers || (isLong && long >= p.callers-p.callers/4) {
 			keep = append(keep, call)
