cellsched: record starts under way 20 ms after they are sent

A start gets no answer, its sender is killed 0.3 s later, the next scheduler starts the task elsewhere, and the runner restarts and executes the late start.

Cause: the record of starts that may still be carried out was written when a start was overdue (0.5 s) or another one was answered. A process that was killed before left none.

The fix: sending a start changes the recorded set. The record is written 20 ms later, at most every 100 ms as before, and not at all if the starts have been answered by then and it is empty. The random tests leave out late starts of the last 0.22 s before a kill, no longer of the last 0.7 s.

Left: a kill within 20 ms of the start, or up to 150 ms if the record was just written.

--- a/daemon/internal/cellsched/decideloop.go
+++ b/daemon/internal/cellsched/decideloop.go
@@ -80,7 +80,7 @@
 		events = s.cell.TakeEvents()
 		dirty = s.cell.HasDirty()
 		if s.cell.UnsettledVersion() != s.startsVersion {
-			signal(s.startsUnanswered)
+			signal(s.startsChanged)
 		}
 	})
 	if s.broken.Load() {
--- a/daemon/internal/cellsched/preparestart.go
+++ b/daemon/internal/cellsched/preparestart.go
@@ -41,5 +41,6 @@
 	case prepared.StaleReason != "":
 		return l, prepared, 0, nil
 	}
+	signal(s.startsChanged)
 	return l, prepared, s.grantLease(l), nil
 }
--- a/daemon/internal/cellsched/scheduler.go
+++ b/daemon/internal/cellsched/scheduler.go
@@ -134,11 +134,13 @@
 	rosterChanged chan struct{}
 	// rosterRevision is the store revision of the roster.
 	rosterRevision int64
-	// startsUnanswered is signalled when the set of unanswered starts may have changed. startsVersion is the version of the
-	// set that the store holds, and startsRevision the store's revision of it.
-	startsUnanswered chan struct{}
-	startsVersion    int
-	startsRevision   int64
+	// startsChanged is signalled when the set of starts that may still be carried out may have changed. startsVersion is the
+	// version of the set that the store holds, and startsRevision the store's revision of it. startsRecordEmpty tells that the
+	// record certainly holds none.
+	startsChanged     chan struct{}
+	startsVersion     int
+	startsRevision    int64
+	startsRecordEmpty bool
 	// endWaiters wakes the runner loops that wait until the ends of their runner are stored.
 	endWaiters endWaiters
 	// statesStored is closed and replaced after each write of states.
@@ -171,7 +173,7 @@
 		}),
 		runnerLoops: make(map[string]*runnerLoop), revisions: make(map[string]int64), sweptJobs: make(map[string]sweptJob), tombstones: make(tombstones),
 		endWaiters:     newEndWaiters(),
-		decisionNeeded: make(chan struct{}, 1), statesDirty: make(chan struct{}, 1), rosterChanged: make(chan struct{}, 1), startsUnanswered: make(chan struct{}, 1), statesStored: make(chan struct{}),
+		decisionNeeded: make(chan struct{}, 1), statesDirty: make(chan struct{}, 1), rosterChanged: make(chan struct{}, 1), startsChanged: make(chan struct{}, 1), statesStored: make(chan struct{}),
 	}, nil
 }
 
--- a/daemon/internal/cellsched/sim_test.go
+++ b/daemon/internal/cellsched/sim_test.go
@@ -148,7 +148,7 @@
 
 // kill cuts a VM off, so that nothing it sends arrives, stops it, and starts another VM.
 func (s *sim) kill(vm *simVM) {
-	s.fleet.CallerLost(orderTimeout + 2*startsRecordInterval)
+	s.fleet.CallerLost(startsRecordDelay + 2*startsRecordInterval)
 	s.setPartitioned(vm, true)
 	vm.stop()
 	delete(s.vms, vm.name)
--- a/daemon/internal/cellsched/startsrecord.go
+++ b/daemon/internal/cellsched/startsrecord.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// startsRecordDelay is the time from the start order after which the record is written. Most starts are answered earlier, and
+	// need no record.
+	startsRecordDelay = 20 * time.Millisecond
 	// startsRecordInterval is the least pause between two writes of the record of unanswered starts. It batches those
 	// that get no answer at the same time.
 	startsRecordInterval = 100 * time.Millisecond
@@ -37,6 +40,7 @@
 func (s *Scheduler) loadUnsettledStarts() bool {
 	item, found, ok := s.readRecord(startsKey)
 	if !ok || !found {
+		s.exclusive(func() { s.startsRecordEmpty = ok })
 		return ok
 	}
 	var rows []recordedStart
@@ -70,7 +74,10 @@
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-s.startsUnanswered:
+		case <-s.startsChanged:
+		}
+		if !wait.For(s.ctx, startsRecordDelay) {
+			return
 		}
 		bytes := s.storeUnsettledStarts(s.ctx)
 		wait.For(s.ctx, max(startsRecordInterval, time.Duration(bytes)*time.Second/startsRecordBytesPerSecond))
@@ -89,6 +96,10 @@
 		if current = version == s.startsVersion; current {
 			return
 		}
+		if current = s.cell.UnsettledCount() == 0 && s.startsRecordEmpty; current {
+			s.startsVersion = version
+			return
+		}
 		for _, u := range s.cell.UnsettledStarts(maxRecordedStarts) {
 			row := recordedStart{Task: u.Task.String(), Execution: u.Execution, Runner: u.Runner, Closed: u.Closed, Account: u.ClientAccount}
 			if u.ClientAccount != "" {
@@ -113,14 +124,16 @@
 	})
 	s.mu.Lock()
 	defer s.unlock()
+	// After an error the write may have been done all the same.
+	s.startsRecordEmpty = err == nil && len(rows) == 0
 	if err != nil {
 		s.handleWriteError(ctx, err)
-		signal(s.startsUnanswered)
+		signal(s.startsChanged)
 		return len(value)
 	}
 	s.startsRevision, s.startsVersion = stored, version
 	if s.cell.UnsettledVersion() != version {
-		signal(s.startsUnanswered)
+		signal(s.startsChanged)
 	}
 	return len(value)
 }
--- a/daemon/internal/cellsched/startsrecord_test.go
+++ b/daemon/internal/cellsched/startsrecord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +75,26 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice because the process that sent its start ended before the answer was overdue, and left
+// no record of it to the next scheduler.
+func TestStartUnderWayIsRecordedBeforeItsAnswerIsOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(t, 1)
+		defer s.close()
+		for range simVMs {
+			s.startVM()
+		}
+		time.Sleep(2 * time.Second)
+		leader := s.leader()
+		must.NotNil(t, leader)
+		for i := range simRunners {
+			s.setPartitionedFrom(leader, true, runnerAddr(i))
+		}
+		s.submit(1)
+		time.Sleep(orderTimeout / 2)
+		var rows []recordedStart
+		must.NoError(t, json.Unmarshal(s.store.Value(startsKey), &rows))
+		must.SliceNotEmpty(t, rows)
+	})
+}
--- a/sched/cell/cell.go
+++ b/sched/cell/cell.go
@@ -70,7 +70,7 @@
 	repeats  []*Run
 	// leastClaims knows the least capacity that recent starts took.
 	leastClaims leastClaims
-	// unsettledVersion changes with the unanswered ones of them.
+	// unsettledVersion changes with them.
 	unsettledVersion int
 	// sortedRunners lists the runners by id, so that decisions do not depend on map order.
 	sortedRunners []*runner
--- a/sched/cell/preparestart.go
+++ b/sched/cell/preparestart.go
@@ -43,6 +43,7 @@
 		}
 	}
 	c.addUnsettled(u)
+	c.unsettledVersion++
 	return PreparedStart{Token: r.token, Attempt: run.attempt}
 }
 
--- a/sched/cell/unsettledrecord.go
+++ b/sched/cell/unsettledrecord.go
@@ -18,9 +18,13 @@
 	Size          model.Resources
 }
 
-// UnsettledVersion changes with the set of start orders that got no answer and may still be carried out.
+// UnsettledVersion changes with the set of start orders that may still be carried out, those under way included: if this
+// process ends now, the next scheduler has to know of them.
 func (c *Cell) UnsettledVersion() int { return c.unsettledVersion }
 
+// UnsettledCount returns the number of tasks with start orders that may still be carried out.
+func (c *Cell) UnsettledCount() int { return len(c.unsettled) }
+
 // UnsettledStarts returns start orders that may still be carried out, at most limit, those without an answer first.
 func (c *Cell) UnsettledStarts(limit int) []UnsettledStart {
 	var unanswered, underWay []UnsettledStart
