cell: forget that a gang was delayed once it starts

What callers would see: a gang that was delayed by work that passed it, started, failed and waits for tickets again has new jobs yield to it for up to 10 s after their acceptance, though nothing that passed delays it any more.

Cause: the mark was renewed only where capacity is missing on the reserved runners.

The fix: the mark ends with the start. Two comments say more plainly what they mean.

--- a/sched/cell/gang.go
+++ b/sched/cell/gang.go
@@ -25,7 +25,7 @@
 	if plan == nil {
 		return false
 	}
-	g.reservedRunners = nil
+	g.reservedRunners, g.delayedByPassing = nil, false
 	for i, r := range plan {
 		c.orderStart(now, g, i, r, d)
 	}
--- a/sched/cell/idlewait.go
+++ b/sched/cell/idlewait.go
@@ -27,8 +27,8 @@
 type idleWait struct {
 	// since is zero if the group does not wait, or lacks capacity.
 	since, checkedAt time.Time
-	// overdue tells that the group has waited for maxHeldTime, and yields that its job still yields to work that others
-	// have delayed.
+	// overdue tells that the group has waited for maxHeldTime. yields tells that its job is new enough to go on waiting for a
+	// gang that other work has passed.
 	overdue, yields bool
 }
 
--- a/sched/cell/lookahead.go
+++ b/sched/cell/lookahead.go
@@ -139,8 +139,8 @@
 
 // withinLookahead reports whether a group may find capacity before tickets that it gets now
 // would expire, given the demand of the groups before it. If so, it adds the tasks that may start to the
-// demand. A group that is overdue has capacity, and passes the others. A gang that may not reserve capacity yet does not count as demand, so that it does
-// not keep others from capacity that it cannot use.
+// demand. The demand of others does not keep a group out that has waited beside free capacity for long; see idlewait.go. A gang
+// that may not reserve capacity yet does not count as demand, so that it does not keep others from capacity that it cannot use.
 func (c *Cell) withinLookahead(now time.Time, g *group, tasks int, before *demand) bool {
 	horizon := groupRetryInterval
 	if a := g.queue.Advice; a != nil {
